Configuration as a replicated state machine

Publication is compare-and-set on the revision with a change id. The conflict names the change that made the revision after the base.

--- /dev/null
+++ b/internal/configstate/errors.go
@@ -0,0 +1,81 @@
+package configstate
+
+import (
+	"fmt"
+
+	"hemlockmast/api/configstate"
+)
+
+// ConflictError reports that another change was published first. Nothing was
+// changed; the change has to be prepared again from CurrentRevision, with a
+// new change id.
+type ConflictError struct {
+	BaseRevision    uint64
+	CurrentRevision uint64
+	Winner          *configstate.Change
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf(
+		"change was prepared from revision %d, but revision %d is in force: change %s by %s made revision %d",
+		e.BaseRevision, e.CurrentRevision,
+		e.Winner.GetId(), e.Winner.GetAuthor(), e.Winner.GetRevision())
+}
+
+// ChangeIDReusedError reports a change id that belongs to another change.
+type ChangeIDReusedError struct {
+	First *configstate.Change
+}
+
+func (e *ChangeIDReusedError) Error() string {
+	return fmt.Sprintf("change id %s belongs to another change, by %s",
+		e.First.GetId(), e.First.GetAuthor())
+}
+
+// MalformedError reports a command that cannot be understood.
+type MalformedError struct{ Detail string }
+
+func (e *MalformedError) Error() string { return "malformed change: " + e.Detail }
+
+// SnapshotError reports a snapshot that cannot be restored.
+type SnapshotError struct{ Detail string }
+
+func (e *SnapshotError) Error() string { return "configuration snapshot: " + e.Detail }
+
+// GapError reports a delta that starts after the follower's revision.
+type GapError struct {
+	Revision uint64
+	From     uint64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("delta starts at revision %d, after revision %d", e.From, e.Revision)
+}
+
+// UpdateError reports an update that contradicts itself.
+type UpdateError struct{ Detail string }
+
+func (e *UpdateError) Error() string { return "configuration update: " + e.Detail }
+
+// DecodeResult reads what Apply returned for a change prepared from base. It
+// returns *ConflictError, *ChangeIDReusedError or *MalformedError when the
+// change was refused.
+func DecodeResult(data []byte, base uint64) (*configstate.Accepted, error) {
+	var result configstate.Result
+	if err := unmarshal(data, &result); err != nil {
+		return nil, &MalformedError{Detail: "result: " + err.Error()}
+	}
+	switch kind := result.Kind.(type) {
+	case *configstate.Result_Accepted:
+		return kind.Accepted, nil
+	case *configstate.Result_Conflict:
+		return nil, &ConflictError{
+			BaseRevision:    base,
+			CurrentRevision: kind.Conflict.GetCurrentRevision(),
+			Winner:          kind.Conflict.GetWinner(),
+		}
+	case *configstate.Result_ChangeIdReused:
+		return nil, &ChangeIDReusedError{First: kind.ChangeIdReused.GetFirst()}
+	}
+	return nil, &MalformedError{Detail: result.GetMalformed().GetDetail()}
+}
