--- a/internal/session/state.go
+++ b/internal/session/state.go
@@ -147,35 +147,39 @@
 
 // Raise records an acknowledged write at pos, confirmed by slot. The write's own
 // position lies above every earlier write in the group's log, so the floor is
-// settled by it. More than MaxGroups groups give *GroupLimitError; the entry
-// must ask for room before it sends a write to another group.
+// settled by it. More than MaxGroups groups give *GroupLimitError, and the
+// session's floors in groups that are not kept are unknown from then on.
 func (s *State) Raise(group string, pos logpos.Pos, slot string) error {
-	return s.floors.Merge(GroupFloor{Group: group, Pos: pos, Slot: slot, Settled: true, Wrote: true})
+	return s.merge(GroupFloor{Group: group, Pos: pos, Slot: slot, Settled: true, Wrote: true})
 }
 
 // Settle records the position that a primary, confirmed by a majority, gave for
 // a question sent after the state was made. Every write acknowledged before is
 // at or below it.
 func (s *State) Settle(group string, pos logpos.Pos) error {
-	return s.floors.Merge(GroupFloor{Group: group, Pos: pos, Settled: true})
+	return s.merge(GroupFloor{Group: group, Pos: pos, Settled: true})
 }
 
-// HasRoom reports whether a write to group can be recorded.
-func (s *State) HasRoom(group string) bool {
-	_, ok := s.floors.Get(group)
-	return ok || s.floors.Len() < MaxGroups
+// merge gives up completeness with a group that cannot be kept.
+func (s *State) merge(g GroupFloor) error {
+	err := s.floors.Merge(g)
+	if err != nil {
+		s.complete = false
+	}
+	return err
 }
 
 // Learn merges what the session directory knows. The directory's completeness
 // holds because every daemon writes it before a write is acknowledged.
 func (s *State) Learn(floors Floors, complete bool) error {
+	s.complete = s.complete || complete
+	var last error
 	for _, g := range floors.list {
-		if err := s.floors.Merge(g); err != nil {
-			return err
+		if err := s.merge(g); err != nil {
+			last = err
 		}
 	}
-	s.complete = s.complete || complete
-	return nil
+	return last
 }
 
 // AddToken takes the floors of a token that came together with the session's
@@ -188,7 +192,7 @@
 	}
 	for _, g := range t.Floors.list {
 		g.Settled = false
-		if err := s.floors.Merge(g); err != nil {
+		if err := s.merge(g); err != nil {
 			return err
 		}
 	}
