Data path parts: protocol framing, entry, holder, link, acknowledgement, settings

Cause: the thin path needs an entry that owns sessions, a holder that pools transactions over few connections and a link between them.

--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,418 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hemlockmast/api/link"
+	"hemlockmast/internal/exchange"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/pgwire"
+)
+
+const (
+	// maxAttempts bounds how often one segment is sent.
+	maxAttempts = 8
+	// retryPause is the wait before a segment that had not run is sent again.
+	retryPause = 5 * time.Millisecond
+)
+
+// serve runs one segment and answers it. An error ends the session.
+func (sess *session) serve(seg *segment) error {
+	if sess.skipping {
+		return sess.skip(seg)
+	}
+	if sess.failedTx {
+		return sess.serveFailedTx(seg)
+	}
+	if handled, err := sess.serveOwn(seg); handled {
+		return err
+	}
+	a := sess.newAttempt(seg)
+	ctx, done := sess.startRunning(a.deadline)
+	defer done()
+	release, refusal := sess.srv.cfg.Admit.Admit(ctx, sess.service, sess.exchange != nil)
+	if refusal != nil {
+		return a.refuse(ctx, refusal)
+	}
+	defer release()
+	return a.run(ctx)
+}
+
+// attempt is one segment on its way.
+type attempt struct {
+	sess     *session
+	seg      *segment
+	sink     heldSink
+	access   access
+	level    ReadLevel
+	request  string
+	started  time.Time
+	deadline time.Time
+	avoid    []string
+	// inTx states that the segment continues an open exchange.
+	inTx    bool
+	primary bool
+}
+
+func (sess *session) newAttempt(seg *segment) *attempt {
+	now := time.Now()
+	a := &attempt{
+		sess: sess, seg: seg, sink: heldSink{w: sess.conn},
+		started: now, deadline: now.Add(sess.deadline()),
+		inTx: sess.exchange != nil, primary: sess.onPrimary,
+		level: sess.service.Level, request: sess.own[paramRequestID],
+	}
+	a.access = sess.accessOf(seg)
+	if level, ok := parseLevel(sess.own[paramLevel]); ok {
+		a.level = level
+	}
+	if len(seg.queries) > 0 {
+		h := parseHints(seg.queries[0])
+		if level, ok := parseLevel(h[hintLevel]); ok {
+			a.level = level
+		}
+		if id := h[hintRequestID]; id != "" {
+			a.request = id
+		}
+	}
+	return a
+}
+
+func (sess *session) deadline() time.Duration {
+	if d, err := time.ParseDuration(sess.own[paramDeadline]); err == nil && d > 0 {
+		return min(d, sess.service.Deadline)
+	}
+	return sess.service.Deadline
+}
+
+// run sends the segment until it has an outcome that may not be retried.
+func (a *attempt) run(ctx context.Context) error {
+	var last error
+	for n := range maxAttempts {
+		if n > 0 && !a.pause(ctx) {
+			break
+		}
+		res, err := a.once(ctx)
+		if err == nil {
+			return a.finish(ctx, res)
+		}
+		last = err
+		if !a.mayRetry(ctx, err) {
+			break
+		}
+	}
+	return a.fail(ctx, last)
+}
+
+func (a *attempt) pause(ctx context.Context) bool {
+	select {
+	case <-time.After(retryPause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// errReadOnly marks a segment that a replica refused because it writes.
+var errReadOnly = outcome.NotRunError(outcome.CodeReadOnlyTransaction, outcome.ReasonUnknownTarget,
+	"the segment writes", nil)
+
+// once sends the segment once.
+func (a *attempt) once(ctx context.Context) (exchange.Result, error) {
+	sess := a.sess
+	wire := &link.Segment{Ops: a.seg.ops}
+	if sess.exchange == nil {
+		open, err := a.open(ctx)
+		if err != nil {
+			return exchange.Result{}, err
+		}
+		wire.Open = open
+	}
+	res, err := sess.exchange.Run(ctx, wire, &a.sink)
+	if err != nil {
+		sess.dropExchange()
+		return res, err
+	}
+	if res.ReadOnlyRefusal && !a.inTx && !a.primary && a.access == accessUndeclared && !a.sink.started {
+		sess.dropExchange()
+		sess.srv.learned.add(sess.service.Name, a.seg.queries)
+		a.access = accessWrite
+		return res, errReadOnly
+	}
+	return res, nil
+}
+
+// open routes the segment and opens an exchange for it.
+func (a *attempt) open(ctx context.Context) (*link.Open, error) {
+	sess := a.sess
+	need, err := a.need(ctx)
+	if err != nil {
+		return nil, err
+	}
+	target, err := sess.srv.cfg.Router.Route(ctx, need)
+	if err != nil {
+		return nil, err
+	}
+	ex, err := target.Opener.Open(ctx)
+	if err != nil {
+		a.avoid = append(a.avoid, target.Slot)
+		return nil, err
+	}
+	sess.exchange, sess.onPrimary, sess.slot = ex, target.Primary, target.Slot
+	a.primary = target.Primary
+	return &link.Open{
+		Group:      sess.service.Group,
+		Slot:       target.Slot,
+		Database:   sess.db,
+		User:       sess.user,
+		Service:    sess.service.Name,
+		Params:     sess.wireParams(),
+		Write:      need.Write,
+		FloorTerm:  need.Floor.Term,
+		FloorIndex: need.Floor.Index,
+		RequestId:  a.request,
+		Priority:   sess.service.Priority,
+	}, nil
+}
+
+func (a *attempt) need(ctx context.Context) (Need, error) {
+	sess := a.sess
+	need := Need{
+		Service: sess.service,
+		Write:   a.access == accessWrite,
+		Level:   a.level,
+		Avoid:   a.avoid,
+	}
+	if need.Write {
+		return need, nil
+	}
+	floor, err := sess.handle.Floor(ctx, sess.service.Group)
+	if err != nil {
+		return need, err
+	}
+	need.Floor, need.ConfirmedBy, need.FloorUnknown = floor.Pos, floor.ConfirmedBy, floor.Unknown
+	return need, nil
+}
+
+// wireParams returns the session parameters for the endpoint.
+func (sess *session) wireParams() []*link.Param {
+	names := make([]string, 0, len(sess.params))
+	for name := range sess.params {
+		if name != "application_name" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	params := make([]*link.Param, 0, len(names))
+	for _, name := range names {
+		params = append(params, &link.Param{Name: name, Value: sess.params[name]})
+	}
+	return params
+}
+
+// mayRetry reports whether the segment may be sent again: it has not run, or
+// ran as a read at a replica, which cannot have had an effect; nothing of a
+// reply reached the caller; and it does not continue a transaction.
+func (a *attempt) mayRetry(ctx context.Context, err error) bool {
+	var failure *outcome.Error
+	if !errors.As(err, &failure) || ctx.Err() != nil || a.inTx || a.sink.started {
+		return false
+	}
+	harmless := failure.Outcome == outcome.NotRun || a.access != accessWrite && !a.primary
+	if !harmless || !isTransient(failure.Reason) {
+		return false
+	}
+	a.sink.discard()
+	a.sess.srv.cfg.Observer.Retry(a.sess.service.Name, failure.Reason)
+	if failure != errReadOnly && a.sess.slot != "" {
+		a.avoid = append(a.avoid, a.sess.slot)
+	}
+	return true
+}
+
+// isTransient reports whether another try may end otherwise.
+func isTransient(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.ReasonDeadline, outcome.ReasonQueueFull, outcome.ReasonCanceled,
+		outcome.ReasonTooLarge, outcome.ReasonProtocol, outcome.ReasonRepeated:
+		return false
+	}
+	return true
+}
+
+// finish records the commit, then lets the reply go to the caller.
+func (a *attempt) finish(ctx context.Context, res exchange.Result) error {
+	sess := a.sess
+	if !res.Attached {
+		sess.dropExchange()
+	}
+	if res.Pinned {
+		sess.srv.cfg.Observer.Pinned(sess.service.Name)
+	}
+	if res.ErrorCode != "" {
+		sess.forgetStatements(a.seg)
+	}
+	if res.TxStatus != 0 {
+		sess.txStatus = res.TxStatus
+	}
+	if !res.Commit.IsZero() {
+		if err := a.raise(ctx, res); err != nil {
+			return a.fail(ctx, err)
+		}
+	}
+	err := a.sink.finish()
+	a.observe(a.verdictOf(ctx, err))
+	return err
+}
+
+// raise records the session's new floor before the write is acknowledged and
+// puts the new token before the reply's end.
+func (a *attempt) raise(ctx context.Context, res exchange.Result) error {
+	sess := a.sess
+	err := sess.handle.Raise(ctx, sess.service.Group, res.Commit, res.ConfirmedBy)
+	if err != nil {
+		return err
+	}
+	const readyLen = 6
+	n := len(a.sink.buf) - readyLen
+	if n >= 0 && a.sink.buf[n] == pgwire.MsgReadyForQuery {
+		ready := slices.Clone(a.sink.buf[n:])
+		a.sink.buf = pgwire.AppendParameterStatus(a.sink.buf[:n], paramToken, sess.token())
+		a.sink.buf = append(a.sink.buf, ready...)
+	}
+	return nil
+}
+
+func (a *attempt) verdictOf(ctx context.Context, err error) Verdict {
+	if err != nil || context.Cause(ctx) == error(errAbandoned) {
+		return VerdictAbandoned
+	}
+	return VerdictDone
+}
+
+func (a *attempt) observe(v Verdict) {
+	a.sess.srv.cfg.Observer.Segment(a.sess.service.Name, a.access == accessWrite,
+		a.primary, v, time.Since(a.started))
+}
+
+// refuse answers a segment that was not admitted.
+func (a *attempt) refuse(ctx context.Context, err error) error {
+	return a.fail(ctx, err)
+}
+
+// fail answers with the system's own failure. A transaction that was open at
+// the endpoint is lost: the caller must end it before anything else runs.
+func (a *attempt) fail(ctx context.Context, err error) error {
+	var failure *outcome.Error
+	if !errors.As(err, &failure) {
+		a.observe(VerdictAbandoned)
+		return err
+	}
+	sess := a.sess
+	sess.dropExchange()
+	sess.forgetStatements(a.seg)
+	if context.Cause(ctx) == error(errAbandoned) {
+		a.observe(VerdictAbandoned)
+		return errTerminate
+	}
+	if context.Cause(ctx) == error(errCanceledByCaller) {
+		failure = &outcome.Error{
+			Outcome: failure.Outcome, Code: outcome.CodeQueryCanceled,
+			Reason: outcome.ReasonCanceled, Message: "canceled on the caller's request", Cause: err,
+		}
+	}
+	if failure.Outcome == outcome.NotRun {
+		a.observe(VerdictNotRun)
+	} else {
+		a.observe(VerdictUnknown)
+	}
+	return a.writeFailure(failure)
+}
+
+func (a *attempt) writeFailure(failure *outcome.Error) error {
+	sess := a.sess
+	sess.failedTx = a.inTx && sess.txStatus != 'I'
+	if !sess.failedTx {
+		sess.txStatus = 'I'
+	}
+	out := pgwire.AppendError(nil, failure)
+	if a.seg.end == pgwire.MsgFlush {
+		sess.skipping = true
+	} else {
+		out = pgwire.AppendReady(out, sess.shownStatus())
+	}
+	a.sink.discard()
+	_, err := sess.conn.Write(out)
+	return err
+}
+
+// shownStatus is the transaction status that the caller is told.
+func (sess *session) shownStatus() byte {
+	if sess.failedTx {
+		return 'E'
+	}
+	return sess.txStatus
+}
+
+func (sess *session) dropExchange() {
+	if sess.exchange != nil {
+		sess.exchange.Close()
+		sess.exchange = nil
+		sess.onPrimary = false
+	}
+}
+
+// forgetStatements undoes the Parse messages of a segment that failed.
+func (sess *session) forgetStatements(seg *segment) {
+	for _, op := range seg.ops {
+		if op.Kind != link.OpKind_OP_PARSE {
+			continue
+		}
+		for name, st := range sess.statements {
+			if st.wire == op.Statement {
+				delete(sess.statements, name)
+			}
+		}
+	}
+}
+
+// Floor is what a session's reads in one group must see.
+type Floor struct {
+	Pos logpos.Pos
+	// ConfirmedBy is the slot that confirmed the session's last write.
+	ConfirmedBy string
+	// Unknown states that the session may have written above Pos.
+	Unknown bool
+}
+
+// SessionHandle is the state of one session that outlives its connection.
+type SessionHandle interface {
+	// Floor returns the session's floor in a group.
+	Floor(ctx context.Context, group string) (Floor, error)
+	// Raise records an acknowledged write. Until it returns, the write must not
+	// be acknowledged. Errors are *outcome.Error with outcome unknown.
+	Raise(ctx context.Context, group string, pos logpos.Pos, confirmedBy string) error
+	// Token returns the text that carries the session's state with the caller.
+	Token() string
+	// Close ends the use of the handle; the state remains.
+	Close()
+}
+
+// Sessions opens session states.
+type Sessions interface {
+	// Open returns the state for a session id and token, each possibly empty.
+	// Text that is not a token of this system is refused.
+	Open(id, token string) (SessionHandle, *outcome.Error)
+}
+
+// Admitter bounds what runs at one time.
+type Admitter interface {
+	// Admit waits for leave to run a segment. Release must be called at its
+	// end. Errors are *outcome.Error with outcome not run.
+	Admit(ctx context.Context, service Service, inTransaction bool) (release func(), err error)
+}
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,243 @@
+// Package holder owns a daemon's share of the connections to the endpoints of
+// some slots. It runs transactions of many callers over these few connections
+// and reports a commit only after it is confirmed.
+//
+// A connection serves one exchange at a time, from its first segment until the
+// endpoint says that it is idle and no session state is left. A connection
+// whose exchange failed or timed out is closed and never reused, so that no
+// late answer reaches another caller.
+package holder
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"hemlockmast/internal/exchange"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/outcome"
+)
+
+const (
+	// resetTimeout bounds the removal of session state.
+	resetTimeout = time.Second
+	// cancelTimeout bounds one cancel request to an endpoint.
+	cancelTimeout = time.Second
+	// maintenanceInterval is the time between two checks of idle connections.
+	maintenanceInterval = time.Second
+)
+
+// Acknowledger decides when a commit may be reported to its caller.
+type Acknowledger interface {
+	// Await returns once a majority of the group's slots holds pos in its term,
+	// with the name of the slot that confirmed it. Errors are *outcome.Error
+	// with outcome unknown.
+	Await(ctx context.Context, group string, pos logpos.Pos) (slot string, err error)
+}
+
+// Alarm hears of failures on the data path, the first sign of a failed
+// endpoint.
+type Alarm interface {
+	// ConnectionLost reports that an established connection broke.
+	ConnectionLost(group, slot string)
+	// DialFailed reports that no connection could be made.
+	DialFailed(group, slot string)
+}
+
+// SlotID names a slot.
+type SlotID struct {
+	Group string
+	Slot  string
+}
+
+// Config holds what a Holder needs.
+type Config struct {
+	Dialer Dialer
+	Ack    Acknowledger
+	// Alarm may be nil.
+	Alarm Alarm
+	Log   logr.Logger
+}
+
+// Holder serves the slots given to it by Assign.
+//
+// Lock order: Holder.mu before pool.mu.
+type Holder struct {
+	dialer Dialer
+	ack    Acknowledger
+	alarm  Alarm
+	log    logr.Logger
+
+	// mu guards the fields below.
+	mu     sync.RWMutex
+	slots  map[SlotID]*slot
+	shares map[string]int
+}
+
+// slot is one slot that the holder serves.
+type slot struct {
+	id    SlotID
+	pool  *pool
+	alarm Alarm
+}
+
+// New returns a Holder that serves no slot yet.
+func New(cfg Config) *Holder {
+	return &Holder{
+		dialer: cfg.Dialer,
+		ack:    cfg.Ack,
+		alarm:  cfg.Alarm,
+		log:    cfg.Log,
+		slots:  map[SlotID]*slot{},
+		shares: map[string]int{},
+	}
+}
+
+// Assignment is a holder's part of one slot.
+type Assignment struct {
+	ID SlotID
+	// Addr is the endpoint's address.
+	Addr string
+	// Limit is this holder's share of the slot's connections.
+	Limit int
+}
+
+// Assign replaces the set of slots served. Slots that remain keep their
+// connections; those of slots that are gone are cut.
+func (h *Holder) Assign(assignments []Assignment) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := make(map[SlotID]*slot, len(assignments))
+	for _, a := range assignments {
+		s := h.slots[a.ID]
+		if s == nil {
+			s = &slot{id: a.ID, pool: newPool(h.dialer, a.Addr, a.Limit), alarm: h.alarm}
+		}
+		s.pool.setAddr(a.Addr)
+		s.pool.setLimit(a.Limit)
+		next[a.ID] = s
+	}
+	for id, s := range h.slots {
+		if next[id] == nil {
+			s.pool.close()
+		}
+	}
+	h.slots = next
+}
+
+// SetShares bounds the connections per slot that each service may use.
+func (h *Holder) SetShares(shares map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shares = shares
+}
+
+// Open implements exchange.Opener.
+func (h *Holder) Open(context.Context) (exchange.Exchange, error) {
+	return &local{h: h}, nil
+}
+
+// Serves reports whether the holder serves the slot.
+func (h *Holder) Serves(id SlotID) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.slots[id] != nil
+}
+
+// Usage returns the state of every pool.
+func (h *Holder) Usage() map[SlotID]Usage {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	usage := make(map[SlotID]Usage, len(h.slots))
+	for id, s := range h.slots {
+		usage[id] = s.pool.usage()
+	}
+	return usage
+}
+
+// Run checks idle connections until ctx ends, then closes all pools.
+func (h *Holder) Run(ctx context.Context) error {
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			h.checkIdle(now)
+		case <-ctx.Done():
+			h.Assign(nil)
+			return nil
+		}
+	}
+}
+
+func (h *Holder) checkIdle(now time.Time) {
+	h.mu.RLock()
+	slots := make([]*slot, 0, len(h.slots))
+	for _, s := range h.slots {
+		slots = append(slots, s)
+	}
+	h.mu.RUnlock()
+	for _, s := range slots {
+		go func() {
+			if n := s.pool.checkIdle(now); n > 0 {
+				h.log.Info("closed silent connections", "group", s.id.Group, "slot", s.id.Slot, "count", n)
+			}
+		}()
+	}
+}
+
+func (h *Holder) slot(group, name string) (*slot, error) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	s := h.slots[SlotID{Group: group, Slot: name}]
+	if s == nil {
+		return nil, outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonNoHolder,
+			"this daemon does not hold connections to the slot", nil)
+	}
+	return s, nil
+}
+
+func (h *Holder) share(service string) int {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.shares[service]
+}
+
+// cancelAtEndpoint asks the endpoint to stop what runs on c. It uses a
+// connection of its own, as the protocol wants, and does not wait.
+func (h *Holder) cancelAtEndpoint(s *slot, c *conn) {
+	addr := s.pool.address()
+	msg := pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
+	out, err := msg.Encode(nil)
+	if err != nil {
+		return
+	}
+	go func() {
+		raw, err := net.DialTimeout("tcp", addr, cancelTimeout)
+		if err != nil {
+			return
+		}
+		defer func() { _ = raw.Close() }()
+		_ = raw.SetDeadline(time.Now().Add(cancelTimeout))
+		_, _ = raw.Write(out)
+	}()
+}
+
+func (s *slot) observeLost() {
+	if s.alarm != nil {
+		s.alarm.ConnectionLost(s.id.Group, s.id.Slot)
+	}
+}
+
+// observeDial reports a failed dial; a full queue or a deadline is no sign of
+// a failed endpoint.
+func (s *slot) observeDial(err error) {
+	var failure *outcome.Error
+	if s.alarm != nil && asOutcome(err, &failure) && failure.Reason == outcome.ReasonEndpointDown {
+		s.alarm.DialFailed(s.id.Group, s.id.Slot)
+	}
+}
--- /dev/null
+++ b/internal/link/frame.go
@@ -0,0 +1,91 @@
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+)
+
+const (
+	// maxFrameBytes bounds one message between daemons.
+	maxFrameBytes = 32 << 20
+	// keepBytes is the largest buffer that is kept for reuse.
+	keepBytes = 64 << 10
+)
+
+// FrameError reports a message length out of bounds.
+type FrameError struct {
+	Length uint64
+	Limit  int
+}
+
+func (e *FrameError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds the limit of %d", e.Length, e.Limit)
+}
+
+// message is what generated code offers.
+type message interface {
+	SizeVT() int
+	MarshalToSizedBufferVT(p []byte) (int, error)
+	UnmarshalVT(p []byte) error
+}
+
+// frameWriter writes messages, each after its length, in one Write call.
+type frameWriter struct {
+	w   io.Writer
+	buf []byte
+}
+
+func (w *frameWriter) write(m message) error {
+	size := m.SizeVT()
+	if size > maxFrameBytes {
+		return &FrameError{Length: uint64(size), Limit: maxFrameBytes}
+	}
+	w.buf = binary.AppendUvarint(w.buf[:0], uint64(size))
+	head := len(w.buf)
+	w.buf = grow(w.buf, head+size)
+	if _, err := m.MarshalToSizedBufferVT(w.buf[head:]); err != nil {
+		return err
+	}
+	_, err := w.w.Write(w.buf)
+	if cap(w.buf) > keepBytes {
+		w.buf = nil
+	}
+	return err
+}
+
+// frameReader reads what frameWriter wrote.
+type frameReader struct {
+	br  *bufio.Reader
+	buf []byte
+}
+
+func (r *frameReader) read(m message) error {
+	size, err := binary.ReadUvarint(r.br)
+	if err != nil {
+		return err
+	}
+	if size > maxFrameBytes {
+		return &FrameError{Length: size, Limit: maxFrameBytes}
+	}
+	r.buf = grow(r.buf[:0], int(size))
+	if _, err := io.ReadFull(r.br, r.buf); err != nil {
+		return err
+	}
+	err = m.UnmarshalVT(r.buf)
+	if cap(r.buf) > keepBytes {
+		r.buf = nil
+	}
+	return err
+}
+
+// grow returns p with length n, keeping its content.
+func grow(p []byte, n int) []byte {
+	if cap(p) >= n {
+		return p[:n]
+	}
+	q := make([]byte, n)
+	copy(q, p)
+	return q
+}
--- /dev/null
+++ b/internal/link/peer.go
@@ -0,0 +1,285 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
+
+	"hemlockmast/api/link"
+	"hemlockmast/internal/exchange"
+	"hemlockmast/internal/outcome"
+)
+
+const (
+	// dialTimeout bounds the connection to a peer.
+	dialTimeout = time.Second
+	// answerGrace is how long the entry waits beyond the deadline for the
+	// holder's own verdict, which says more than a time-out.
+	answerGrace = 200 * time.Millisecond
+	// maxIdleStreams bounds the streams kept open for reuse.
+	maxIdleStreams = 256
+)
+
+// Peer is this daemon's connection to one other daemon. It connects when first
+// used and again after a failure.
+//
+// Lock order: Peer.mu is a leaf.
+type Peer struct {
+	// Name is this daemon's name.
+	name string
+	addr string
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	session *yamux.Session
+	idle    []*remote
+	// dialing is closed when the dial in progress ends; nil without one.
+	dialing chan struct{}
+	dialErr error
+}
+
+var _ exchange.Opener = (*Peer)(nil)
+
+// NewPeer returns a Peer for the daemon at addr; name is this daemon's.
+func NewPeer(name, addr string) *Peer {
+	return &Peer{name: name, addr: addr}
+}
+
+// Addr returns the peer's address.
+func (p *Peer) Addr() string { return p.addr }
+
+// Open implements exchange.Opener. A stream that is idle is used again.
+func (p *Peer) Open(ctx context.Context) (exchange.Exchange, error) {
+	if r := p.takeIdle(); r != nil {
+		return r, nil
+	}
+	hello := &link.Hello{Daemon: p.name, Purpose: &link.Hello_Exchange{Exchange: &link.ExchangeHello{}}}
+	r, err := p.openStream(ctx, hello)
+	if err != nil {
+		return nil, outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonNoHolder,
+			"no connection to the holder", err)
+	}
+	return r, nil
+}
+
+// Watch calls receive with every position update of the peer until ctx ends or
+// the connection fails.
+func (p *Peer) Watch(ctx context.Context, receive func(*link.SlotStatus)) error {
+	hello := &link.Hello{Daemon: p.name, Purpose: &link.Hello_Watch{Watch: &link.WatchHello{}}}
+	r, err := p.openStream(ctx, hello)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = r.stream.Close() })
+	defer stop()
+	for {
+		status := &link.SlotStatus{}
+		if err := r.r.read(status); err != nil {
+			return err
+		}
+		receive(status)
+	}
+}
+
+// Close cuts the connection.
+func (p *Peer) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropSession()
+}
+
+func (p *Peer) dropSession() {
+	if p.session != nil {
+		_ = p.session.Close()
+		p.session = nil
+	}
+	p.idle = nil
+}
+
+func (p *Peer) takeIdle() *remote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session == nil || p.session.IsClosed() {
+		p.idle = nil
+		return nil
+	}
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	r := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return r
+}
+
+func (p *Peer) giveBack(r *remote) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.session != p.session || len(p.idle) >= maxIdleStreams {
+		_ = r.stream.Close()
+		return
+	}
+	p.idle = append(p.idle, r)
+}
+
+func (p *Peer) openStream(ctx context.Context, hello *link.Hello) (*remote, error) {
+	session, err := p.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	r := &remote{
+		peer: p, session: session, stream: stream,
+		r: &frameReader{br: bufio.NewReaderSize(stream, streamBufferBytes)},
+		w: &frameWriter{w: stream},
+	}
+	if err := r.w.write(hello); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// connect returns the session, dialing if there is none. Only one dial runs at
+// a time; others wait for it.
+func (p *Peer) connect(ctx context.Context) (*yamux.Session, error) {
+	for {
+		p.mu.Lock()
+		if p.session != nil && !p.session.IsClosed() {
+			defer p.mu.Unlock()
+			return p.session, nil
+		}
+		wait := p.dialing
+		if wait == nil {
+			p.dropSession()
+			p.dialing = make(chan struct{})
+			p.mu.Unlock()
+			return p.dial()
+		}
+		p.mu.Unlock()
+		select {
+		case <-wait:
+			if err := p.lastDialError(); err != nil {
+				return nil, err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *Peer) lastDialError() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialErr
+}
+
+func (p *Peer) dial() (*yamux.Session, error) {
+	session, err := dialSession(p.addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.session, p.dialErr = session, err
+	close(p.dialing)
+	p.dialing = nil
+	return session, err
+}
+
+func dialSession(addr string) (*yamux.Session, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return yamux.Client(newCoalescer(conn), sessionConfig())
+}
+
+// remote is an exchange at a peer.
+type remote struct {
+	peer    *Peer
+	session *yamux.Session
+	stream  *yamux.Stream
+	r       *frameReader
+	w       *frameWriter
+	seq     uint64
+	// attached states that the holder keeps a connection for this stream.
+	attached bool
+	// broken states that the stream must not be used again.
+	broken bool
+	reply  link.Reply
+}
+
+// Run implements exchange.Exchange.
+func (r *remote) Run(ctx context.Context, seg *link.Segment, sink io.Writer) (exchange.Result, error) {
+	r.seq++
+	seg.Seq = r.seq
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return exchange.Result{}, outcome.NotRunError(outcome.CodeQueryCanceled,
+			outcome.ReasonDeadline, "the request has no deadline", nil)
+	}
+	seg.TimeoutUs = uint64(max(0, time.Until(deadline)/time.Microsecond))
+	_ = r.stream.SetDeadline(deadline.Add(answerGrace))
+	stop := context.AfterFunc(ctx, func() {
+		if ctx.Err() == context.Canceled {
+			_ = r.stream.SetDeadline(time.Unix(1, 0))
+		}
+	})
+	defer stop()
+	res, err := r.exchange(seg, sink)
+	if err != nil {
+		r.broken = true
+	}
+	r.attached = res.Attached
+	return res, err
+}
+
+// exchange sends seg and reads replies to the last one. Once the first byte is
+// written the outcome is unknown unless the holder says otherwise.
+func (r *remote) exchange(seg *link.Segment, sink io.Writer) (exchange.Result, error) {
+	if err := r.w.write(seg); err != nil {
+		return exchange.Result{}, linkError(err)
+	}
+	for {
+		r.reply.Reset()
+		if err := r.r.read(&r.reply); err != nil {
+			return exchange.Result{}, linkError(err)
+		}
+		if r.reply.Seq != r.seq {
+			return exchange.Result{}, outcome.UnknownError(outcome.ReasonProtocol,
+				"the holder's reply belongs to another request", nil)
+		}
+		if len(r.reply.Data) > 0 {
+			if _, err := sink.Write(r.reply.Data); err != nil {
+				return exchange.Result{}, err
+			}
+		}
+		if r.reply.Result != nil {
+			return exchange.FromWire(r.reply.Result)
+		}
+	}
+}
+
+// Close implements exchange.Exchange.
+func (r *remote) Close() {
+	if r.broken || r.attached {
+		_ = r.stream.Close()
+		return
+	}
+	r.peer.giveBack(r)
+}
+
+func linkError(err error) error {
+	if errors.Is(err, yamux.ErrTimeout) {
+		return outcome.UnknownError(outcome.ReasonDeadline, "the holder did not answer in time", err)
+	}
+	return outcome.UnknownError(outcome.ReasonConnLost, "the connection to the holder was lost", err)
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,208 @@
+// Package link carries exchanges and position updates between daemons: one
+// multiplexed connection per peer, one stream per exchange at a time, flow
+// control per stream.
+package link
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+
+	"hemlockmast/api/link"
+	"hemlockmast/internal/exchange"
+	"hemlockmast/internal/outcome"
+)
+
+const (
+	// keepAliveInterval is the time between two checks of a peer's connection.
+	keepAliveInterval = time.Second
+	// writeTimeout is the time after which a silent peer's connection is closed.
+	writeTimeout = 2 * time.Second
+	// streamWindowBytes is the flow-control window of one stream.
+	streamWindowBytes = 256 << 10
+	// acceptBacklog is the number of streams that may wait to be accepted.
+	acceptBacklog = 4096
+	// streamBufferBytes is the read buffer of one stream.
+	streamBufferBytes = 4 << 10
+)
+
+// Watcher serves the positions that this daemon observes itself.
+type Watcher interface {
+	// Watch calls send with the present state of each slot, then with each
+	// change, until ctx ends or send fails.
+	Watch(ctx context.Context, send func(*link.SlotStatus) error) error
+}
+
+// Server accepts the connections of peers.
+type Server struct {
+	Opener  exchange.Opener
+	Watcher Watcher
+	Log     logr.Logger
+}
+
+// Serve accepts peers on ln until ctx ends. Streams in progress are cut.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	g.Go(func() error {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				if ctx.Err() != nil {
+					return nil
+				}
+				return err
+			}
+			g.Go(func() error {
+				s.servePeer(ctx, conn)
+				return nil
+			})
+		}
+	})
+	return g.Wait()
+}
+
+func (s *Server) servePeer(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(newCoalescer(conn), sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	for {
+		stream, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return
+		}
+		go s.serveStream(ctx, stream)
+	}
+}
+
+// sessionConfig returns the settings of both ends.
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.MaxStreamWindowSize = streamWindowBytes
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	r := &frameReader{br: bufio.NewReaderSize(stream, streamBufferBytes)}
+	w := &frameWriter{w: stream}
+	hello := &link.Hello{}
+	if err := r.read(hello); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	switch hello.Purpose.(type) {
+	case *link.Hello_Exchange:
+		s.serveExchanges(ctx, cancel, r, w)
+	case *link.Hello_Watch:
+		go discard(r, cancel)
+		_ = s.Watcher.Watch(ctx, func(status *link.SlotStatus) error { return w.write(status) })
+	}
+}
+
+// discard waits for the end of a stream on which nothing more is to come.
+func discard(r *frameReader, cancel context.CancelFunc) {
+	_, _ = io.Copy(io.Discard, r.br)
+	cancel()
+}
+
+// serveExchanges runs the segments of a stream in order. The end of the stream
+// cancels the segment in progress.
+func (s *Server) serveExchanges(ctx context.Context, cancel context.CancelFunc, r *frameReader, w *frameWriter) {
+	segments := make(chan *link.Segment)
+	go func() {
+		defer cancel()
+		for {
+			seg := &link.Segment{}
+			if err := r.read(seg); err != nil {
+				return
+			}
+			select {
+			case segments <- seg:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	ex, err := s.Opener.Open(ctx)
+	if err != nil {
+		return
+	}
+	defer ex.Close()
+	for {
+		select {
+		case seg := <-segments:
+			if err := s.runSegment(ctx, ex, seg, w); err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// runSegment runs one segment and sends its replies. It returns an error when
+// the stream must not be used further.
+func (s *Server) runSegment(ctx context.Context, ex exchange.Exchange, seg *link.Segment, w *frameWriter) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(seg.TimeoutUs)*time.Microsecond)
+	defer cancel()
+	sink := &replySink{w: w, seq: seg.Seq}
+	res, err := ex.Run(ctx, seg, sink)
+	var failure *outcome.Error
+	if err != nil && !errors.As(err, &failure) {
+		return err
+	}
+	if failure != nil {
+		s.Log.V(1).Info("segment failed", "error", failure.Error())
+	}
+	last := &link.Reply{Seq: seg.Seq, Data: sink.pending, Result: exchange.ToWire(res, failure)}
+	if sendErr := w.write(last); sendErr != nil {
+		return sendErr
+	}
+	return err
+}
+
+// replySink sends protocol messages as replies. The last piece waits for the
+// result, so that a short answer is one reply.
+type replySink struct {
+	w       *frameWriter
+	seq     uint64
+	pending []byte
+}
+
+func (s *replySink) Write(p []byte) (int, error) {
+	if len(s.pending)+len(p) > streamWindowBytes/2 {
+		if err := s.flush(); err != nil {
+			return 0, err
+		}
+	}
+	s.pending = append(s.pending, p...)
+	return len(p), nil
+}
+
+func (s *replySink) flush() error {
+	if len(s.pending) == 0 {
+		return nil
+	}
+	err := s.w.write(&link.Reply{Seq: s.seq, Data: s.pending})
+	s.pending = s.pending[:0]
+	return err
+}
--- /dev/null
+++ b/internal/pgwire/messages.go
@@ -0,0 +1,137 @@
+package pgwire
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"hemlockmast/internal/outcome"
+)
+
+// Type bytes of the messages that callers send.
+const (
+	MsgBind      = 'B'
+	MsgClose     = 'C'
+	MsgDescribe  = 'D'
+	MsgExecute   = 'E'
+	MsgFlush     = 'H'
+	MsgParse     = 'P'
+	MsgPassword  = 'p'
+	MsgQuery     = 'Q'
+	MsgSync      = 'S'
+	MsgTerminate = 'X'
+)
+
+// Type bytes of the messages that endpoints send.
+const (
+	MsgParseComplete      = '1'
+	MsgBindComplete       = '2'
+	MsgCloseComplete      = '3'
+	MsgNotification       = 'A'
+	MsgCommandComplete    = 'C'
+	MsgDataRow            = 'D'
+	MsgErrorResponse      = 'E'
+	MsgCopyInResponse     = 'G'
+	MsgCopyOutResponse    = 'H'
+	MsgEmptyQueryResponse = 'I'
+	MsgNoticeResponse     = 'N'
+	MsgParameterStatus    = 'S'
+	MsgRowDescription     = 'T'
+	MsgCopyBothResponse   = 'W'
+	MsgReadyForQuery      = 'Z'
+	MsgNoData             = 'n'
+	MsgPortalSuspended    = 's'
+)
+
+// AppendError appends an ErrorResponse for a failure of the system. The
+// outcome stands in the detail field.
+func AppendError(dst []byte, err *outcome.Error) []byte {
+	return AppendErrorText(dst, "ERROR", err.Code, err.Message,
+		"outcome: "+err.Outcome.String()+"; reason: "+string(err.Reason))
+}
+
+// AppendErrorText appends an ErrorResponse.
+func AppendErrorText(dst []byte, severity, code, message, detail string) []byte {
+	msg := pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                code,
+		Message:             message,
+		Detail:              detail,
+	}
+	return mustEncode(msg.Encode(dst))
+}
+
+// AppendReady appends a ReadyForQuery.
+func AppendReady(dst []byte, txStatus byte) []byte {
+	return append(dst, MsgReadyForQuery, 0, 0, 0, 5, txStatus)
+}
+
+// AppendEmpty appends a message that has no body.
+func AppendEmpty(dst []byte, msgType byte) []byte {
+	return append(dst, msgType, 0, 0, 0, 4)
+}
+
+// AppendQuery appends a simple query.
+func AppendQuery(dst []byte, sql string) []byte {
+	msg := pgproto3.Query{String: sql}
+	return mustEncode(msg.Encode(dst))
+}
+
+// AppendParse appends a Parse of a named statement.
+func AppendParse(dst []byte, name, query string, oids []uint32) []byte {
+	msg := pgproto3.Parse{Name: name, Query: query, ParameterOIDs: oids}
+	return mustEncode(msg.Encode(dst))
+}
+
+// AppendParameterStatus appends a ParameterStatus.
+func AppendParameterStatus(dst []byte, name, value string) []byte {
+	msg := pgproto3.ParameterStatus{Name: name, Value: value}
+	return mustEncode(msg.Encode(dst))
+}
+
+// AppendCommandComplete appends a CommandComplete with the given tag.
+func AppendCommandComplete(dst []byte, tag string) []byte {
+	msg := pgproto3.CommandComplete{CommandTag: []byte(tag)}
+	return mustEncode(msg.Encode(dst))
+}
+
+// mustEncode returns dst. Encoding fails only for messages over 1 GiB, which
+// the bounds of this package rule out.
+func mustEncode(dst []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return dst
+}
+
+// ErrorCode returns the SQLSTATE of an ErrorResponse body.
+func ErrorCode(body []byte) string {
+	for len(body) > 0 && body[0] != 0 {
+		field := body[0]
+		value := cString(body[1:])
+		if field == 'C' {
+			return string(value)
+		}
+		body = body[min(len(body), 2+len(value)):]
+	}
+	return ""
+}
+
+// CommandTag returns the tag of a CommandComplete body.
+func CommandTag(body []byte) string { return string(cString(body)) }
+
+// ParameterStatus returns the name and value of a ParameterStatus body.
+func ParameterStatus(body []byte) (name, value string) {
+	n := cString(body)
+	rest := body[min(len(body), len(n)+1):]
+	return string(n), string(cString(rest))
+}
+
+// cString returns the bytes of p before its first zero byte.
+func cString(p []byte) []byte {
+	for i, b := range p {
+		if b == 0 {
+			return p[:i]
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,321 @@
+// Package settings reads and checks the settings file of a daemon. Every
+// mistake names the file, the field and the fix.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "hemlockmast/api/settings"
+)
+
+// Roles of a daemon.
+const (
+	RoleEntry   = "entry"
+	RoleHolder  = "holder"
+	RoleControl = "control"
+)
+
+// Defaults of optional settings.
+const (
+	DefaultMaxCallers     = 20000
+	DefaultDrainTimeout   = 30 * time.Second
+	DefaultHoldersPerSlot = 2
+	// MaxHoldersPerSlot bounds the holders of one slot.
+	MaxHoldersPerSlot = 3
+	// maxFileBytes bounds a settings file.
+	maxFileBytes = 1 << 20
+	// minKeyBytes is the least length of a token key.
+	minKeyBytes = 16
+	// maxNameBytes bounds names.
+	maxNameBytes = 64
+)
+
+// Settings are the checked settings of a daemon.
+type Settings struct {
+	*pb.Settings
+	DrainTimeout   time.Duration
+	MaxCallers     int
+	HoldersPerSlot int
+	// TokenKey signs session tokens.
+	TokenKey []byte
+}
+
+// Problem is one mistake in a settings file.
+type Problem struct {
+	File string
+	// Field is a path such as "listen.callers"; empty when the file as a whole
+	// cannot be read.
+	Field  string
+	Detail string
+	Fix    string
+}
+
+func (p *Problem) Error() string {
+	where := p.File
+	if p.Field != "" {
+		where += ": " + p.Field
+	}
+	return fmt.Sprintf("%s: %s; %s", where, p.Detail, p.Fix)
+}
+
+// Problems is a list of mistakes.
+type Problems []*Problem
+
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks the file at path. The error is Problems.
+func Load(path string) (*Settings, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, unreadable(path, err)
+	}
+	if info.Size() > maxFileBytes {
+		return nil, Problems{{
+			File: path, Detail: fmt.Sprintf("the file has %d bytes", info.Size()),
+			Fix: fmt.Sprintf("keep it under %d bytes", maxFileBytes),
+		}}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, unreadable(path, err)
+	}
+	return Parse(path, data)
+}
+
+func unreadable(path string, err error) Problems {
+	return Problems{{File: path, Detail: err.Error(), Fix: "name a file that the daemon may read"}}
+}
+
+// Parse checks the content of a settings file; name stands in messages. The
+// error is Problems.
+func Parse(name string, data []byte) (*Settings, error) {
+	s := &Settings{Settings: &pb.Settings{}}
+	if err := protojson.Unmarshal(data, s.Settings); err != nil {
+		return nil, Problems{{
+			File: name, Detail: err.Error(),
+			Fix: "use the fields and types of docs/settings.md",
+		}}
+	}
+	c := &checker{file: name, s: s}
+	c.check()
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	return s, nil
+}
+
+// checker collects the mistakes of one file.
+type checker struct {
+	file     string
+	s        *Settings
+	problems Problems
+}
+
+func (c *checker) add(field, detail, fix string) {
+	c.problems = append(c.problems, &Problem{File: c.file, Field: field, Detail: detail, Fix: fix})
+}
+
+func (c *checker) check() {
+	c.checkNames()
+	c.checkRoles()
+	c.checkListen()
+	c.checkPeers()
+	c.checkLimits()
+	c.checkLog()
+	c.checkSecurity()
+}
+
+func (c *checker) checkNames() {
+	c.checkName("name", c.s.Name)
+	c.checkName("failure_domain", c.s.FailureDomain)
+}
+
+func (c *checker) checkName(field, value string) {
+	if value == "" {
+		c.add(field, "is missing", "give a name of letters, digits, '-', '_' or '.'")
+		return
+	}
+	bad := func(r rune) bool {
+		return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.", r)
+	}
+	if len(value) > maxNameBytes || strings.ContainsFunc(value, bad) {
+		c.add(field, fmt.Sprintf("%q is no name", value),
+			"use at most 64 letters, digits, '-', '_' or '.'")
+	}
+}
+
+func (c *checker) checkRoles() {
+	if len(c.s.Roles) == 0 {
+		c.add("roles", "is missing", `give at least one of "entry", "holder", "control"`)
+	}
+	for i, role := range c.s.Roles {
+		field := fmt.Sprintf("roles[%d]", i)
+		if !slices.Contains([]string{RoleEntry, RoleHolder, RoleControl}, role) {
+			c.add(field, fmt.Sprintf("%q is no role", role), `use "entry", "holder" or "control"`)
+		}
+		if slices.Contains(c.s.Roles[:i], role) {
+			c.add(field, fmt.Sprintf("%q stands twice", role), "remove one")
+		}
+	}
+	if c.s.Has(RoleControl) && c.s.DataFolder == "" {
+		c.add("data_folder", "is missing", "the role control needs a folder on a disk")
+	}
+}
+
+// Has reports whether the daemon takes a role.
+func (s *Settings) Has(role string) bool { return slices.Contains(s.Roles, role) }
+
+func (c *checker) checkListen() {
+	listen := c.s.Listen
+	if listen == nil {
+		c.add("listen", "is missing", "give the addresses link, admin, heartbeat and, for entries, callers")
+		return
+	}
+	c.checkAddress("listen.link", listen.Link)
+	c.checkAddress("listen.admin", listen.Admin)
+	c.checkAddress("listen.heartbeat", listen.Heartbeat)
+	if c.s.Has(RoleEntry) {
+		c.checkAddress("listen.callers", listen.Callers)
+	} else if listen.Callers != "" {
+		c.add("listen.callers", "is set without the role entry", "remove it or add the role entry")
+	}
+	tcp := map[string]string{}
+	for _, a := range [][2]string{{"listen.callers", listen.Callers}, {"listen.link", listen.Link}, {"listen.admin", listen.Admin}} {
+		c.checkClash(tcp, a[0], a[1])
+	}
+}
+
+func (c *checker) checkClash(seen map[string]string, field, addr string) {
+	if addr == "" || strings.HasSuffix(addr, ":0") {
+		return
+	}
+	if other, taken := seen[addr]; taken {
+		c.add(field, fmt.Sprintf("%s is the address of %s too", addr, other), "give each its own port")
+	}
+	seen[addr] = field
+}
+
+func (c *checker) checkAddress(field, addr string) {
+	if addr == "" {
+		c.add(field, "is missing", `give an address such as "10.0.0.1:6432"`)
+		return
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		c.add(field, fmt.Sprintf("%q is no address", addr), `use an IP address and a port, such as "10.0.0.1:6432"`)
+	}
+}
+
+func (c *checker) checkPeers() {
+	names := map[string]bool{c.s.Name: true}
+	for i, p := range c.s.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		c.checkName(field+".name", p.Name)
+		c.checkName(field+".failure_domain", p.FailureDomain)
+		c.checkAddress(field+".link", p.Link)
+		c.checkAddress(field+".admin", p.Admin)
+		c.checkAddress(field+".heartbeat", p.Heartbeat)
+		if names[p.Name] {
+			c.add(field+".name", fmt.Sprintf("%q stands twice", p.Name),
+				"list each other daemon once, and not this one")
+		}
+		names[p.Name] = true
+	}
+}
+
+func (c *checker) checkLimits() {
+	limits := c.s.Limits
+	if limits == nil {
+		limits = &pb.Limits{}
+	}
+	c.s.MaxCallers = int(limits.MaxCallers)
+	if c.s.MaxCallers == 0 {
+		c.s.MaxCallers = DefaultMaxCallers
+	}
+	c.s.HoldersPerSlot = int(limits.HoldersPerSlot)
+	if c.s.HoldersPerSlot == 0 {
+		c.s.HoldersPerSlot = DefaultHoldersPerSlot
+	}
+	if c.s.HoldersPerSlot > MaxHoldersPerSlot {
+		c.add("limits.holders_per_slot", fmt.Sprintf("%d is too many", c.s.HoldersPerSlot),
+			fmt.Sprintf("use 1 to %d", MaxHoldersPerSlot))
+	}
+	c.s.DrainTimeout = DefaultDrainTimeout
+	if limits.DrainTimeout == "" {
+		return
+	}
+	d, err := time.ParseDuration(limits.DrainTimeout)
+	if err != nil || d < 0 {
+		c.add("limits.drain_timeout", fmt.Sprintf("%q is no duration", limits.DrainTimeout),
+			`use a number with a unit, such as "30s"`)
+		return
+	}
+	c.s.DrainTimeout = d
+}
+
+func (c *checker) checkLog() {
+	if c.s.Log == nil || c.s.Log.Level == "" {
+		return
+	}
+	if !slices.Contains([]string{"error", "info", "debug"}, c.s.Log.Level) {
+		c.add("log.level", fmt.Sprintf("%q is no level", c.s.Log.Level), `use "error", "info" or "debug"`)
+	}
+}
+
+// loopbackKey signs tokens of daemons that listen on loopback only.
+const loopbackKey = "loopback-only-token-key"
+
+func (c *checker) checkSecurity() {
+	file := c.s.GetSecurity().GetTokenKeyFile()
+	if file == "" {
+		if c.s.onLoopback() {
+			c.s.TokenKey = []byte(loopbackKey)
+			return
+		}
+		c.add("security.token_key_file", "is missing",
+			"give a file with at least 16 random bytes, the same on all daemons")
+		return
+	}
+	key, err := os.ReadFile(file)
+	switch {
+	case err != nil:
+		c.add("security.token_key_file", err.Error(), "name a file that the daemon may read")
+	case len(key) < minKeyBytes:
+		c.add("security.token_key_file", fmt.Sprintf("the key has %d bytes", len(key)),
+			"use at least 16 random bytes")
+	default:
+		c.s.TokenKey = key
+	}
+}
+
+// onLoopback reports whether every listen address is on loopback.
+func (s *Settings) onLoopback() bool {
+	listen := s.GetListen()
+	for _, addr := range []string{listen.GetCallers(), listen.GetLink(), listen.GetAdmin(), listen.GetHeartbeat()} {
+		if addr == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return false
+		}
+		ip, err := netip.ParseAddr(host)
+		if err != nil || !ip.IsLoopback() {
+			return false
+		}
+	}
+	return true
+}
