--- /dev/null
+++ b/internal/standin/contract.go
@@ -0,0 +1,193 @@
+package standin
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpoint/wire"
+	"hemlockmast/internal/standin/exec"
+	"hemlockmast/internal/standin/sqltext"
+	"hemlockmast/internal/standin/store"
+)
+
+// verbFault switches faults; it is no part of the contract.
+const verbFault = "FAULT"
+
+func fencedDetail(e *endpoint.FencedError) string { return wire.EncodeFenced(e) }
+
+// contract runs one HEMLOCK command.
+func (s *session) contract(ctx context.Context, words []string) (*exec.Result, error) {
+	verb, args := words[0], words[1:]
+	switch verb {
+	case wire.VerbHolders:
+		return s.holdersResult(), nil
+	case verbFault:
+		if err := s.e.switchFault(args); err != nil {
+			return nil, err
+		}
+		return s.statusResult(), nil
+	}
+	if err := s.contractCommand(ctx, verb, args); err != nil {
+		return nil, contractError(err)
+	}
+	return s.statusResult(), nil
+}
+
+func contractError(err error) error {
+	if e, ok := err.(*wire.MalformedError); ok {
+		return &sqltext.Error{Code: sqltext.CodeSyntax, Message: e.Error()}
+	}
+	return err
+}
+
+func (s *session) contractCommand(ctx context.Context, verb string, args []string) error {
+	n := s.e.state()
+	switch verb {
+	case wire.VerbStatus:
+		return nil
+	case wire.VerbWait:
+		seen, timeout, err := wire.DecodeWait(args)
+		if err != nil {
+			return err
+		}
+		return s.e.waitStatus(ctx, seen, timeout)
+	}
+	term, word, err := wire.DecodeTerm(args)
+	if err != nil {
+		return err
+	}
+	switch verb {
+	case wire.VerbFence:
+		return n.Fence(term, word)
+	case wire.VerbPromote:
+		return n.Promote(term, word)
+	case wire.VerbFollow:
+		return n.Follow(term, word)
+	}
+	return &wire.MalformedError{What: "command", Text: verb}
+}
+
+func (s *session) statusResult() *exec.Result {
+	return textRows(wire.Columns, [][]string{wire.EncodeStatus(s.e.Status())})
+}
+
+func (s *session) holdersResult() *exec.Result {
+	var rows [][]string
+	for _, h := range s.e.holders() {
+		rows = append(rows, []string{h.holder, strconv.Itoa(h.conns)})
+	}
+	return textRows(wire.HolderColumns, rows)
+}
+
+func textRows(names []string, values [][]string) *exec.Result {
+	var cols []exec.Col
+	for _, n := range names {
+		cols = append(cols, exec.Col{Name: n, Type: sqltext.Text})
+	}
+	var rows []store.Row
+	for _, vs := range values {
+		var row store.Row
+		for _, v := range vs {
+			row = append(row, store.Value{Text: v})
+		}
+		rows = append(rows, row)
+	}
+	return exec.Rows(cols, rows, "HEMLOCK")
+}
+
+// waitStatus returns once the status differs from seen, or after timeout.
+func (e *Endpoint) waitStatus(ctx context.Context, seen endpoint.Status, timeout time.Duration) error {
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	for {
+		st, changed := e.status()
+		if st.Synced != seen.Synced || st.Applied != seen.Applied ||
+			st.Role != seen.Role || st.FencedTerm != seen.FencedTerm {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return nil
+		case <-ctx.Done():
+			return exec.Canceled()
+		}
+	}
+}
+
+// maxFaultMillis bounds the times that FAULT commands take.
+const maxFaultMillis = 3_600_000
+
+// switchFault runs HEMLOCK FAULT: its words name the fault, its figures follow.
+func (e *Endpoint) switchFault(words []string) error {
+	if len(words) == 0 {
+		return badFault("")
+	}
+	args := words[1:]
+	nums := make([]int, len(args))
+	for i, a := range args {
+		if n, err := strconv.Atoi(a); err == nil && n >= 0 && n <= maxFaultMillis {
+			nums[i] = n
+		}
+	}
+	millis := func(i int) time.Duration { return time.Duration(nums[i]) * time.Millisecond }
+	switch name := strings.ToLower(words[0]); {
+	case name == "kill" && len(args) == 0:
+		e.later(e.onKill)
+	case name == "restart" && len(args) == 0:
+		e.later(func() { e.Kill(); e.Restart() })
+	case name == "empty" && len(args) == 0:
+		e.later(func() { e.Kill(); e.RestartEmpty() })
+	case name == "freeze" && len(args) == 1:
+		e.Freeze()
+		time.AfterFunc(millis(0), e.Thaw)
+	case name == "silence" && len(args) == 0:
+		e.SilenceConnections()
+	case name == "heal" && len(args) == 0:
+		e.Heal()
+	case name == "late" && len(args) == 1:
+		e.Late(millis(0))
+	case name == "cross" && len(args) == 1:
+		e.Cross(nums[0])
+	case name == "lag" && len(args) == 2:
+		e.SetLag(millis(0), millis(1))
+	case name == "pause" && len(args) == 2:
+		e.PauseReplication(args[0] == "on")
+		e.PauseApply(args[1] == "on")
+	case name == "cut" && len(args) == 2:
+		return e.cutByName(args[0], args[1])
+	default:
+		return badFault(strings.Join(words, " "))
+	}
+	return nil
+}
+
+func (e *Endpoint) cutByName(peer, dir string) error {
+	dirs := map[string]Direction{"both": Both, "in": In, "out": Out}
+	d, ok := dirs[strings.ToLower(dir)]
+	if !ok {
+		return badFault("cut " + dir)
+	}
+	e.later(func() { e.Cut(peer, d) })
+	return nil
+}
+
+func badFault(text string) error {
+	return &sqltext.Error{Code: sqltext.CodeSyntax, Message: "unknown fault " + strconv.Quote(text)}
+}
+
+// answerTime is left to the answer of a FAULT command before the fault strikes.
+const answerTime = 50 * time.Millisecond
+
+func (e *Endpoint) later(f func()) { time.AfterFunc(answerTime, f) }
+
+func (e *Endpoint) onKill() {
+	if e.cfg.OnKill != nil {
+		e.cfg.OnKill()
+		return
+	}
+	e.Kill()
+}
--- /dev/null
+++ b/internal/standin/disk/file.go
@@ -0,0 +1,236 @@
+package disk
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"hemlockmast/internal/standin/store"
+)
+
+const (
+	// fileName is the journal's name in the data folder.
+	fileName = "standin.journal"
+	// headerBytes is the length of an entry's header: body length and CRC-32.
+	headerBytes = 8
+	// maxEntryBytes bounds the length of one entry.
+	maxEntryBytes = 256 << 20
+)
+
+// CorruptError reports a journal that is damaged before its end.
+type CorruptError struct {
+	Path   string
+	Offset int64
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s: damaged entry at byte %d", e.Path, e.Offset)
+}
+
+// IOError reports a failed file operation.
+type IOError struct {
+	Op  string
+	Err error
+}
+
+func (e *IOError) Error() string { return "stand-in disk: " + e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *IOError) Unwrap() error { return e.Err }
+
+// entry is one step of the journal; one field is set.
+type entry struct {
+	Meta     *Meta          `json:"m,omitempty"`
+	Records  []store.Record `json:"r,omitempty"`
+	Truncate *int           `json:"t,omitempty"`
+}
+
+// File is a Disk in one append-only journal.
+type File struct {
+	f    *os.File
+	path string
+	size int64
+	meta Meta
+	log  []store.Record
+	// broken is set when a failed write may have left part of an entry behind
+	// that could not be cut off; nothing is written after it.
+	broken bool
+}
+
+// OpenFile opens the journal in dir, making both if needed. A torn last entry
+// is cut off: its write never returned.
+func OpenFile(dir string) (*File, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, &IOError{Op: "make folder", Err: err}
+	}
+	path := filepath.Join(dir, fileName)
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
+	if err != nil {
+		return nil, &IOError{Op: "open", Err: err}
+	}
+	d := &File{f: f, path: path}
+	if err := d.replay(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return d, syncDir(dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return &IOError{Op: "open folder", Err: err}
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return &IOError{Op: "sync folder", Err: err}
+	}
+	return nil
+}
+
+func (d *File) replay() error {
+	info, err := d.f.Stat()
+	if err != nil {
+		return &IOError{Op: "stat", Err: err}
+	}
+	total := info.Size()
+	r := bufio.NewReader(d.f)
+	for {
+		n, ok, err := d.replayOne(r, total-d.size)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			break
+		}
+		d.size += n
+	}
+	if err := d.f.Truncate(d.size); err != nil {
+		return &IOError{Op: "truncate", Err: err}
+	}
+	_, err = d.f.Seek(d.size, io.SeekStart)
+	if err != nil {
+		return &IOError{Op: "seek", Err: err}
+	}
+	return nil
+}
+
+// replayOne applies the next entry; left is the number of bytes not yet read.
+// It reports false at the end or at a torn last entry. An entry that is whole
+// but damaged, with more after it, is an error.
+func (d *File) replayOne(r io.Reader, left int64) (int64, bool, error) {
+	if left < headerBytes {
+		return 0, false, nil
+	}
+	var head [headerBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, false, &IOError{Op: "read", Err: err}
+	}
+	n := int64(binary.BigEndian.Uint32(head[:4]))
+	if n > maxEntryBytes {
+		return 0, false, &CorruptError{Path: d.path, Offset: d.size}
+	}
+	if left < headerBytes+n {
+		return 0, false, nil
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return 0, false, &IOError{Op: "read", Err: err}
+	}
+	var e entry
+	good := crc32.ChecksumIEEE(body) == binary.BigEndian.Uint32(head[4:])
+	if good {
+		good = json.Unmarshal(body, &e) == nil
+	}
+	if !good {
+		if left == headerBytes+n {
+			return 0, false, nil
+		}
+		return 0, false, &CorruptError{Path: d.path, Offset: d.size}
+	}
+	d.apply(e)
+	return headerBytes + n, true, nil
+}
+
+func (d *File) apply(e entry) {
+	if e.Meta != nil {
+		d.meta = *e.Meta
+	}
+	d.log = append(d.log, e.Records...)
+	if e.Truncate != nil {
+		d.log = d.log[:min(*e.Truncate, len(d.log))]
+	}
+}
+
+func (d *File) write(e entry) error {
+	if d.broken {
+		return &IOError{Op: "write", Err: os.ErrInvalid}
+	}
+	body, err := json.Marshal(e)
+	if err != nil {
+		return &IOError{Op: "encode", Err: err}
+	}
+	if len(body) > maxEntryBytes {
+		return &IOError{Op: "write", Err: io.ErrShortBuffer}
+	}
+	buf := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(buf[:4], uint32(len(body)))
+	binary.BigEndian.PutUint32(buf[4:], crc32.ChecksumIEEE(body))
+	if _, err = d.f.Write(append(buf, body...)); err == nil {
+		err = d.f.Sync()
+	}
+	if err != nil {
+		d.undo()
+		return &IOError{Op: "write", Err: err}
+	}
+	d.size += int64(headerBytes + len(body))
+	return nil
+}
+
+// undo cuts off what a failed write left behind.
+func (d *File) undo() {
+	err := d.f.Truncate(d.size)
+	if err == nil {
+		_, err = d.f.Seek(d.size, io.SeekStart)
+	}
+	d.broken = err != nil
+}
+
+// Load implements Disk. The journal's copy of the log is released.
+func (d *File) Load() (Meta, []store.Record, error) {
+	log := d.log
+	d.log = nil
+	return d.meta, log, nil
+}
+
+// SaveMeta implements Disk.
+func (d *File) SaveMeta(m Meta) error { return d.write(entry{Meta: &m}) }
+
+// Append implements Disk.
+func (d *File) Append(recs []store.Record) error { return d.write(entry{Records: recs}) }
+
+// Truncate implements Disk.
+func (d *File) Truncate(n int) error { return d.write(entry{Truncate: &n}) }
+
+// Wipe implements Disk.
+func (d *File) Wipe() error {
+	d.meta, d.log, d.size, d.broken = Meta{}, nil, 0, false
+	if err := d.f.Truncate(0); err != nil {
+		return &IOError{Op: "truncate", Err: err}
+	}
+	if _, err := d.f.Seek(0, io.SeekStart); err != nil {
+		return &IOError{Op: "seek", Err: err}
+	}
+	if err := d.f.Sync(); err != nil {
+		return &IOError{Op: "sync", Err: err}
+	}
+	return nil
+}
+
+// Close implements Disk.
+func (d *File) Close() error { return d.f.Close() }
--- /dev/null
+++ b/internal/standin/sqltext/lex.go
@@ -0,0 +1,121 @@
+package sqltext
+
+import "strings"
+
+type kind uint8
+
+const (
+	kEnd kind = iota
+	kIdent
+	kNumber
+	kString
+	kParam
+	kOp
+)
+
+// token is one lexical element. Identifiers are in lower case unless quoted;
+// quoted ones have quoted set so that they match no keyword.
+type token struct {
+	kind   kind
+	text   string
+	quoted bool
+}
+
+func lex(src string) ([]token, error) {
+	var out []token
+	for i := 0; i < len(src); {
+		next, err := skipBlank(src, i)
+		if err != nil {
+			return nil, err
+		}
+		if next >= len(src) {
+			break
+		}
+		tok, end, err := lexOne(src, next)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, tok)
+		i = end
+	}
+	return append(out, token{kind: kEnd}), nil
+}
+
+func skipBlank(src string, i int) (int, error) {
+	for i < len(src) {
+		switch {
+		case strings.IndexByte(" \t\r\n", src[i]) >= 0:
+			i++
+		case strings.HasPrefix(src[i:], "--"):
+			n := strings.IndexByte(src[i:], '\n')
+			if n < 0 {
+				return len(src), nil
+			}
+			i += n + 1
+		case strings.HasPrefix(src[i:], "/*"):
+			n := strings.Index(src[i+2:], "*/")
+			if n < 0 {
+				return 0, &Error{Code: CodeSyntax, Message: "unterminated /* comment"}
+			}
+			i += n + 4
+		default:
+			return i, nil
+		}
+	}
+	return i, nil
+}
+
+func lexOne(src string, i int) (token, int, error) {
+	c := src[i]
+	switch {
+	case c == '\'':
+		return lexQuoted(src, i, '\'', kString)
+	case c == '"':
+		return lexQuoted(src, i, '"', kIdent)
+	case c == '$' && i+1 < len(src) && isDigit(src[i+1]):
+		end := scan(src, i+1, isDigit)
+		return token{kind: kParam, text: src[i+1 : end]}, end, nil
+	case isDigit(c):
+		end := scan(src, i, func(b byte) bool { return isDigit(b) || b == '.' })
+		return token{kind: kNumber, text: src[i:end]}, end, nil
+	case isLetter(c):
+		end := scan(src, i, func(b byte) bool { return isLetter(b) || isDigit(b) || b == '.' })
+		return token{kind: kIdent, text: strings.ToLower(src[i:end])}, end, nil
+	}
+	for _, op := range []string{"::", "||", "<>", "!=", "<=", ">="} {
+		if strings.HasPrefix(src[i:], op) {
+			return token{kind: kOp, text: op}, i + 2, nil
+		}
+	}
+	return token{kind: kOp, text: string(c)}, i + 1, nil
+}
+
+func lexQuoted(src string, i int, quote byte, k kind) (token, int, error) {
+	var b strings.Builder
+	for j := i + 1; j < len(src); j++ {
+		if src[j] != quote {
+			b.WriteByte(src[j])
+			continue
+		}
+		if j+1 < len(src) && src[j+1] == quote {
+			b.WriteByte(quote)
+			j++
+			continue
+		}
+		return token{kind: k, text: b.String(), quoted: true}, j + 1, nil
+	}
+	return token{}, 0, &Error{Code: CodeSyntax, Message: "unterminated quoted text"}
+}
+
+func scan(src string, i int, ok func(byte) bool) int {
+	for i < len(src) && ok(src[i]) {
+		i++
+	}
+	return i
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+func isLetter(b byte) bool {
+	return b == '_' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= 0x80
+}
