Thin whole path as separate processes

Cause: nothing yet served a statement. A statement from pgx with default settings now goes through an entry process and a holder process to a stand-in endpoint process and back; commits are confirmed by a majority of slots before the caller is told.

--- /dev/null
+++ b/cmd/hemlockctl/main.go
@@ -0,0 +1,38 @@
+// Command hemlockctl is the operators' tool of hemlockmast.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"hemlockmast/internal/cli/query"
+	"hemlockmast/internal/version"
+)
+
+// exitFailure is the exit code of a failed command; 2 means wrong use.
+const exitFailure = 1
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:                  "hemlockctl",
+		Usage:                 "operate hemlockmast",
+		Version:               version.Text,
+		EnableShellCompletion: true,
+		Description:           "Exit codes: 0 done, 1 failed, 2 wrong use.",
+		Commands:              []*cli.Command{query.Command()},
+	}
+}
--- /dev/null
+++ b/internal/cli/daemoncmd/daemoncmd.go
@@ -0,0 +1,87 @@
+// Package daemoncmd is the command line of the daemon.
+package daemoncmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+
+	"hemlockmast/internal/daemon"
+	"hemlockmast/internal/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	// ExitFailure: the daemon stopped because of an error.
+	ExitFailure = 1
+	// ExitSettings: the settings were refused; nothing was started.
+	ExitSettings = 2
+)
+
+// NewLogger returns the logger for a level of the settings.
+type NewLogger func(level string) (logr.Logger, error)
+
+// Command returns the daemon's command.
+func Command(version string, newLogger NewLogger) *cli.Command {
+	file := &cli.StringFlag{
+		Name: "settings", Aliases: []string{"s"}, Required: true,
+		Usage: "JSON `FILE` with the settings of docs/settings.md",
+	}
+	return &cli.Command{
+		Name:    "hemlockmastd",
+		Usage:   "database proxy with session consistency",
+		Version: version,
+		Description: "Example: hemlockmastd run --settings /etc/hemlockmast/settings.json\n" +
+			"Exit codes: 0 stopped as asked, 1 failed, 2 settings refused.",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			{
+				Name: "run", Usage: "run the daemon until SIGTERM or SIGINT", Flags: []cli.Flag{file},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return run(ctx, cmd.String("settings"), newLogger)
+				},
+			},
+			{
+				Name: "check", Usage: "check the settings without starting", Flags: []cli.Flag{file},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					s, err := load(cmd.String("settings"))
+					if err != nil {
+						return err
+					}
+					_, err = fmt.Fprintf(cmd.Root().Writer, "settings of %s are valid\n", s.Name)
+					return err
+				},
+			},
+		},
+	}
+}
+
+func load(path string) (*settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, cli.Exit(err.Error(), ExitSettings)
+	}
+	return s, nil
+}
+
+func run(ctx context.Context, path string, newLogger NewLogger) error {
+	s, err := load(path)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(s.GetLog().GetLevel())
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, daemon.Options{Log: log})
+	if err != nil {
+		return cli.Exit(err.Error(), ExitFailure)
+	}
+	log.Info("daemon started", "daemon", s.Name, "admin", d.AdminURL())
+	if err := d.Run(ctx); err != nil {
+		return cli.Exit(err.Error(), ExitFailure)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/devcluster/devcluster.go
@@ -0,0 +1,243 @@
+// Package devcluster starts daemons and stand-in endpoints in one process on
+// loopback, for first tries and tests of the whole path.
+package devcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"hemlockmast/api/service"
+	pb "hemlockmast/api/settings"
+	"hemlockmast/internal/daemon"
+	"hemlockmast/internal/servicefile"
+	"hemlockmast/internal/settings"
+	"hemlockmast/internal/standin"
+)
+
+// Config describes the processes to start.
+type Config struct {
+	// Folders hold the service files.
+	Folders []string
+	// DaemonsPerDomain is the number of daemons in each failure domain.
+	DaemonsPerDomain int
+	// ConnectDelay is how long a new endpoint connection takes.
+	ConnectDelay time.Duration
+	// ReplicationLag and ApplyLag delay the replicas.
+	ReplicationLag time.Duration
+	ApplyLag       time.Duration
+	// DrainTimeout bounds a daemon's graceful stop.
+	DrainTimeout time.Duration
+	Log          logr.Logger
+}
+
+// Cluster is a set of running daemons and endpoints.
+type Cluster struct {
+	Configuration *service.Configuration
+	Daemons       []*Daemon
+	// Endpoints are keyed by group and slot.
+	Endpoints map[string]map[string]*standin.Endpoint
+
+	group *errgroup.Group
+	stop  context.CancelFunc
+}
+
+// Daemon is one daemon of a Cluster.
+type Daemon struct {
+	*daemon.Daemon
+	Name          string
+	FailureDomain string
+	stop          context.CancelFunc
+	done          chan struct{}
+}
+
+// Stop stops the daemon gracefully and waits for its end.
+func (d *Daemon) Stop() {
+	d.stop()
+	<-d.done
+}
+
+// Start starts everything. The daemons may not be ready yet; see Ready.
+func Start(ctx context.Context, cfg Config) (*Cluster, error) {
+	configuration, problems := servicefile.Load(cfg.Folders...)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	g, ctx := errgroup.WithContext(ctx)
+	c := &Cluster{
+		Configuration: configuration,
+		Endpoints:     map[string]map[string]*standin.Endpoint{},
+		group:         g, stop: stop,
+	}
+	if err := c.startDaemons(ctx, cfg); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if err := c.startEndpoints(cfg); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// domains returns the failure domains of the configuration, in order of first
+// use.
+func (c *Cluster) domains() []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, g := range c.Configuration.Groups {
+		for _, s := range g.Slots {
+			if !seen[s.FailureDomain] {
+				seen[s.FailureDomain] = true
+				names = append(names, s.FailureDomain)
+			}
+		}
+	}
+	return names
+}
+
+// addresses are the listening addresses of one daemon.
+type addresses struct{ callers, link, admin, heartbeat string }
+
+func (c *Cluster) startDaemons(ctx context.Context, cfg Config) error {
+	type plan struct {
+		name, domain string
+		addr         addresses
+	}
+	var plans []plan
+	for _, domain := range c.domains() {
+		for i := range cfg.DaemonsPerDomain {
+			addr, err := freeAddresses()
+			if err != nil {
+				return err
+			}
+			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, addr})
+		}
+	}
+	for _, p := range plans {
+		s := &pb.Settings{
+			Name: p.name, FailureDomain: p.domain,
+			Roles: []string{settings.RoleEntry, settings.RoleHolder},
+			Listen: &pb.Listen{
+				Callers: p.addr.callers, Link: p.addr.link,
+				Admin: p.addr.admin, Heartbeat: p.addr.heartbeat,
+			},
+			ConfigurationFolders: cfg.Folders,
+			Limits:               &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+		}
+		for _, q := range plans {
+			if q.name != p.name {
+				s.Peers = append(s.Peers, &pb.Peer{
+					Name: q.name, FailureDomain: q.domain, Link: q.addr.link,
+					Admin: q.addr.admin, Heartbeat: q.addr.heartbeat, Roles: s.Roles,
+				})
+			}
+		}
+		if err := c.startDaemon(ctx, s, cfg.Log); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startDaemon(ctx context.Context, s *pb.Settings, log logr.Logger) error {
+	checked, err := settings.Check(s.Name, s)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(checked, daemon.Options{Log: log})
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	running := &Daemon{
+		Daemon: d, Name: s.Name, FailureDomain: s.FailureDomain,
+		stop: stop, done: make(chan struct{}),
+	}
+	c.Daemons = append(c.Daemons, running)
+	c.group.Go(func() error {
+		defer close(running.done)
+		return d.Run(ctx)
+	})
+	return nil
+}
+
+func (c *Cluster) startEndpoints(cfg Config) error {
+	var urls []string
+	for _, d := range c.Daemons {
+		urls = append(urls, d.AdminURL())
+	}
+	for _, g := range c.Configuration.Groups {
+		c.Endpoints[g.Name] = map[string]*standin.Endpoint{}
+		primary := ""
+		for i, s := range g.Slots {
+			e, err := standin.Start(standin.Config{
+				Group: g.Name, Slot: s.Name, Databases: g.Databases,
+				ConnLimit: int(s.ConnectionLimit), ConnectDelay: cfg.ConnectDelay,
+				ReplicationLag: cfg.ReplicationLag, ApplyLag: cfg.ApplyLag,
+				Announce: urls, Primary: i == 0, Follow: primary,
+			})
+			if err != nil {
+				return err
+			}
+			c.Endpoints[g.Name][s.Name] = e
+			if err := announce(urls, g.Name, s.Name, e.Addr()); err != nil {
+				return err
+			}
+			if i == 0 {
+				primary = e.Addr()
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops everything.
+func (c *Cluster) Close() error {
+	c.stop()
+	err := c.group.Wait()
+	for _, slots := range c.Endpoints {
+		for _, e := range slots {
+			_ = e.Close()
+		}
+	}
+	return err
+}
+
+// freeAddresses returns loopback addresses that are free at the moment.
+func freeAddresses() (addresses, error) {
+	var list [4]string
+	for i := range list {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses{}, err
+		}
+		defer func() { _ = ln.Close() }()
+		list[i] = ln.Addr().String()
+	}
+	return addresses{list[0], list[1], list[2], list[3]}, nil
+}
+
+// announce tells the daemons where an endpoint is.
+func announce(urls []string, group, slot, addr string) error {
+	body, err := json.Marshal(map[string]string{"group": group, "slot": slot, "address": addr})
+	if err != nil {
+		return err
+	}
+	for _, url := range urls {
+		resp, err := http.Post(url+"/v1/announce", "application/json", bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,19 +103,25 @@
 // Parse checks the content of a settings file; name stands in messages. The
 // error is Problems.
 func Parse(name string, data []byte) (*Settings, error) {
-	s := &Settings{Settings: &pb.Settings{}}
-	if err := protojson.Unmarshal(data, s.Settings); err != nil {
+	raw := &pb.Settings{}
+	if err := protojson.Unmarshal(data, raw); err != nil {
 		return nil, Problems{{
 			File: name, Detail: err.Error(),
 			Fix: "use the fields and types of docs/settings.md",
 		}}
 	}
-	c := &checker{file: name, s: s}
+	return Check(name, raw)
+}
+
+// Check checks settings that were put together by a program; name stands in
+// messages. The error is Problems.
+func Check(name string, raw *pb.Settings) (*Settings, error) {
+	c := &checker{file: name, s: &Settings{Settings: raw}}
 	c.check()
 	if len(c.problems) > 0 {
 		return nil, c.problems
 	}
-	return s, nil
+	return c.s, nil
 }
 
 // checker collects the mistakes of one file.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -19,8 +19,8 @@
 	redialPause = 50 * time.Millisecond
 )
 
-// Connect opens a watch connection to the endpoint at addr.
-type Connect func(ctx context.Context, addr string) (endpoint.Controller, error)
+// Connect opens a watch connection to an endpoint of group at addr.
+type Connect func(ctx context.Context, group, addr string) (endpoint.Controller, error)
 
 // Watcher observes one endpoint over one connection.
 type Watcher struct {
@@ -57,7 +57,7 @@
 // observe runs one watch connection to its end.
 func (w *Watcher) observe(ctx context.Context) {
 	dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	ctl, err := w.Connect(dialCtx, w.Addr)
+	ctl, err := w.Connect(dialCtx, w.Group, w.Addr)
 	cancel()
 	if err != nil {
 		return
