--- a/internal/configstate/table.go
+++ b/internal/configstate/table.go
@@ -38,10 +38,6 @@
 	}
 }
 
-func (t *table[T]) clone() table[T] {
-	return table[T]{entries: maps.Clone(t.entries), removed: maps.Clone(t.removed)}
-}
-
 func (t *table[T]) set(value T, revision uint64) {
 	t.entries[value.GetName()] = versioned[T]{revision: revision, value: value}
 	delete(t.removed, value.GetName())
