--- a/internal/configstate/errors.go
+++ b/internal/configstate/errors.go
@@ -57,13 +57,22 @@
 
 func (e *UpdateError) Error() string { return "configuration update: " + e.Detail }
 
+// UnmarshalResult reads what Apply returned. Noise gives *MalformedError.
+func UnmarshalResult(data []byte) (*configstate.Result, error) {
+	result := &configstate.Result{}
+	if err := unmarshal(data, result); err != nil {
+		return nil, &MalformedError{Detail: "result: " + err.Error()}
+	}
+	return result, nil
+}
+
 // DecodeResult reads what Apply returned for a change prepared from base. It
 // returns *ConflictError, *ChangeIDReusedError or *MalformedError when the
 // change was refused.
 func DecodeResult(data []byte, base uint64) (*configstate.Accepted, error) {
-	var result configstate.Result
-	if err := unmarshal(data, &result); err != nil {
-		return nil, &MalformedError{Detail: "result: " + err.Error()}
+	result, err := UnmarshalResult(data)
+	if err != nil {
+		return nil, err
 	}
 	switch kind := result.Kind.(type) {
 	case *configstate.Result_Accepted:
--- a/internal/spreadstate/board.go
+++ b/internal/spreadstate/board.go
@@ -56,7 +56,7 @@
 func (b *Board) Poll(now time.Time, request *confspread.PollRequest) bool {
 	from := request.GetFrom()
 	key := memberKey{domain: from.GetFailureDomain(), name: from.GetName()}
-	return b.note(now, key, request.GetRevision(), request.GetMode())
+	return b.note(now, key, request.GetInForce(), request.GetMode())
 }
 
 // Report notes a relay's report.
--- a/internal/spreadstate/chooser.go
+++ b/internal/spreadstate/chooser.go
@@ -38,39 +38,47 @@
 // daemons costs a second relay and never a circle of daemons without control.
 type Chooser struct {
 	self Member
-	// failedAt holds the time of each address's last failure.
-	failedAt     map[string]time.Time
+	// failedAt holds the time of each target's last failure.
+	failedAt     map[Target]time.Time
 	lastPolledAt time.Time
 }
 
 // NewChooser returns the chooser of the daemon self.
 func NewChooser(self Member) *Chooser {
-	return &Chooser{self: self, failedAt: make(map[string]time.Time)}
+	return &Chooser{self: self, failedAt: make(map[Target]time.Time)}
 }
 
 // Polled notes that another daemon polled this one.
 func (c *Chooser) Polled(now time.Time) { c.lastPolledAt = now }
 
-// Failed notes that addr did not answer, or gave an answer of no use.
-func (c *Chooser) Failed(addr string, now time.Time) { c.failedAt[addr] = now }
+// Failed notes that target did not answer, or gave an answer of no use.
+func (c *Chooser) Failed(target Target, now time.Time) { c.failedAt[target] = now }
 
 // Target is a process to poll.
 type Target struct {
 	Addr string
-	// Relaying says that this daemon is the relay of its failure domain.
-	Relaying bool
+	// Control says that the control service at Addr is meant, not the daemon.
+	Control bool
 }
 
 // Choose returns the process to poll at now. control lists the addresses of
 // the control processes. Without any candidate Addr is empty.
+//
+// A relay goes back to control as soon as one of its processes was not tried
+// for FailurePause; meanwhile it follows daemons, of its own domain first.
 func (c *Chooser) Choose(now time.Time, control []string, members []Member) Target {
 	c.forget(now)
 	ranked := Rank(members, c.self.FailureDomain)
 	if !c.isRelay(now, ranked) {
-		return Target{Addr: c.first(now, c.addrs(ranked))}
+		return c.first(now, c.targets(ranked))
+	}
+	var candidates []Target
+	for _, addr := range control {
+		candidates = append(candidates, Target{Addr: addr, Control: true})
 	}
-	candidates := slices.Concat(control, c.addrs(ranked), c.addrs(others(members, c.self.FailureDomain)))
-	return Target{Addr: c.first(now, candidates), Relaying: true}
+	candidates = append(candidates, c.targets(ranked)...)
+	candidates = append(candidates, c.targets(others(members, c.self.FailureDomain))...)
+	return c.first(now, candidates)
 }
 
 // isRelay reports whether this daemon has to reach control itself.
@@ -82,7 +90,7 @@
 		if member.Name == c.self.Name {
 			return true
 		}
-		if !c.isPaused(member.Addr, now) {
+		if !c.isPaused(Target{Addr: member.Addr}, now) {
 			return false
 		}
 	}
@@ -91,43 +99,43 @@
 
 // first returns the first candidate that did not fail of late, or the one
 // whose failure is longest ago.
-func (c *Chooser) first(now time.Time, candidates []string) string {
-	for _, addr := range candidates {
-		if !c.isPaused(addr, now) {
-			return addr
+func (c *Chooser) first(now time.Time, candidates []Target) Target {
+	for _, target := range candidates {
+		if !c.isPaused(target, now) {
+			return target
 		}
 	}
 	if len(candidates) == 0 {
-		return ""
+		return Target{}
 	}
-	return slices.MinFunc(candidates, func(a, b string) int {
+	return slices.MinFunc(candidates, func(a, b Target) int {
 		return c.failedAt[a].Compare(c.failedAt[b])
 	})
 }
 
-func (c *Chooser) isPaused(addr string, now time.Time) bool {
-	failedAt, ok := c.failedAt[addr]
+func (c *Chooser) isPaused(target Target, now time.Time) bool {
+	failedAt, ok := c.failedAt[target]
 	return ok && now.Sub(failedAt) < FailurePause
 }
 
 // forget bounds the failures remembered.
 func (c *Chooser) forget(now time.Time) {
-	for addr := range c.failedAt {
-		if !c.isPaused(addr, now) {
-			delete(c.failedAt, addr)
+	for target := range c.failedAt {
+		if !c.isPaused(target, now) {
+			delete(c.failedAt, target)
 		}
 	}
 }
 
-// addrs returns the addresses of the members other than this daemon.
-func (c *Chooser) addrs(members []Member) []string {
-	var addrs []string
+// targets returns the members other than this daemon.
+func (c *Chooser) targets(members []Member) []Target {
+	var targets []Target
 	for _, member := range members {
 		if member.Name != c.self.Name {
-			addrs = append(addrs, member.Addr)
+			targets = append(targets, Target{Addr: member.Addr})
 		}
 	}
-	return addrs
+	return targets
 }
 
 // Rank returns the live members of a failure domain by falling rendezvous hash.
