--- a/internal/agree/change.go
+++ b/internal/agree/change.go
@@ -16,8 +16,11 @@
 	if present != nil && present.Address == address {
 		return nil
 	}
+	if wasRemoved(m, id) {
+		return &ChangeError{Name: id.Name, Reason: ChangeWasRemoved}
+	}
 	next := without(m, func(other *agreepb.Member) bool {
-		return !other.Voter && other.Id.Name == id.Name
+		return !other.Voter && IDOf(other.Id) != id && other.Id.Name == id.Name
 	})
 	next = with(next, newMember(id, address, present.GetVoter()))
 	if len(next.Members)-len(Voters(next)) > MaxLearners {
--- a/internal/agree/errors.go
+++ b/internal/agree/errors.go
@@ -51,6 +51,7 @@
 	ChangeNoSuchMember
 	ChangeLastVoter
 	ChangeLosesQuorum
+	ChangeWasRemoved
 )
 
 // String returns the reason as a sentence part.
@@ -64,6 +65,8 @@
 		return "the last voter cannot be removed"
 	case ChangeLosesQuorum:
 		return "too few of the remaining voters answer"
+	case ChangeWasRemoved:
+		return "this incarnation was removed; format its data folder anew"
 	}
 	return "another change is not committed yet"
 }
--- a/internal/agree/explore_test.go
+++ b/internal/agree/explore_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	agreepb "hemlockmast/api/agree"
 )
 
 var (
@@ -75,22 +77,35 @@
 	for _, p := range s.procs {
 		l, err := newEntryLog(p.disk)
 		assert.NilError(s.t, err)
-		voters, alive := Voters(newMemberLog(l).current().membership), 0
+		m := newMemberLog(l).current().membership
 		if p.node != nil {
-			voters = p.node.voters()
-		}
-		for _, id := range voters {
-			if other := s.procs[id.Name]; other.id == id && id.Name != name {
-				alive++
-			}
+			m = p.node.Status().Membership
 		}
-		if len(voters) > 0 && alive < quorum(len(voters)) {
+		if !s.enoughAlive(Voters(m), name) {
 			return false
 		}
+		// A learner may be about to get its vote.
+		if lost := s.procs[name]; lost != nil && Find(m, lost.id) != nil {
+			m = without(m, func(v *agreepb.Member) bool { return v.Id.Name == name })
+			if !s.enoughAlive(append(Voters(m), lost.id), name) {
+				return false
+			}
+		}
 	}
 	return true
 }
 
+// enoughAlive reports whether a majority of voters remains without name.
+func (s *sim) enoughAlive(voters []ID, name string) bool {
+	alive := 0
+	for _, id := range voters {
+		if other := s.procs[id.Name]; other.id == id && id.Name != name {
+			alive++
+		}
+	}
+	return len(voters) == 0 || alive >= quorum(len(voters))
+}
+
 // heal ends all faults and reports whether the group comes to rest with every
 // live member up to date.
 func (s *sim) heal() bool {
--- a/internal/agree/follower.go
+++ b/internal/agree/follower.go
@@ -99,18 +99,28 @@
 	if !n.heardLeader(m) {
 		return
 	}
-	s := m.Snapshot
-	if s.GetIndex() > n.log.commit {
-		n.log.install(s)
-		n.members = newMemberLog(n.log)
-		n.installed = s
-	}
+	n.takeSnapshot(m.Snapshot)
 	n.send(&agreepb.Message{
 		Kind: agreepb.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.From,
 		Term: n.term, LogIndex: n.log.commit, Round: m.Round,
 	})
 }
 
+// takeSnapshot replaces the log, unless the log already holds the snapshot's
+// last entry: entries after it may have been promised and must stay.
+func (n *Node) takeSnapshot(s *agreepb.Snapshot) {
+	if s.GetIndex() <= n.log.commit {
+		return
+	}
+	if n.log.matches(s.Index, s.Term) {
+		n.log.commit = s.Index
+		return
+	}
+	n.log.install(s)
+	n.members = newMemberLog(n.log)
+	n.installed = s
+}
+
 func (n *Node) invariant(index uint64) error {
 	return &InvariantError{Self: n.cfg.Self, Index: index, Commit: n.log.commit}
 }
--- a/internal/agree/members.go
+++ b/internal/agree/members.go
@@ -89,22 +89,39 @@
 // quorum is the number of voters that make a majority.
 func quorum(voters int) int { return voters/2 + 1 }
 
-// without returns a copy of m without the members that drop selects.
+// without returns a copy of m without the members that drop selects; they are
+// recorded as removed.
 func without(m *agreepb.Membership, drop func(*agreepb.Member) bool) *agreepb.Membership {
-	out := &agreepb.Membership{}
+	out := &agreepb.Membership{Removed: slices.Clone(m.GetRemoved())}
 	for _, member := range m.GetMembers() {
-		if !drop(member) {
-			out.Members = append(out.Members, member)
+		if drop(member) {
+			out.Removed = append(out.Removed, member.Id)
+			continue
 		}
+		out.Members = append(out.Members, member)
+	}
+	if extra := len(out.Removed) - maxRemoved; extra > 0 {
+		out.Removed = out.Removed[extra:]
 	}
 	return out
 }
 
+// wasRemoved reports whether id is among the recorded removals.
+func wasRemoved(m *agreepb.Membership, id ID) bool {
+	return slices.ContainsFunc(m.GetRemoved(), func(removed *agreepb.NodeID) bool {
+		return IDOf(removed) == id
+	})
+}
+
 // with returns a copy of m that holds member, in place of one with its ID.
 func with(m *agreepb.Membership, member *agreepb.Member) *agreepb.Membership {
 	id := IDOf(member.Id)
-	out := without(m, func(other *agreepb.Member) bool { return IDOf(other.Id) == id })
-	out.Members = append(out.Members, member)
+	out := &agreepb.Membership{Removed: m.GetRemoved(), Members: []*agreepb.Member{member}}
+	for _, other := range m.GetMembers() {
+		if IDOf(other.Id) != id {
+			out.Members = append(out.Members, other)
+		}
+	}
 	slices.SortFunc(out.Members, func(a, b *agreepb.Member) int {
 		return cmp.Or(cmp.Compare(a.Id.Name, b.Id.Name),
 			cmp.Compare(a.Id.Incarnation, b.Id.Incarnation))
--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -72,6 +72,7 @@
 		LastIndex:  n.log.last(),
 		Membership: m,
 		Voter:      member.GetVoter(),
+		Joined:     Find(n.members.at(n.log.commit), n.cfg.Self) != nil,
 	}
 }
 
@@ -82,7 +83,7 @@
 		n.tickLeader()
 		return
 	}
-	if n.sinceContact >= n.electionWait && n.isVoter() {
+	if n.sinceContact >= n.electionWait && n.mayCampaign() {
 		n.campaign(PreCandidate)
 	}
 }
@@ -256,6 +257,14 @@
 	return Find(n.members.current().membership, n.cfg.Self).GetVoter()
 }
 
+// mayCampaign also holds for a member whose removal is in its log and not known
+// to be committed: its log may be the only one new enough to win, and its
+// removal then commits under it.
+func (n *Node) mayCampaign() bool {
+	committed := n.members.at(n.log.commit)
+	return n.isVoter() || Find(committed, n.cfg.Self).GetVoter()
+}
+
 func (n *Node) voters() []ID { return Voters(n.members.current().membership) }
 
 func (n *Node) send(m *agreepb.Message) {
--- a/internal/agree/sim_test.go
+++ b/internal/agree/sim_test.go
@@ -235,7 +235,7 @@
 // join asks the leader, when one is reachable, to take an empty process in.
 func (s *sim) join(p *process) {
 	l := s.leader()
-	if p.node.log.last() > 0 || l == nil || s.cut[[2]string{p.id.Name, l.cfg.Self.Name}] {
+	if p.node.Status().Joined || l == nil || s.cut[[2]string{p.id.Name, l.cfg.Self.Name}] {
 		return
 	}
 	_ = l.AddLearner(p.id, p.id.Name)
--- a/internal/agree/types.go
+++ b/internal/agree/types.go
@@ -28,6 +28,8 @@
 	MaxCommandBytes = 8 << 20
 	// MaxUncommittedBytes bounds the commands a leader holds uncommitted.
 	MaxUncommittedBytes = 32 << 20
+	// maxRemoved is the number of removals that a membership records.
+	maxRemoved = 128
 	// maxAppendBytes bounds the commands in one append, but for a single
 	// command that is larger.
 	maxAppendBytes = 1 << 20
@@ -147,4 +149,8 @@
 	Membership *agreepb.Membership
 	// Voter is set when Self has a vote in Membership.
 	Voter bool
+	// Joined is set when Self is in the committed membership, as far as known.
+	// A member that is not has to ask for AddLearner again: what it asked for
+	// before may have been lost with its leader.
+	Joined bool
 }
