Directory client tells before a write whether its floor can be recorded

Cause: in a cut-off failure domain a write whose floor reaches no copy could only end as outcome unknown. Known before the statement is sent it is a refusal, not run. Seen to fail with the check of the view taken out.

--- a/internal/session/directoryrpc/client.go
+++ b/internal/session/directoryrpc/client.go
@@ -18,6 +18,14 @@
 	Current bool
 }
 
+// needed returns how many copies have to confirm a record.
+func (v View) needed() int {
+	if v.Current {
+		return 1
+	}
+	return directory.Copies
+}
+
 // Address is one member and where its twirp service is.
 type Address struct {
 	directory.Member
@@ -84,10 +92,7 @@
 // *UnrecordedError.
 func (c *Client) Record(ctx context.Context, id session.ID, floors session.Floors) error {
 	view := c.view()
-	needed := 1
-	if !view.Current {
-		needed = directory.Copies
-	}
+	needed := view.needed()
 	copies := c.choose(id, view)
 	op := &directorypb.Operation{
 		Kind:      directorypb.OperationKind_OPERATION_RECORD,
@@ -111,6 +116,26 @@
 	return &UnrecordedError{ID: id, Confirmed: confirmed, Needed: needed, Copies: failed}
 }
 
+// CanRecord tells before a write is sent whether its floor could be recorded
+// now, judged by the last calls. If not it gives *UnrecordedError, and a caller
+// that keeps no token must be refused with the write not run.
+func (c *Client) CanRecord(id session.ID) error {
+	view := c.view()
+	usable := 0
+	var failed []*CopyError
+	for _, address := range c.choose(id, view) {
+		if err := c.member(address.URL).usable(); err != nil {
+			failed = append(failed, &CopyError{Member: address.Name, Cause: err})
+			continue
+		}
+		usable++
+	}
+	if usable >= view.needed() {
+		return nil
+	}
+	return &UnrecordedError{ID: id, Confirmed: usable, Needed: view.needed(), Copies: failed}
+}
+
 // Settle stores floors that a primary gave for a question sent after reading was
 // made. A failure is harmless: the next daemon asks the primary again.
 func (c *Client) Settle(ctx context.Context, reading Reading, floors session.Floors) []*CopyError {
--- a/internal/session/directoryrpc/directoryrpc_test.go
+++ b/internal/session/directoryrpc/directoryrpc_test.go
@@ -143,6 +143,12 @@
 	var suspended *SuspendedError
 	assert.Assert(t, errors.As(reading.Failed[0], &suspended))
 
+	assert.NilError(t, fx.client.CanRecord("s"))
+	fx.current = false
+	var unrecorded *UnrecordedError
+	assert.Assert(t, errors.As(fx.client.CanRecord("s"), &unrecorded))
+	fx.current = true
+
 	fx.members[1].inner.Store(NewServer(99, limits, time.Now))
 	reading = fx.heal(t)
 	floors := written(t, "g", 9).List()
--- a/internal/session/directoryrpc/member.go
+++ b/internal/session/directoryrpc/member.go
@@ -75,6 +75,16 @@
 	return nil
 }
 
+// usable gives *SuspendedError while the member is not called.
+func (m *member) usable() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing && m.now().Before(m.suspended) {
+		return &SuspendedError{Until: m.suspended}
+	}
+	return nil
+}
+
 // send makes calls until no operation waits.
 func (m *member) send() {
 	for {
