Watch streams carry echoes, so that a receiver knows how old a status is at most

Cause: the age of a replica may only count answers of the primary by the time before the question, on the reader's own clock; a pushed status has no such time. Ways weighed: the time of arrival (too late: ages would be understated), the sender's clock (two clocks).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
-	"hemlockmast/api/link"
 	"hemlockmast/api/service"
 	"hemlockmast/internal/acks"
 	"hemlockmast/internal/endpoint"
@@ -94,7 +93,7 @@
 		d.peers[p.Name] = hlink.NewPeer(s.Name, p.Link)
 	}
 	d.acks = acks.New(d.members)
-	d.view.Listen(d.acks.Observe)
+	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
 		Ack:    d.acks,
@@ -265,8 +264,8 @@
 func (d *Daemon) watchPeer(ctx context.Context, name string, peer *hlink.Peer) error {
 	defer peer.Close()
 	for {
-		err := peer.Watch(ctx, func(status *link.SlotStatus) {
-			d.view.Apply(status, time.Now())
+		err := peer.Watch(ctx, func(o watch.Observation) {
+			d.view.Apply(o, time.Now())
 		})
 		if ctx.Err() != nil {
 			return nil
@@ -281,8 +280,8 @@
 }
 
 func (d *Daemon) feedOwnStatuses(ctx context.Context) error {
-	_ = d.hub.Watch(ctx, func(status *link.SlotStatus) error {
-		d.view.Apply(status, time.Now())
+	_ = d.hub.Watch(ctx, func(o watch.Observation) error {
+		d.view.Apply(o, time.Now())
 		return nil
 	})
 	return nil
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -14,6 +14,7 @@
 	"hemlockmast/api/link"
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/watch"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// answerGrace is how long the entry waits beyond the deadline for the
 	// holder's own verdict, which says more than a time-out.
 	answerGrace = 200 * time.Millisecond
+	// echoInterval is the time between two echoes on a watch stream.
+	echoInterval = 100 * time.Millisecond
 	// maxIdleStreams bounds the streams kept open for reuse.
 	maxIdleStreams = 256
 )
@@ -68,23 +71,45 @@
 	return r, nil
 }
 
-// Watch calls receive with every position update of the peer until ctx ends or
-// the connection fails.
-func (p *Peer) Watch(ctx context.Context, receive func(*link.SlotStatus)) error {
+// Watch calls receive with every observation of the peer until ctx ends or the
+// connection fails. The times of the observations are on this daemon's clock.
+func (p *Peer) Watch(ctx context.Context, receive func(watch.Observation)) error {
 	hello := &link.Hello{Daemon: p.name, Purpose: &link.Hello_Watch{Watch: &link.WatchHello{}}}
 	r, err := p.openStream(ctx, hello)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = r.stream.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = r.stream.Close() })
 	defer stop()
+	sent := &echoLog{}
+	go sendEchoes(ctx, r.w, sent)
 	for {
 		status := &link.SlotStatus{}
 		if err := r.r.read(status); err != nil {
 			return err
 		}
-		receive(status)
+		receive(watch.Observation{Status: status, AskedAt: sent.timeOf(status.Echo)})
+	}
+}
+
+// sendEchoes sends a numbered echo at each interval. The time is taken before
+// the sending, so that it is before any question that counts the echo.
+func sendEchoes(ctx context.Context, w *frameWriter, sent *echoLog) {
+	ticker := time.NewTicker(echoInterval)
+	defer ticker.Stop()
+	for number := uint64(1); ; number++ {
+		sent.add(number, time.Now())
+		if err := w.write(&link.Echo{Number: number}); err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -18,6 +18,7 @@
 	"hemlockmast/api/link"
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/watch"
 )
 
 const (
@@ -35,9 +36,9 @@
 
 // Watcher serves the positions that this daemon observes itself.
 type Watcher interface {
-	// Watch calls send with the present state of each slot, then with each
-	// change, until ctx ends or send fails.
-	Watch(ctx context.Context, send func(*link.SlotStatus) error) error
+	// Watch calls send with the present observation of each slot, then with
+	// each new one, until ctx ends or send fails.
+	Watch(ctx context.Context, send func(watch.Observation) error) error
 }
 
 // Server accepts the connections of peers.
@@ -113,15 +114,29 @@
 	case *link.Hello_Exchange:
 		s.serveExchanges(ctx, cancel, r, w)
 	case *link.Hello_Watch:
-		go discard(r, cancel)
-		_ = s.Watcher.Watch(ctx, func(status *link.SlotStatus) error { return w.write(status) })
+		s.serveWatch(ctx, cancel, r, w)
 	}
 }
 
-// discard waits for the end of a stream on which nothing more is to come.
-func discard(r *frameReader, cancel context.CancelFunc) {
-	_, _ = io.Copy(io.Discard, r.br)
-	cancel()
+// serveWatch sends observations, each with the last echo that came before its
+// question, until the stream ends.
+func (s *Server) serveWatch(ctx context.Context, cancel context.CancelFunc, r *frameReader, w *frameWriter) {
+	echoes := &echoLog{}
+	go func() {
+		defer cancel()
+		for {
+			echo := &link.Echo{}
+			if err := r.read(echo); err != nil {
+				return
+			}
+			echoes.add(echo.Number, time.Now())
+		}
+	}()
+	_ = s.Watcher.Watch(ctx, func(o watch.Observation) error {
+		status := o.Status.CloneVT()
+		status.Echo = echoes.before(o.AskedAt)
+		return w.write(status)
+	})
 }
 
 // serveExchanges runs the segments of a stream in order. The end of the stream
--- a/internal/slotview/slotview.go
+++ b/internal/slotview/slotview.go
@@ -11,10 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"hemlockmast/api/link"
 	"hemlockmast/api/service"
 	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/watch"
 )
 
 // Endpoint is an endpoint's place in the network as it announced itself.
@@ -45,6 +44,8 @@
 	Reachable bool
 	// SeenAt is when Status was heard.
 	SeenAt time.Time
+	// AskedAt is before the question that Status answers, zero when not known.
+	AskedAt time.Time
 	// order is the observer's number of the status.
 	observer string
 	order    uint64
@@ -87,7 +88,7 @@
 	mu        sync.Mutex
 	changed   chan struct{}
 	endpoints map[slotKey]Endpoint
-	listeners []func(endpoint.Status)
+	listeners []func(endpoint.Status, time.Time)
 }
 
 type slotKey struct{ group, slot string }
@@ -128,8 +129,9 @@
 	return v.changed
 }
 
-// Listen calls f with every status that is taken in.
-func (v *View) Listen(f func(endpoint.Status)) {
+// Listen calls f with every status that is taken in and the time before the
+// question that it answers.
+func (v *View) Listen(f func(endpoint.Status, time.Time)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.listeners = append(v.listeners, f)
@@ -196,11 +198,12 @@
 // Apply takes in a status. An older one from the same observer is dropped; of
 // two observers, one that reaches the endpoint outweighs one that does not
 // until its word is staleAfter old.
-func (v *View) Apply(w *link.SlotStatus, now time.Time) {
+func (v *View) Apply(o watch.Observation, now time.Time) {
+	w := o.Status
 	v.mu.Lock()
 	taken := false
 	v.updateSlot(w.Group, w.Slot, func(s *Slot) bool {
-		taken = s.accept(w, now)
+		taken = s.accept(o, now)
 		return taken
 	})
 	listeners := v.listeners
@@ -208,9 +211,9 @@
 	if !taken || !w.Reachable {
 		return
 	}
-	status := StatusFromWire(w)
+	status := watch.StatusFromWire(w)
 	for _, f := range listeners {
-		f(status)
+		f(status, o.AskedAt)
 	}
 }
 
@@ -218,23 +221,26 @@
 // outweighs that of one that cannot reach the endpoint.
 const staleAfter = 500 * time.Millisecond
 
-func (s *Slot) accept(w *link.SlotStatus, now time.Time) bool {
+func (s *Slot) accept(o watch.Observation, now time.Time) bool {
+	w := o.Status
 	if s.observer == w.Observer && w.Sequence <= s.order {
 		return false
 	}
 	if !w.Reachable {
-		return s.acceptUnreachable(w, now)
+		return s.acceptUnreachable(o, now)
 	}
-	s.Status = StatusFromWire(w)
+	s.Status = watch.StatusFromWire(w)
 	s.Known = true
 	s.Reachable = true
 	s.SeenAt = now
+	s.AskedAt = o.AskedAt
 	s.observer = w.Observer
 	s.order = w.Sequence
 	return true
 }
 
-func (s *Slot) acceptUnreachable(w *link.SlotStatus, now time.Time) bool {
+func (s *Slot) acceptUnreachable(o watch.Observation, now time.Time) bool {
+	w := o.Status
 	if s.observer != w.Observer && s.Reachable && now.Sub(s.SeenAt) < staleAfter {
 		return false
 	}
@@ -288,39 +294,3 @@
 	}
 	return &g.Slots[i], true
 }
-
-// StatusFromWire returns the status that a message carries.
-func StatusFromWire(w *link.SlotStatus) endpoint.Status {
-	role := endpoint.RoleReplica
-	if w.Primary {
-		role = endpoint.RolePrimary
-	}
-	return endpoint.Status{
-		Group:       w.Group,
-		Slot:        w.Slot,
-		Incarnation: w.Incarnation,
-		Role:        role,
-		FencedTerm:  w.FencedTerm,
-		FencedBy:    w.FencedBy,
-		Synced:      logpos.Pos{Term: w.SyncedTerm, Index: w.SyncedIndex},
-		Applied:     logpos.Pos{Term: w.AppliedTerm, Index: w.AppliedIndex},
-		ConnLimit:   int(w.ConnLimit),
-	}
-}
-
-// StatusToWire returns the message for a status.
-func StatusToWire(st endpoint.Status) *link.SlotStatus {
-	return &link.SlotStatus{
-		Group:        st.Group,
-		Slot:         st.Slot,
-		Incarnation:  st.Incarnation,
-		Primary:      st.Role == endpoint.RolePrimary,
-		FencedTerm:   st.FencedTerm,
-		FencedBy:     st.FencedBy,
-		SyncedTerm:   st.Synced.Term,
-		SyncedIndex:  st.Synced.Index,
-		AppliedTerm:  st.Applied.Term,
-		AppliedIndex: st.Applied.Index,
-		ConnLimit:    uint64(st.ConnLimit),
-	}
-}
--- a/internal/watch/hub.go
+++ b/internal/watch/hub.go
@@ -5,10 +5,20 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hemlockmast/api/link"
 )
 
+// Observation is a status of an endpoint and when it was asked for.
+type Observation struct {
+	// Status must not be changed.
+	Status *link.SlotStatus
+	// AskedAt is before the question was sent, on this daemon's clock. What the
+	// status says was still true or came true after it.
+	AskedAt time.Time
+}
+
 // Hub passes the statuses of locally observed slots on to subscribers. A slow
 // subscriber gets the newest status of each slot, not each one.
 //
@@ -16,7 +26,7 @@
 type Hub struct {
 	// mu guards the fields below.
 	mu          sync.Mutex
-	latest      map[slotKey]*link.SlotStatus
+	latest      map[slotKey]Observation
 	subscribers map[*subscriber]struct{}
 }
 
@@ -25,19 +35,19 @@
 // NewHub returns an empty Hub.
 func NewHub() *Hub {
 	return &Hub{
-		latest:      map[slotKey]*link.SlotStatus{},
+		latest:      map[slotKey]Observation{},
 		subscribers: map[*subscriber]struct{}{},
 	}
 }
 
-// Publish passes a status on. It must not be changed afterwards.
-func (h *Hub) Publish(status *link.SlotStatus) {
-	key := slotKey{status.Group, status.Slot}
+// Publish passes an observation on.
+func (h *Hub) Publish(o Observation) {
+	key := slotKey{o.Status.Group, o.Status.Slot}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.latest[key] = status
+	h.latest[key] = o
 	for sub := range h.subscribers {
-		sub.put(key, status)
+		sub.put(key, o)
 	}
 }
 
@@ -48,8 +58,9 @@
 	delete(h.latest, slotKey{group, slot})
 }
 
-// Watch implements the link package's Watcher.
-func (h *Hub) Watch(ctx context.Context, send func(*link.SlotStatus) error) error {
+// Watch calls send with the present observation of each slot, then with each
+// new one, until ctx ends or send fails.
+func (h *Hub) Watch(ctx context.Context, send func(Observation) error) error {
 	sub := h.subscribe()
 	defer h.unsubscribe(sub)
 	for {
@@ -58,8 +69,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for _, status := range sub.take() {
-			if err := send(status); err != nil {
+		for _, o := range sub.take() {
+			if err := send(o); err != nil {
 				return err
 			}
 		}
@@ -69,12 +80,12 @@
 func (h *Hub) subscribe() *subscriber {
 	sub := &subscriber{
 		signal:  make(chan struct{}, 1),
-		pending: map[slotKey]*link.SlotStatus{},
+		pending: map[slotKey]Observation{},
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for key, status := range h.latest {
-		sub.put(key, status)
+	for key, o := range h.latest {
+		sub.put(key, o)
 	}
 	h.subscribers[sub] = struct{}{}
 	return sub
@@ -92,12 +103,12 @@
 
 	// mu guards pending.
 	mu      sync.Mutex
-	pending map[slotKey]*link.SlotStatus
+	pending map[slotKey]Observation
 }
 
-func (s *subscriber) put(key slotKey, status *link.SlotStatus) {
+func (s *subscriber) put(key slotKey, o Observation) {
 	s.mu.Lock()
-	s.pending[key] = status
+	s.pending[key] = o
 	s.mu.Unlock()
 	select {
 	case s.signal <- struct{}{}:
@@ -105,12 +116,12 @@
 	}
 }
 
-func (s *subscriber) take() []*link.SlotStatus {
+func (s *subscriber) take() []Observation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]*link.SlotStatus, 0, len(s.pending))
-	for _, status := range s.pending {
-		list = append(list, status)
+	list := make([]Observation, 0, len(s.pending))
+	for _, o := range s.pending {
+		list = append(list, o)
 	}
 	clear(s.pending)
 	return list
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"hemlockmast/api/link"
 	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/slotview"
 )
 
 const (
@@ -32,7 +30,7 @@
 	Observer string
 	Connect  Connect
 	// Publish takes each observation.
-	Publish func(*link.SlotStatus)
+	Publish func(Observation)
 	// Sequence numbers observations; it is shared by the watchers that follow
 	// each other on one slot.
 	Sequence func() uint64
@@ -46,7 +44,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.publish(endpoint.Status{Group: w.Group, Slot: w.Slot}, false)
+		w.publish(endpoint.Status{Group: w.Group, Slot: w.Slot}, time.Now(), false)
 		select {
 		case <-time.After(redialPause):
 		case <-ctx.Done():
@@ -63,6 +61,7 @@
 		return
 	}
 	defer func() { _ = ctl.Close() }()
+	asked := time.Now()
 	status, err := w.probe(ctx, func(ctx context.Context) (endpoint.Status, error) {
 		return ctl.Status(ctx)
 	})
@@ -70,8 +69,9 @@
 		if status.Group != w.Group || status.Slot != w.Slot {
 			return
 		}
-		w.publish(status, true)
+		w.publish(status, asked, true)
 		seen := status
+		asked = time.Now()
 		status, err = w.probe(ctx, func(ctx context.Context) (endpoint.Status, error) {
 			return ctl.Wait(ctx, seen, probeInterval)
 		})
@@ -84,11 +84,11 @@
 	return ask(ctx)
 }
 
-func (w *Watcher) publish(status endpoint.Status, reachable bool) {
-	wire := slotview.StatusToWire(status)
+func (w *Watcher) publish(status endpoint.Status, asked time.Time, reachable bool) {
+	wire := StatusToWire(status)
 	wire.Address = w.Addr
 	wire.Observer = w.Observer
 	wire.Reachable = reachable
 	wire.Sequence = w.Sequence()
-	w.Publish(wire)
+	w.Publish(Observation{Status: wire, AskedAt: asked})
 }
