--- /dev/null
+++ b/internal/endpoint/contracttest/contracttest.go
@@ -0,0 +1,210 @@
+// Package contracttest checks that endpoints keep docs/endpoint-contract.md. It
+// is used from test files, with any implementation.
+package contracttest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpoint/pgcontrol"
+	"hemlockmast/internal/logpos"
+)
+
+const (
+	// caseDeadline bounds one case; no verdict depends on it.
+	caseDeadline = 30 * time.Second
+	// waitTimeout is the timeout of each Wait command.
+	waitTimeout = 100 * time.Millisecond
+	// database is the name that every endpoint of a test must accept.
+	database = "db"
+	// connLimit is the connection limit that every endpoint must have.
+	connLimit = 8
+)
+
+// Endpoint is one endpoint under test.
+type Endpoint interface {
+	// Addr is where the endpoint listens; it stays the same over restarts.
+	Addr() string
+	// Kill stops the endpoint as a crash does.
+	Kill()
+	// Restart starts a killed endpoint with its disk.
+	Restart() error
+	// RestartEmpty starts a killed endpoint with an empty disk.
+	RestartEmpty() error
+	// PauseReplication stops or resumes the taking of records.
+	PauseReplication(on bool)
+	// PauseApply stops or resumes making synced records visible.
+	PauseApply(on bool)
+}
+
+// Factory starts an endpoint of the group "g" with an empty disk and a limit of
+// 8 connections, and closes it at the end of the test.
+type Factory func(t *testing.T, slot string) Endpoint
+
+// group is three endpoints under test.
+type group struct {
+	t   *testing.T
+	ctx context.Context
+	eps []Endpoint
+}
+
+func newGroup(t *testing.T, factory Factory) *group {
+	ctx, cancel := context.WithTimeout(context.Background(), caseDeadline)
+	t.Cleanup(cancel)
+	g := &group{t: t, ctx: ctx}
+	for i := range 3 {
+		g.eps = append(g.eps, factory(t, fmt.Sprintf("s%d", i)))
+	}
+	return g
+}
+
+func (g *group) control(i int) *pgcontrol.Controller {
+	g.t.Helper()
+	c, err := pgcontrol.Dial(g.ctx, pgcontrol.Options{Addr: g.eps[i].Addr(), Database: database, Holder: "test"})
+	assert.NilError(g.t, err)
+	g.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (g *group) status(i int) endpoint.Status {
+	g.t.Helper()
+	c := g.control(i)
+	defer c.Close()
+	st, err := c.Status(g.ctx)
+	assert.NilError(g.t, err)
+	return st
+}
+
+func (g *group) fence(i int, term uint64, promoter string) error {
+	c := g.control(i)
+	defer c.Close()
+	_, err := c.Fence(g.ctx, term, promoter)
+	return err
+}
+
+func (g *group) promote(i int, term uint64, promoter string) error {
+	c := g.control(i)
+	defer c.Close()
+	_, err := c.Promote(g.ctx, term, promoter)
+	return err
+}
+
+func (g *group) follow(i int, term uint64, primary int) error {
+	c := g.control(i)
+	defer c.Close()
+	_, err := c.Follow(g.ctx, term, g.eps[primary].Addr())
+	return err
+}
+
+// elect fences, promotes and makes the others follow.
+func (g *group) elect(term uint64, primary int, others ...int) {
+	g.t.Helper()
+	for _, i := range append([]int{primary}, others...) {
+		assert.NilError(g.t, g.fence(i, term, "p"))
+	}
+	assert.NilError(g.t, g.promote(primary, term, "p"))
+	for _, i := range others {
+		assert.NilError(g.t, g.follow(i, term, primary))
+	}
+}
+
+// await waits until the endpoint's status meets ok.
+func (g *group) await(i int, what string, ok func(endpoint.Status) bool) endpoint.Status {
+	g.t.Helper()
+	c := g.control(i)
+	defer c.Close()
+	st, err := c.Status(g.ctx)
+	for err == nil && !ok(st) {
+		st, err = c.Wait(g.ctx, st, waitTimeout)
+	}
+	assert.NilError(g.t, err, "%s of endpoint %d: %+v", what, i, st)
+	return st
+}
+
+// awaitApplied waits until the endpoint shows position p.
+func (g *group) awaitApplied(i int, p logpos.Pos) {
+	g.t.Helper()
+	g.await(i, "applied "+p.String(), func(s endpoint.Status) bool { return s.Applied == p })
+}
+
+func (g *group) connect(i int) *pgx.Conn {
+	g.t.Helper()
+	c, err := g.tryConnect(i)
+	assert.NilError(g.t, err)
+	g.t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func (g *group) tryConnect(i int) (*pgx.Conn, error) {
+	url := "postgres://app@" + g.eps[i].Addr() + "/" + database + "?sslmode=disable&" + endpoint.ParamHolder + "=h" + fmt.Sprint(i)
+	return pgx.Connect(g.ctx, url)
+}
+
+// exec runs one statement on a new connection and returns its SQLSTATE, empty
+// on success, and the position that it reported.
+func (g *group) exec(i int, text string) (code string, pos logpos.Pos) {
+	g.t.Helper()
+	c := g.connect(i)
+	defer c.Close(g.ctx)
+	_, err := c.Exec(g.ctx, text)
+	if err != nil {
+		return sqlState(err), pos
+	}
+	if v := c.PgConn().ParameterStatus(endpoint.ParamCommit); v != "" {
+		pos, err = logpos.Parse(v)
+		assert.NilError(g.t, err)
+	}
+	return "", pos
+}
+
+// write runs a statement that must succeed and report its position.
+func (g *group) write(i int, text string) logpos.Pos {
+	g.t.Helper()
+	code, pos := g.exec(i, text)
+	assert.Equal(g.t, code, "", text)
+	assert.Assert(g.t, !pos.IsZero(), text)
+	return pos
+}
+
+// count returns the number of rows of table t at the endpoint.
+func (g *group) count(i int) int {
+	g.t.Helper()
+	c := g.connect(i)
+	defer c.Close(g.ctx)
+	var n int
+	assert.NilError(g.t, c.QueryRow(g.ctx, "SELECT count(*) FROM t").Scan(&n))
+	return n
+}
+
+func sqlState(err error) string {
+	var pg *pgconn.PgError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &pg):
+		return pg.Code
+	}
+	return err.Error()
+}
+
+func (g *group) refused(err error) *endpoint.FencedError {
+	g.t.Helper()
+	var f *endpoint.FencedError
+	assert.Assert(g.t, errors.As(err, &f), "%v", err)
+	return f
+}
+
+// Run checks every case of the contract.
+func Run(t *testing.T, factory Factory) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(newGroup(t, factory)) })
+	}
+}
--- /dev/null
+++ b/internal/standin/contract_test.go
@@ -0,0 +1,22 @@
+package standin_test
+
+import (
+	"testing"
+
+	"hemlockmast/internal/endpoint/contracttest"
+	"hemlockmast/internal/standin"
+)
+
+// TestContract runs the contract against the stand-in, with each kind of disk.
+func TestContract(t *testing.T) {
+	t.Run("memory", func(t *testing.T) {
+		contracttest.Run(t, func(t *testing.T, slot string) contracttest.Endpoint {
+			return start(t, standin.Config{Slot: slot, ConnLimit: 8})
+		})
+	})
+	t.Run("files", func(t *testing.T) {
+		contracttest.Run(t, func(t *testing.T, slot string) contracttest.Endpoint {
+			return start(t, standin.Config{Slot: slot, ConnLimit: 8, DataDir: t.TempDir()})
+		})
+	})
+}
--- a/internal/standin/disk/file.go
+++ b/internal/standin/disk/file.go
@@ -16,8 +16,11 @@
 const (
 	// fileName is the journal's name in the data folder.
 	fileName = "standin.journal"
-	// headerBytes is the length of an entry's header: body length and CRC-32.
-	headerBytes = 8
+	// headerBytes is the length of an entry's header: the body's length, the
+	// body's CRC-32 and the CRC-32 of these two.
+	headerBytes = 12
+	// headerSummed is the part of the header that its own CRC-32 covers.
+	headerSummed = 8
 	// maxEntryBytes bounds the length of one entry.
 	maxEntryBytes = 256 << 20
 )
@@ -132,7 +135,8 @@
 		return 0, false, &IOError{Op: "read", Err: err}
 	}
 	n := int64(binary.BigEndian.Uint32(head[:4]))
-	if n > maxEntryBytes {
+	// A damaged length must not pass for an entry that was cut short.
+	if crc32.ChecksumIEEE(head[:headerSummed]) != binary.BigEndian.Uint32(head[headerSummed:]) || n > maxEntryBytes {
 		return 0, false, &CorruptError{Path: d.path, Offset: d.size}
 	}
 	if left < headerBytes+n {
@@ -143,7 +147,7 @@
 		return 0, false, &IOError{Op: "read", Err: err}
 	}
 	var e entry
-	good := crc32.ChecksumIEEE(body) == binary.BigEndian.Uint32(head[4:])
+	good := crc32.ChecksumIEEE(body) == binary.BigEndian.Uint32(head[4:headerSummed])
 	if good {
 		good = json.Unmarshal(body, &e) == nil
 	}
@@ -181,6 +185,7 @@
 	buf := make([]byte, headerBytes, headerBytes+len(body))
 	binary.BigEndian.PutUint32(buf[:4], uint32(len(body)))
 	binary.BigEndian.PutUint32(buf[4:], crc32.ChecksumIEEE(body))
+	binary.BigEndian.PutUint32(buf[headerSummed:], crc32.ChecksumIEEE(buf[:headerSummed]))
 	if _, err = d.f.Write(append(buf, body...)); err == nil {
 		err = d.f.Sync()
 	}
