--- a/internal/endpoint/pgcontrol/pgcontrol.go
+++ b/internal/endpoint/pgcontrol/pgcontrol.go
@@ -125,12 +125,10 @@
 	return c.command(ctx, wire.FollowCommand(term, addr))
 }
 
-// Close implements endpoint.Controller. It does not wait for the endpoint.
-func (c *Controller) Close() error {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return c.conn.Close(ctx)
-}
+// Close implements endpoint.Controller. It closes the socket at once: pgconn
+// would keep it open for seconds after a timeout, waiting for an endpoint that
+// may never answer, and the endpoint would go on counting it.
+func (c *Controller) Close() error { return c.conn.Conn().Close() }
 
 // HolderConns is the number of connections that one holder has at an endpoint.
 type HolderConns struct {
