--- /dev/null
+++ b/internal/confspread/spread_test.go
@@ -0,0 +1,424 @@
+package confspread
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/api/confspread"
+	"hemlockmast/api/service"
+	"hemlockmast/internal/spreadstate"
+)
+
+// TestFaults runs three failure domains of three daemons at revision 1, causes
+// a fault and publishes revision 2. Every daemon that is running and not cut
+// off must run it; those named in cut must stay at 1 until the fault is over.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		cause func(c *cluster)
+		// cut is a failure domain that cannot learn of revision 2.
+		cut  string
+		mend func(c *cluster)
+		gone int
+	}{
+		{
+			name:  "relay killed",
+			cause: func(c *cluster) { c.stop(c.relay("fd0").Name) },
+			gone:  1,
+		},
+		{
+			name: "relay and the next one killed",
+			cause: func(c *cluster) {
+				for _, member := range spreadstate.Rank(c.members, "fd0")[:2] {
+					c.stop(member.Name)
+				}
+			},
+			gone: 2,
+		},
+		{
+			name:  "relay frozen",
+			cause: func(c *cluster) { c.net.set("*", c.relay("fd0").Addr, linkFrozen) },
+		},
+		{
+			name:  "relay cut off from control alone",
+			cause: func(c *cluster) { c.net.set(c.relay("fd0").Name, controlAddr, linkCut) },
+		},
+		{
+			name:  "relay's link to control frozen",
+			cause: func(c *cluster) { c.net.set(c.relay("fd0").Name, controlAddr, linkFrozen) },
+		},
+		{
+			name: "all of a domain cut off from control, not from other domains",
+			cause: func(c *cluster) {
+				for _, member := range spreadstate.Rank(c.members, "fd0") {
+					c.net.set(member.Name, controlAddr, linkCut)
+				}
+			},
+		},
+		{
+			name:  "domain cut off",
+			cause: func(c *cluster) { c.cut("fd0", linkCut) },
+			cut:   "fd0",
+			mend:  func(c *cluster) { c.cut("fd0", linkUp) },
+		},
+		{
+			name:  "domain frozen",
+			cause: func(c *cluster) { c.cut("fd0", linkFrozen) },
+			cut:   "fd0",
+			mend:  func(c *cluster) { c.cut("fd0", linkUp) },
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 3)
+			c.startAll()
+			c.publish()
+			c.waitAll(1)
+			c.waitReported(1)
+			tc.cause(c)
+			c.publish()
+			c.waitOutside(tc.cut, 2)
+			if tc.cut == "" {
+				return
+			}
+			c.checkCutOff(tc.cut)
+			tc.mend(c)
+			c.waitAll(2)
+		})
+	}
+}
+
+// cut sets the links between the domain and everything outside of it.
+func (c *cluster) cut(domain string, state linkState) {
+	for _, inside := range spreadstate.Rank(c.members, domain) {
+		c.net.set(inside.Name, controlAddr, state)
+		for _, outside := range c.members {
+			if outside.FailureDomain != domain {
+				c.net.set(inside.Name, outside.Addr, state)
+				c.net.set(outside.Name, inside.Addr, state)
+			}
+		}
+	}
+}
+
+func (c *cluster) waitOutside(domain string, revision uint64) {
+	c.t.Helper()
+	c.wait("new revision outside of the cut", func() bool {
+		for _, d := range c.daemons {
+			state := d.State()
+			if d.opts.Self.FailureDomain != domain &&
+				(state.Revision != revision || state.Mode != confspread.Mode_MODE_CONFIRMED) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// checkCutOff looks at what a domain at revision 1 does without control.
+func (c *cluster) checkCutOff(domain string) {
+	c.t.Helper()
+	c.skew.Add(int64(spreadstate.ConfirmTimeout + pollHold))
+	for _, member := range spreadstate.Rank(c.members, domain) {
+		state := c.daemons[member.Name].State()
+		assert.Equal(c.t, state.Revision, uint64(1))
+		assert.Equal(c.t, state.Mode, confspread.Mode_MODE_UNCONFIRMED)
+	}
+	status, err := c.control.Status(context.Background(), &confspread.StatusRequest{})
+	assert.NilError(c.t, err)
+	for _, d := range status.Domains {
+		if d.FailureDomain != domain {
+			continue
+		}
+		for _, member := range d.Members {
+			assert.Equal(c.t, member.Reachable, false)
+			assert.Equal(c.t, member.Revision, uint64(1))
+		}
+	}
+}
+
+// TestRestartInCutOffDomain restarts a daemon with a disk and one without in a
+// domain that cannot reach control. The first serves its stored revision and
+// says that it is unconfirmed; the second serves nobody.
+func TestRestartInCutOffDomain(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	store := NewStore(t.TempDir())
+	inside := spreadstate.Rank(c.members, "fd0")
+	for _, member := range c.members {
+		s := store
+		if member.Name != inside[1].Name {
+			s = nil
+		}
+		c.start(member, s)
+	}
+	c.publish()
+	c.waitAll(1)
+	c.cut("fd0", linkCut)
+	c.stop(inside[1].Name)
+	c.stop(inside[2].Name)
+	withDisk, without := c.start(inside[1], store), c.start(inside[2], nil)
+	assert.Equal(t, withDisk.State().Mode, confspread.Mode_MODE_STARTING)
+	c.skew.Add(int64(spreadstate.StartupWait))
+	assert.Equal(t, withDisk.State().Mode, confspread.Mode_MODE_UNCONFIRMED)
+	assert.Equal(t, withDisk.State().Revision, uint64(1))
+	c.wait("configuration from the relay", func() bool { return without.State().Revision == 1 })
+	c.skew.Add(int64(spreadstate.ConfirmTimeout))
+	assert.Equal(t, without.State().Mode, confspread.Mode_MODE_STARTING)
+	c.publish()
+	c.cut("fd0", linkUp)
+	c.waitAll(2)
+}
+
+// TestControlWithoutQuorum lets control lose its quorum: it hands out what it
+// has, and confirms nothing.
+func TestControlWithoutQuorum(t *testing.T) {
+	c := newCluster(t, 1, 2)
+	c.publish()
+	c.agreement.noQuorum.Store(true)
+	c.startAll()
+	c.wait("configuration", func() bool {
+		for _, d := range c.daemons {
+			if d.State().Revision != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, d := range c.daemons {
+		assert.Equal(t, d.State().Mode, confspread.Mode_MODE_STARTING)
+	}
+	answer, err := c.control.Current(context.Background(), &confspread.CurrentRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Confirmed, false)
+	c.agreement.noQuorum.Store(false)
+	c.waitAll(1)
+}
+
+// TestRestartAfter500Changes stops daemons with and without a disk, publishes
+// 500 times, restores control from its snapshot and starts the daemons again.
+func TestRestartAfter500Changes(t *testing.T) {
+	const changes = 500
+	c := newCluster(t, 2, 2)
+	stores := make(map[string]*Store)
+	for i, member := range c.members {
+		if i%2 == 0 {
+			stores[member.Name] = NewStore(t.TempDir())
+		}
+		c.start(member, stores[member.Name])
+	}
+	c.publish()
+	c.waitAll(1)
+	stopped := c.members[:3]
+	for _, member := range stopped {
+		c.stop(member.Name)
+	}
+	last := uint64(1)
+	for range changes {
+		last = c.publish()
+	}
+	c.waitAll(last)
+	state, err := c.agreement.state.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, c.agreement.state.Restore(state))
+	for _, member := range stopped {
+		c.start(member, stores[member.Name])
+	}
+	last = c.publish()
+	c.waitAll(last)
+	want, _, _ := c.agreement.state.current()
+	for name, d := range c.daemons {
+		assert.Assert(t, proto.Equal(d.Configuration(), want), name)
+	}
+	for _, store := range stores {
+		stored, err := store.Load()
+		assert.NilError(t, err)
+		assert.Assert(t, proto.Equal(stored, want))
+	}
+}
+
+// TestDamagedFile starts a daemon on a damaged file: it says so, serves nobody
+// until control confirms its revision, and stores that again.
+func TestDamagedFile(t *testing.T) {
+	damage := map[string]func(data []byte) []byte{
+		"cut header":  func(data []byte) []byte { return data[:10] },
+		"cut content": func(data []byte) []byte { return data[:len(data)-1] },
+		"empty":       func([]byte) []byte { return nil },
+		"magic":       func(data []byte) []byte { data[0]++; return data },
+		"length":      func(data []byte) []byte { data[11]++; return data },
+		"checksum":    func(data []byte) []byte { data[12]++; return data },
+		"content":     func(data []byte) []byte { data[len(data)-3]++; return data },
+		"appended":    func(data []byte) []byte { return append(data, 0) },
+	}
+	for name, change := range damage {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, 1)
+			store := NewStore(t.TempDir())
+			assert.NilError(t, store.Save(testConfigurationAt(1)))
+			data, err := os.ReadFile(store.path())
+			assert.NilError(t, err)
+			assert.NilError(t, os.WriteFile(store.path(), change(data), 0o600))
+			c.publish()
+			c.agreement.noQuorum.Store(true)
+			d := c.start(c.members[0], store)
+			damaged, ok := d.StoreError().(*DamagedFileError)
+			assert.Assert(t, ok, "%v", d.StoreError())
+			assert.Equal(t, damaged.File, store.path())
+			c.skew.Add(int64(spreadstate.StartupWait))
+			assert.Equal(t, d.State().Mode, confspread.Mode_MODE_STARTING)
+			c.agreement.noQuorum.Store(false)
+			c.waitAll(1)
+			_, err = store.Load()
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// TestStoreFails makes the folder refuse a new file, and then the removal of
+// the old one too.
+func TestStoreFails(t *testing.T) {
+	block := func(store *Store, name string) {
+		assert.NilError(t, os.MkdirAll(filepath.Join(store.dir, name, "x"), 0o700))
+	}
+	t.Run("write", func(t *testing.T) {
+		store := NewStore(t.TempDir())
+		assert.NilError(t, store.Save(testConfigurationAt(1)))
+		block(store, storeFile+".tmp")
+		assert.NilError(t, store.Save(testConfigurationAt(2)))
+		stored, err := store.Load()
+		assert.NilError(t, err)
+		assert.Assert(t, stored == nil, "restart would go back")
+	})
+	t.Run("write and removal", func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		store := NewStore(t.TempDir())
+		block(store, storeFile)
+		d := c.start(c.members[0], store)
+		c.publish()
+		c.wait("confirmation", func() bool { return d.State().Mode == confspread.Mode_MODE_CONFIRMED })
+		assert.Equal(t, d.State().Revision, uint64(0))
+		assert.NilError(t, os.RemoveAll(store.path()))
+		c.waitAll(1)
+	})
+}
+
+// TestLostAnswer loses the answer to a publication and sends it again.
+func TestLostAnswer(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.agreement.loseAnswers.Store(true)
+	request := publishRequest("c1", 0)
+	answer, err := c.control.Publish(context.Background(), request)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.GetUnavailable() != nil)
+	c.agreement.loseAnswers.Store(false)
+	for range 2 {
+		answer, err = c.control.Publish(context.Background(), request)
+		assert.NilError(t, err)
+		assert.Equal(t, answer.GetAccepted().GetRevision(), uint64(1))
+	}
+}
+
+// TestRaceWithEqualNumbers publishes many changes from one revision at once.
+func TestRaceWithEqualNumbers(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	const racers = 8
+	answers := make([]*confspread.PublishResponse, racers)
+	var group sync.WaitGroup
+	for i := range racers {
+		group.Go(func() {
+			id := string(rune('a' + i))
+			answers[i], _ = c.control.Publish(context.Background(), publishRequest(id, 0))
+		})
+	}
+	group.Wait()
+	winner := ""
+	for i, answer := range answers {
+		if answer.GetAccepted() != nil {
+			assert.Equal(t, winner, "", "two winners")
+			winner = string(rune('a' + i))
+		}
+	}
+	for _, answer := range answers {
+		if conflict := answer.GetConflict(); conflict != nil {
+			assert.Equal(t, conflict.Winner.Id, winner)
+			assert.Equal(t, conflict.Winner.Author, "author of "+winner)
+			assert.Equal(t, conflict.Winner.Revision, uint64(1))
+			continue
+		}
+		assert.Assert(t, answer.GetAccepted() != nil, "%v", answer)
+	}
+}
+
+// TestRefusals sends what control and daemons must refuse.
+func TestRefusals(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	d := c.start(c.members[0], nil)
+	ctx := context.Background()
+	bad := publishRequest("c1", 0)
+	bad.Configuration.Groups[0].Slots = nil
+	answer, err := c.control.Publish(ctx, bad)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.GetInvalid().GetProblems()[0].Field, "group.slots")
+	noise := publishRequest("c1", 0)
+	noise.Change.Id = "\xff"
+	answer, err = c.control.Publish(ctx, noise)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.GetMalformed() != nil)
+	c.agreement.noQuorum.Store(true)
+	answer, err = c.control.Publish(ctx, publishRequest("c1", 0))
+	assert.NilError(t, err)
+	assert.Assert(t, answer.GetUnavailable() != nil)
+	for _, name := range []string{"", string(make([]byte, maxNameBytes+1))} {
+		from := &confspread.Member{Name: name, FailureDomain: "fd0"}
+		_, err = d.Poll(ctx, &confspread.PollRequest{From: from})
+		assert.Assert(t, err != nil)
+		_, err = c.control.Poll(ctx, &confspread.PollRequest{From: from})
+		assert.Assert(t, err != nil)
+		_, err = c.control.Report(ctx, &confspread.DomainReport{FailureDomain: "fd0", Relay: name})
+		assert.Assert(t, err != nil)
+	}
+	many := &confspread.DomainReport{FailureDomain: "fd0", Relay: "r",
+		Members: make([]*confspread.MemberReport, maxReportMembers+1)}
+	_, err = c.control.Report(ctx, many)
+	assert.Assert(t, err != nil)
+}
+
+// TestControlSeesRelaysOnly counts who polls control, and shows that control
+// knows of every daemon all the same.
+func TestControlSeesRelaysOnly(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	c.startAll()
+	c.publish()
+	c.waitAll(1)
+	c.waitReported(1)
+	c.net.controlPolls.Store(0)
+	c.net.daemonPolls.Store(0)
+	c.wait("polls", func() bool { return c.net.daemonPolls.Load() >= 27 })
+	// Three relays poll as often as nine daemons do.
+	assert.Assert(t, c.net.controlPolls.Load() <= 14, "%d", c.net.controlPolls.Load())
+}
+
+func testConfigurationAt(revision uint64) *service.Configuration {
+	cfg := testConfiguration(0, "stored")
+	cfg.Revision = revision
+	return cfg
+}
+
+// TestCanceledPollEnds lets a caller go away while its poll is held.
+func TestCanceledPollEnds(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	d := c.start(c.members[0], nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := d.Poll(ctx, &confspread.PollRequest{HoldMs: 1000,
+		From: &confspread.Member{Name: "x", FailureDomain: "fd0"}})
+	assert.Assert(t, err != nil)
+}
