Spreading: stale and silent failures apart, control probed while a relay follows others

Cause: with one kind of failure and a fixed pause, a relay whose links to three frozen control processes take 2 s each to fail came back to the first before it tried any daemon; and a whole cut-off domain would have turned every daemon into a relay. Ruled out: a longer fixed pause, which delays the way back. Now the pause doubles, daemons turn to at most three stale relays, and a relay that follows other daemons probes control once a second.

--- a/internal/confspread/daemon.go
+++ b/internal/confspread/daemon.go
@@ -23,6 +23,8 @@
 	// firstBackoff and maxBackoff bound the pause after failed polls.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
+	// probeInterval is the time between two probes of control.
+	probeInterval = time.Second
 	// reportInterval is the time between two reports without news.
 	reportInterval = 2 * time.Second
 	// reportDelay gathers the news of several daemons into one report.
@@ -152,6 +154,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { d.followLoop(ctx); return nil })
 	group.Go(func() error { d.refreshLoop(ctx); return nil })
+	group.Go(func() error { d.probeLoop(ctx); return nil })
 	group.Go(func() error { d.reportLoop(ctx); return nil })
 	return group.Wait()
 }
@@ -182,12 +185,46 @@
 	}
 }
 
+// probeLoop tries control, one process after the other, while this daemon is a
+// relay that follows other daemons.
+func (d *Daemon) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for i := 0; len(d.opts.Control) > 0; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		addr := d.opts.Control[i%len(d.opts.Control)]
+		if request := d.nextProbe(); request != nil {
+			d.pollTarget(ctx, spreadstate.Target{Addr: addr, Control: true}, request)
+		}
+	}
+}
+
+// nextProbe returns the request of a probe, or nil when none is needed.
+func (d *Daemon) nextProbe() *confspread.PollRequest {
+	members := d.opts.Members.Members()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.upstream != "" || !d.chooser.IsRelay(d.opts.Now(), members) {
+		return nil
+	}
+	return d.request(0)
+}
+
 // poll polls once and reports whether the answer was of use.
 func (d *Daemon) poll(ctx context.Context, hold time.Duration) bool {
 	target, request := d.nextPoll(hold)
 	if target.Addr == "" {
 		return false
 	}
+	return d.pollTarget(ctx, target, request)
+}
+
+func (d *Daemon) pollTarget(ctx context.Context, target spreadstate.Target, request *confspread.PollRequest) bool {
+	hold := time.Duration(request.GetHoldMs()) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, hold+pollGrace)
 	defer cancel()
 	sentAt := d.opts.Now()
@@ -197,7 +234,7 @@
 	}
 	if err != nil {
 		d.opts.Log.V(1).Info("poll failed", "addr", target.Addr, "error", err.Error())
-		d.fail(target)
+		d.fail(target, spreadstate.FailureSilent)
 		return false
 	}
 	return d.judge(target, answer)
@@ -220,10 +257,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	target := d.chooser.Choose(d.opts.Now(), d.opts.Control, members)
+	return target, d.request(hold)
+}
+
+// request returns a poll's request. mu must be held.
+func (d *Daemon) request(hold time.Duration) *confspread.PollRequest {
 	request := d.describe()
 	request.HoldMs = uint32(hold.Milliseconds())
 	request.ConfirmNow = hold == 0 || !d.follower.IsConfirmedSinceStart()
-	return target, request
+	return request
 }
 
 // describe returns a request with this daemon's state. mu must be held.
@@ -280,11 +322,11 @@
 	d.changed = make(chan struct{})
 }
 
-func (d *Daemon) fail(target spreadstate.Target) {
+func (d *Daemon) fail(target spreadstate.Target, kind spreadstate.Failure) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.chooser.Failed(target, d.opts.Now())
-	if target.Addr == d.upstream {
+	d.chooser.Failed(target, kind, d.opts.Now())
+	if target.Control && target.Addr == d.upstream {
 		d.upstream = ""
 	}
 }
@@ -293,7 +335,7 @@
 func (d *Daemon) judge(target spreadstate.Target, answer *confspread.PollResponse) bool {
 	age := time.Duration(answer.GetConfirmedAgeUs()) * time.Microsecond
 	if !answer.GetConfirmed() || age > spreadstate.StaleAge {
-		d.fail(target)
+		d.fail(target, spreadstate.FailureStale)
 		return false
 	}
 	d.setUpstream(target)
@@ -307,6 +349,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.chooser.Succeeded(target)
 	if upstream != "" && d.upstream == "" {
 		wake(d.news)
 	}
--- a/internal/spreadstate/chooser.go
+++ b/internal/spreadstate/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,14 +10,20 @@
 )
 
 const (
-	// FailurePause is how long a process that failed is passed over.
-	FailurePause = 5 * time.Second
+	// firstPause and maxPause bound how long a process that failed is passed
+	// over; the pause doubles with each failure in a row.
+	firstPause = 5 * time.Second
+	maxPause   = 40 * time.Second
 	// RelayDemand is how long a daemon goes on relaying after another daemon
 	// polled it.
 	RelayDemand = 10 * time.Second
 	// StaleAge is the age of a confirmation above which an answer counts as a
 	// failure of the process that gave it.
 	StaleAge = 5 * time.Second
+	// maxStaleRelays bounds the relays of one failure domain that daemons turn
+	// to because the first ones answer without being current. More would not
+	// help a domain that is cut off, and would load control when it returns.
+	maxStaleRelays = 3
 )
 
 // Member is a daemon that may relay.
@@ -29,6 +36,31 @@
 	Live bool
 }
 
+// Target is a process to poll.
+type Target struct {
+	Addr string
+	// Control says that the control service at Addr is meant, not the daemon.
+	Control bool
+}
+
+// Failure is why a target was of no use.
+type Failure uint8
+
+const (
+	// FailureSilent is no answer, or one that cannot be used.
+	FailureSilent Failure = iota
+	// FailureStale is an answer of a process that cannot tell whether it is
+	// current.
+	FailureStale
+)
+
+// failure is the last failure of a target.
+type failure struct {
+	kind  Failure
+	at    time.Time
+	pause time.Duration
+}
+
 // Chooser decides which process a daemon polls: the relay of its failure
 // domain, or control when the daemon is the relay.
 //
@@ -37,94 +69,124 @@
 // acts as relay whatever it believes itself, so that disagreement between
 // daemons costs a second relay and never a circle of daemons without control.
 type Chooser struct {
-	self Member
-	// failedAt holds the time of each target's last failure.
-	failedAt     map[Target]time.Time
+	self         Member
+	failures     map[Target]failure
 	lastPolledAt time.Time
 }
 
 // NewChooser returns the chooser of the daemon self.
 func NewChooser(self Member) *Chooser {
-	return &Chooser{self: self, failedAt: make(map[Target]time.Time)}
+	return &Chooser{self: self, failures: make(map[Target]failure)}
 }
 
 // Polled notes that another daemon polled this one.
 func (c *Chooser) Polled(now time.Time) { c.lastPolledAt = now }
 
-// Failed notes that target did not answer, or gave an answer of no use.
-func (c *Chooser) Failed(target Target, now time.Time) { c.failedAt[target] = now }
+// Succeeded notes that target gave an answer of use.
+func (c *Chooser) Succeeded(target Target) { delete(c.failures, target) }
 
-// Target is a process to poll.
-type Target struct {
-	Addr string
-	// Control says that the control service at Addr is meant, not the daemon.
-	Control bool
+// Failed notes that target was of no use.
+func (c *Chooser) Failed(target Target, kind Failure, now time.Time) {
+	c.forget(now)
+	pause := firstPause
+	if last, ok := c.failures[target]; ok {
+		pause = min(2*last.pause, maxPause)
+	}
+	c.failures[target] = failure{kind: kind, at: now, pause: pause}
+}
+
+// forget drops failures so old that another one would be the first in a row.
+func (c *Chooser) forget(now time.Time) {
+	for target, f := range c.failures {
+		if now.Sub(f.at) > f.pause+maxPause {
+			delete(c.failures, target)
+		}
+	}
 }
 
 // Choose returns the process to poll at now. control lists the addresses of
 // the control processes. Without any candidate Addr is empty.
 //
-// A relay goes back to control as soon as one of its processes was not tried
-// for FailurePause; meanwhile it follows daemons, of its own domain first.
+// A relay that cannot reach control follows the relays of other failure
+// domains, then the next ranks of its own.
 func (c *Chooser) Choose(now time.Time, control []string, members []Member) Target {
-	c.forget(now)
 	ranked := Rank(members, c.self.FailureDomain)
 	if !c.isRelay(now, ranked) {
-		return c.first(now, c.targets(ranked))
+		return c.first(now, c.targets(ranked), maxStaleRelays)
 	}
 	var candidates []Target
 	for _, addr := range control {
 		candidates = append(candidates, Target{Addr: addr, Control: true})
 	}
-	candidates = append(candidates, c.targets(ranked)...)
-	candidates = append(candidates, c.targets(others(members, c.self.FailureDomain))...)
-	return c.first(now, candidates)
+	candidates = append(candidates, c.targets(relaysElsewhere(members, c.self.FailureDomain))...)
+	candidates = append(candidates, c.targets(ranked[:min(len(ranked), maxStaleRelays)])...)
+	return c.first(now, candidates, len(candidates))
+}
+
+// IsRelay reports whether this daemon has to reach control itself.
+func (c *Chooser) IsRelay(now time.Time, members []Member) bool {
+	return c.isRelay(now, Rank(members, c.self.FailureDomain))
 }
 
-// isRelay reports whether this daemon has to reach control itself.
 func (c *Chooser) isRelay(now time.Time, ranked []Member) bool {
 	if !c.lastPolledAt.IsZero() && now.Sub(c.lastPolledAt) < RelayDemand {
 		return true
 	}
+	stale := 0
 	for _, member := range ranked {
+		target := Target{Addr: member.Addr}
 		if member.Name == c.self.Name {
 			return true
 		}
-		if !c.isPaused(Target{Addr: member.Addr}, now) {
+		if !c.isPaused(target, now) {
+			return false
+		}
+		if c.failures[target].kind == FailureStale {
+			stale++
+		}
+		if stale == maxStaleRelays {
 			return false
 		}
 	}
 	return true
 }
 
-// first returns the first candidate that did not fail of late, or the one
-// whose failure is longest ago.
-func (c *Chooser) first(now time.Time, candidates []Target) Target {
+// first returns the first candidate that is not paused. It looks no further
+// than maxStale stale ones. When all are paused it returns the one that failed
+// longest ago, of those that answered if there are any.
+func (c *Chooser) first(now time.Time, candidates []Target, maxStale int) Target {
+	var silent, stale []Target
 	for _, target := range candidates {
 		if !c.isPaused(target, now) {
 			return target
 		}
+		if c.failures[target].kind == FailureSilent {
+			silent = append(silent, target)
+			continue
+		}
+		stale = append(stale, target)
+		if len(stale) == maxStale {
+			break
+		}
+	}
+	if len(stale) > 0 {
+		return c.longestAgo(stale)
 	}
-	if len(candidates) == 0 {
+	return c.longestAgo(silent)
+}
+
+func (c *Chooser) longestAgo(targets []Target) Target {
+	if len(targets) == 0 {
 		return Target{}
 	}
-	return slices.MinFunc(candidates, func(a, b Target) int {
-		return c.failedAt[a].Compare(c.failedAt[b])
+	return slices.MinFunc(targets, func(a, b Target) int {
+		return c.failures[a].at.Compare(c.failures[b].at)
 	})
 }
 
 func (c *Chooser) isPaused(target Target, now time.Time) bool {
-	failedAt, ok := c.failedAt[target]
-	return ok && now.Sub(failedAt) < FailurePause
-}
-
-// forget bounds the failures remembered.
-func (c *Chooser) forget(now time.Time) {
-	for target := range c.failedAt {
-		if !c.isPaused(target, now) {
-			delete(c.failedAt, target)
-		}
-	}
+	f, ok := c.failures[target]
+	return ok && now.Sub(f.at) < f.pause
 }
 
 // targets returns the members other than this daemon.
@@ -150,16 +212,16 @@
 	return ranked
 }
 
-// others returns the live members of the other failure domains.
-func others(members []Member, domain string) []Member {
-	var out []Member
+// relaysElsewhere returns the relay of each other failure domain.
+func relaysElsewhere(members []Member, domain string) []Member {
+	relays := make(map[string]Member)
 	for _, member := range members {
-		if member.Live && member.FailureDomain != domain {
-			out = append(out, member)
+		best, ok := relays[member.FailureDomain]
+		if member.Live && member.FailureDomain != domain && (!ok || compareRank(member, best) < 0) {
+			relays[member.FailureDomain] = member
 		}
 	}
-	slices.SortFunc(out, compareRank)
-	return out
+	return slices.SortedFunc(maps.Values(relays), compareRank)
 }
 
 func compareRank(a, b Member) int {
--- a/internal/spreadstate/spreadstate_test.go
+++ b/internal/spreadstate/spreadstate_test.go
@@ -112,16 +112,20 @@
 }
 
 // TestChooser lets the daemon of rank self see failures and polls, and looks
-// at whom it polls.
+// at whom it polls 20 seconds after the start.
 func TestChooser(t *testing.T) {
-	type failure struct {
+	type event struct {
 		target Target
+		kind   Failure
 		at     float64
 	}
 	all, ranked := members()
 	daemon := func(rank int) Target { return Target{Addr: ranked[rank].Addr} }
-	control := func(addr string) Target { return Target{Addr: addr, Control: true} }
-	c1, c2 := control("c1"), control("c2")
+	silent := func(target Target, at float64) event { return event{target, FailureSilent, at} }
+	stale := func(target Target, at float64) event { return event{target, FailureStale, at} }
+	c1, c2 := Target{Addr: "c1", Control: true}, Target{Addr: "c2", Control: true}
+	elsewhere := relaysElsewhere(all, "d")
+	e0, e1 := Target{Addr: elsewhere[0].Addr}, Target{Addr: elsewhere[1].Addr}
 	notLive := func(rank int) []Member {
 		out := slices.Clone(all)
 		i := slices.IndexFunc(out, func(m Member) bool { return m.Name == ranked[rank].Name })
@@ -132,29 +136,39 @@
 		name     string
 		self     int
 		members  []Member
-		failures []failure
+		events   []event
 		polledAt float64
-		at       float64
 		want     Target
 	}{
-		{"relay", 0, all, nil, -1, 20, c1},
-		{"daemon", 3, all, nil, -1, 20, daemon(0)},
-		{"relay not live", 3, notLive(0), nil, -1, 20, daemon(1)},
-		{"relay not live, this one next", 1, notLive(0), nil, -1, 20, c1},
-		{"relay failed", 3, all, []failure{{daemon(0), 19}}, -1, 20, daemon(1)},
-		{"relay failed, this one next", 1, all, []failure{{daemon(0), 19}}, -1, 20, c1},
-		{"relay failed long ago", 3, all, []failure{{daemon(0), 14}}, -1, 20, daemon(0)},
-		{"two relays failed", 3, all, []failure{{daemon(0), 19}, {daemon(1), 19}}, -1, 20, daemon(2)},
-		{"polled by another", 3, all, nil, 11, 20, c1},
-		{"polled by another long ago", 3, all, nil, 10, 20, daemon(0)},
-		{"control process failed", 0, all, []failure{{c1, 19}}, -1, 20, c2},
-		{"control failed", 0, all, []failure{{c1, 19}, {c2, 19}}, -1, 20, daemon(1)},
-		{"daemon beside control failed", 0, all, []failure{{Target{Addr: "c1"}, 19}}, -1, 20, c1},
-		{"control and domain failed", 0, all, []failure{{c1, 19}, {c2, 19}, {daemon(1), 19},
-			{daemon(2), 19}, {daemon(3), 19}}, -1, 20, Target{Addr: others(all, "d")[0].Addr}},
-		{"all failed", 0, ranked, []failure{{c1, 18}, {c2, 17}, {daemon(1), 16},
-			{daemon(2), 19}, {daemon(3), 19}}, -1, 20, daemon(1)},
-		{"alone", 0, ranked[:1], []failure{{c1, 19}, {c2, 18}}, -1, 20, c2},
+		{"relay", 0, all, nil, -1, c1},
+		{"daemon", 3, all, nil, -1, daemon(0)},
+		{"relay not live", 3, notLive(0), nil, -1, daemon(1)},
+		{"relay not live, this one next", 1, notLive(0), nil, -1, c1},
+		{"relay silent", 3, all, []event{silent(daemon(0), 19)}, -1, daemon(1)},
+		{"relay silent, this one next", 1, all, []event{silent(daemon(0), 19)}, -1, c1},
+		{"relay stale, this one next", 1, all, []event{stale(daemon(0), 19)}, -1, c1},
+		{"relay silent long ago", 3, all, []event{silent(daemon(0), 14)}, -1, daemon(0)},
+		{"relay silent twice", 3, all, []event{silent(daemon(0), 6), silent(daemon(0), 14)}, -1, daemon(1)},
+		{"two relays silent", 3, all, []event{silent(daemon(0), 19), silent(daemon(1), 19)}, -1, daemon(2)},
+		{"three relays silent, this one next", 3, all, []event{silent(daemon(0), 19),
+			silent(daemon(1), 19), silent(daemon(2), 19)}, -1, c1},
+		{"three relays stale", 3, all, []event{stale(daemon(0), 19),
+			stale(daemon(1), 17), stale(daemon(2), 18)}, -1, daemon(1)},
+		{"not a member, others failed", 2, []Member{ranked[0], ranked[1], ranked[3]}, []event{
+			silent(daemon(0), 16), stale(daemon(1), 19), silent(daemon(3), 17)}, -1, c1},
+		{"control without quorum, all else silent longer ago", 0, all, []event{stale(c1, 19), stale(c2, 18),
+			silent(e0, 17), silent(e1, 17), silent(daemon(1), 17), silent(daemon(2), 17)}, -1, c2},
+		{"polled by another", 3, all, nil, 11, c1},
+		{"polled by another long ago", 3, all, nil, 10, daemon(0)},
+		{"control process silent", 0, all, []event{silent(c1, 19)}, -1, c2},
+		{"control without quorum", 0, all, []event{stale(c1, 19), stale(c2, 19)}, -1, e0},
+		{"daemon beside control silent", 0, all, []event{silent(Target{Addr: "c1"}, 19)}, -1, c1},
+		{"control and other domains silent", 0, all, []event{silent(c1, 19), silent(c2, 19),
+			silent(e0, 19), silent(e1, 19)}, -1, daemon(1)},
+		{"everything silent", 0, all, []event{silent(c1, 18), silent(c2, 17), silent(e0, 19),
+			silent(e1, 19), silent(daemon(1), 16), silent(daemon(2), 19)}, -1, daemon(1)},
+		{"alone", 0, ranked[:1], []event{silent(c1, 19), silent(c2, 18)}, -1, c2},
+		{"nobody known", 0, nil, []event{silent(c1, 19), silent(c2, 18)}, -1, c2},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -162,10 +176,14 @@
 			if tc.polledAt >= 0 {
 				c.Polled(sec(tc.polledAt))
 			}
-			for _, f := range tc.failures {
-				c.Failed(f.target, sec(f.at))
+			for _, e := range tc.events {
+				c.Failed(e.target, e.kind, sec(e.at))
+			}
+			assert.Equal(t, c.Choose(sec(20), []string{"c1", "c2"}, tc.members), tc.want)
+			for _, e := range tc.events {
+				c.Succeeded(e.target)
 			}
-			assert.Equal(t, c.Choose(sec(tc.at), []string{"c1", "c2"}, tc.members), tc.want)
+			assert.Equal(t, len(c.failures), 0)
 		})
 	}
 	assert.Equal(t, NewChooser(ranked[0]).Choose(start, nil, nil), Target{})
