Durable log of the control group: one checksummed file per generation

Chosen: CRC-32C framed records, one per save, in a file that a compaction replaces by rename. Ruled out: bbolt (two syncs a commit, data pages without checksums, no seam for a file system that drops unsynced data). A seal, an empty unsynced record behind each synced save, tells damage to the last save from a torn end; without it a flipped byte in the last save was cut as if torn. A later frame proves the one before durable, except that a save behind a lost seal does not: found by the crash test, which then refused to open.

--- /dev/null
+++ b/internal/agreelog/backup.go
@@ -0,0 +1,77 @@
+package agreelog
+
+import (
+	"path/filepath"
+
+	agreepb "hemlockmast/api/agree"
+	"hemlockmast/internal/agree"
+)
+
+// WriteBackup writes content as one log file at path, which must not be there
+// yet. Errors: *NotEmptyError, *FullError, *IOError, *SizeError.
+func WriteBackup(fs FS, path string, c Content) error {
+	dir := filepath.Dir(path)
+	names, err := fs.List(dir)
+	if err != nil {
+		return wrap(OpList, dir, 0, err)
+	}
+	for _, name := range names {
+		if name == filepath.Base(path) {
+			return &NotEmptyError{Path: path}
+		}
+	}
+	payload, err := encode(path, checkpointOf(c.Identity, c.State))
+	if err != nil {
+		return err
+	}
+	file, err := writeSynced(fs, path+tempSuffix, appendFrame(nil, 1, payload))
+	if err != nil {
+		return err
+	}
+	if err := file.Close(); err != nil {
+		return wrap(OpWrite, path, 0, err)
+	}
+	if err := fs.Rename(path+tempSuffix, path); err != nil {
+		return wrap(OpRename, path, 0, err)
+	}
+	return wrap(OpSyncDir, dir, 0, fs.SyncDir(dir))
+}
+
+// ReadBackup reads a backup, or a single log file. Unlike a folder's log, a
+// backup was whole when it was written, so a torn end is damage too. Errors:
+// *DamageError, *VersionError, *IOError.
+func ReadBackup(fs FS, path string) (Content, error) {
+	data, err := fs.ReadFile(path)
+	if err != nil {
+		return Content{}, wrap(OpRead, path, 0, err)
+	}
+	c, err := decode(path, data)
+	if err != nil {
+		return Content{}, err
+	}
+	if c.TornBytes > 0 {
+		offset := int64(len(data)) - c.TornBytes
+		return Content{}, &DamageError{File: path, Offset: offset, Reason: DamageTruncated}
+	}
+	return c, nil
+}
+
+// Refound returns the state of a new group that carries on from c with self as
+// the only voter. Every entry in c counts as committed: c may be the last
+// place that holds an acknowledged one. The group and the incarnation are new,
+// so no member of the former group takes part with promises it has forgotten.
+func Refound(c Content, self agree.ID, address string) agree.State {
+	founder := agree.Founding(self, address).Entries[0].Membership
+	start := &agreepb.Entry{
+		Term:       max(c.LastTerm(), c.State.HardState.GetTerm()) + 1,
+		Index:      c.LastIndex() + 1,
+		Kind:       agreepb.EntryKind_ENTRY_KIND_MEMBERSHIP,
+		Membership: founder,
+	}
+	entries := append([]*agreepb.Entry(nil), c.State.Entries...)
+	return agree.State{
+		HardState: &agreepb.HardState{Term: start.Term, Commit: start.Index},
+		Snapshot:  c.State.Snapshot,
+		Entries:   append(entries, start),
+	}
+}
--- /dev/null
+++ b/internal/agreelog/fs.go
@@ -0,0 +1,114 @@
+package agreelog
+
+import (
+	"io"
+	"os"
+	"syscall"
+)
+
+// FS is the part of a file system that the log needs. Errors are the operating
+// system's.
+type FS interface {
+	MkdirAll(dir string) error
+	// Lock takes an exclusive lock that ends with the process or Close. A lock
+	// held elsewhere gives *LockedError.
+	Lock(path string) (io.Closer, error)
+	// List returns the names in dir.
+	List(dir string) ([]string, error)
+	ReadFile(path string) ([]byte, error)
+	// Create makes an empty file, in place of one of that name.
+	Create(path string) (File, error)
+	OpenAppend(path string) (File, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncDir makes the names in dir durable.
+	SyncDir(dir string) error
+}
+
+// File is a file open for appending.
+type File interface {
+	io.WriteCloser
+	Truncate(size int64) error
+	Sync() error
+}
+
+// OS is the FS of the operating system.
+type OS struct{}
+
+const (
+	dirMode  = 0o750
+	fileMode = 0o640
+)
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+
+// Lock implements FS by flock.
+func (OS) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err == nil {
+		return f, nil
+	}
+	_ = f.Close()
+	if err == syscall.EWOULDBLOCK {
+		return nil, &LockedError{Path: path}
+	}
+	return nil, err
+}
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// Create implements FS.
+func (OS) Create(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// OpenAppend implements FS.
+func (OS) OpenAppend(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/agreelog/log_test.go
@@ -0,0 +1,296 @@
+package agreelog
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	agreepb "hemlockmast/api/agree"
+	"hemlockmast/internal/agree"
+)
+
+var testID = Identity{Group: 9, Self: agree.ID{Name: "a", Incarnation: 4}}
+
+const dir = "/data"
+
+func entries(term, from, to uint64) []*agreepb.Entry {
+	var list []*agreepb.Entry
+	for i := from; i <= to; i++ {
+		list = append(list, &agreepb.Entry{
+			Term: term, Index: i, Kind: agreepb.EntryKind_ENTRY_KIND_COMMAND,
+			Command: fmt.Appendf(nil, "command %d of term %d", i, term),
+		})
+	}
+	return list
+}
+
+// render makes states comparable.
+func render(st agree.State) string {
+	text := fmt.Sprintf("hs %d/%s snap %d", st.HardState.GetTerm(),
+		agree.IDOf(st.HardState.GetVote()), st.Snapshot.GetIndex())
+	for _, e := range st.Entries {
+		text += fmt.Sprintf(" %d:%d:%s", e.Term, e.Index, e.Command)
+	}
+	return text
+}
+
+// workload saves, overwrites and rewrites. It reports, through done, the state
+// after each step, and returns the first error with the state it aimed at.
+func workload(fs FS, done func(agree.State)) (agree.State, error) {
+	st := agree.Founding(testID.Self, "a:1")
+	f, err := OpenFolder(fs, dir)
+	if err != nil {
+		return st, err
+	}
+	if err := f.Format(testID, st); err != nil {
+		return st, err
+	}
+	done(st)
+	l, c, err := f.Load()
+	if err != nil {
+		return st, err
+	}
+	for step := uint64(1); step <= 12; step++ {
+		hs := &agreepb.HardState{Term: step, Vote: testID.Self.Proto()}
+		next := Content{State: agree.State{HardState: hs, Snapshot: st.Snapshot,
+			Entries: append([]*agreepb.Entry(nil), st.Entries...)}}
+		if step%4 == 0 {
+			last := c.LastIndex()
+			next.State.Snapshot = &agreepb.Snapshot{Index: last, Term: step, State: []byte("s")}
+			next.State.Entries = nil
+			err = l.Rewrite(next.State)
+		} else {
+			last := c.LastIndex()
+			if step%3 == 0 && len(st.Entries) > 0 {
+				last-- // overwrites the last entry
+			}
+			added := entries(step, last+1, last+3)
+			assert.NilError(failer{}, next.takeEntries(added))
+			err = l.Save(hs, added)
+		}
+		if err != nil {
+			return next.State, err
+		}
+		st, c = next.State, next
+		done(st)
+	}
+	return st, nil
+}
+
+type failer struct{}
+
+func (failer) FailNow()       { panic("workload") }
+func (failer) Fail()          {}
+func (failer) Log(arg ...any) { fmt.Println(arg...) }
+
+// TestCrashAtEachOperation stops the workload at every write, sync, rename and
+// removal, drops unsynced data, and opens the folder: it holds what was
+// promised, or that and the whole save in progress.
+func TestCrashAtEachOperation(t *testing.T) {
+	whole := newMemFS(0)
+	_, err := workload(whole, func(agree.State) {})
+	assert.NilError(t, err)
+	for crashAt := 1; crashAt <= whole.ops; crashAt++ {
+		for seed := uint64(1); seed <= 40; seed++ {
+			fs := newMemFS(seed)
+			fs.crashAt = crashAt
+			promised := ""
+			aim, err := workload(fs, func(st agree.State) { promised = render(st) })
+			// The removal of a superseded file may fail without consequence.
+			assert.Assert(t, err != nil || promised == render(aim))
+			checkAfterCrash(t, fs.reboot(), promised, render(aim), crashAt, seed)
+			fs.crashAt = 0 // the process alone died: its writes are in the cache
+			checkAfterCrash(t, unlocked(fs), promised, render(aim), crashAt, seed)
+		}
+	}
+}
+
+func checkAfterCrash(t *testing.T, fs *memFS, promised, aim string, crashAt int, seed uint64) {
+	t.Helper()
+	f, err := OpenFolder(fs, dir)
+	assert.NilError(t, err)
+	l, c, err := f.Load()
+	where := fmt.Sprintf("crash at operation %d, seed %d", crashAt, seed)
+	if promised == "" {
+		var none *NotFormattedError
+		assert.Assert(t, err == nil || errors.As(err, &none), "%s: %v", where, err)
+		return
+	}
+	assert.NilError(t, err, where)
+	got := render(c.State)
+	assert.Assert(t, got == promised || got == aim, "%s:\ngot  %s\nwant %s\nor   %s", where, got, promised, aim)
+	// What was found counts as promised from now on, and saving goes on.
+	c3, err := (&Folder{fs: fs.reboot(), dir: dir}).Read()
+	assert.NilError(t, err, where)
+	assert.Equal(t, render(c3.State), got, where)
+	last := c.LastIndex()
+	assert.NilError(t, l.Save(nil, entries(99, last+1, last+1)))
+	again, err := OpenFolder(unlocked(fs.reboot()), dir)
+	assert.NilError(t, err)
+	c2, err := again.Read()
+	assert.NilError(t, err, where)
+	assert.Equal(t, render(c2.State), got+fmt.Sprintf(" 99:%d:command %d of term 99", last+1, last+1))
+}
+
+func unlocked(fs *memFS) *memFS { fs.locked = false; return fs }
+
+// written returns a formatted folder with five saves and its file's bytes.
+func written(t *testing.T) (*memFS, string, []byte, []int64) {
+	t.Helper()
+	fs := newMemFS(1)
+	f, err := OpenFolder(fs, dir)
+	assert.NilError(t, err)
+	assert.NilError(t, f.Format(testID, agree.Founding(testID.Self, "a:1")))
+	l, _, err := f.Load()
+	assert.NilError(t, err)
+	starts := []int64{0, l.Size()}
+	for i := uint64(2); i < 6; i++ {
+		assert.NilError(t, l.Save(&agreepb.HardState{Term: i}, entries(i, i, i)))
+		starts = append(starts, l.Size()-headerBytes, l.Size())
+	}
+	assert.NilError(t, f.Close())
+	return fs, l.path, fs.now[l.path].now, starts
+}
+
+// TestDamageAtEachByte changes every byte, and cuts the file at every length.
+// Only the last record, the seal of the last save, may be cut silently; all else
+// names file and offset.
+func TestDamageAtEachByte(t *testing.T) {
+	_, path, good, starts := written(t)
+	records := len(starts) - 1
+	recordOf := func(offset int) int {
+		k := 0
+		for k+1 < records && int64(offset) >= starts[k+1] {
+			k++
+		}
+		return k
+	}
+	for offset := range good {
+		data := append([]byte(nil), good...)
+		data[offset] ^= 0x41
+		c, err := decode(path, data)
+		record := recordOf(offset)
+		if record == records-1 {
+			assert.NilError(t, err)
+			assert.Equal(t, c.Records, uint64(records-1))
+			assert.Equal(t, c.LastIndex(), uint64(5))
+			continue
+		}
+		var damage *DamageError
+		assert.Assert(t, errors.As(err, &damage), "offset %d: %v", offset, err)
+		assert.Equal(t, damage.File, path)
+		assert.Equal(t, damage.Offset, starts[record])
+	}
+	for length := range good {
+		c, err := decode(path, good[:length])
+		if int64(length) < starts[1] {
+			var damage *DamageError
+			assert.Assert(t, errors.As(err, &damage), "length %d: %v", length, err)
+			continue
+		}
+		assert.NilError(t, err)
+		whole := recordOf(length)
+		assert.Equal(t, c.Records, uint64(whole), "length %d", length)
+		assert.Equal(t, c.TornBytes, int64(length)-starts[whole])
+	}
+}
+
+// TestRefused lists content that must not be taken for a log.
+func TestRefused(t *testing.T) {
+	_, path, good, starts := written(t)
+	future, err := encode(path, &agreepb.Checkpoint{Version: 2})
+	assert.NilError(t, err)
+	gap, err := encode(path, &agreepb.Batch{Entries: entries(9, 9, 9)})
+	assert.NilError(t, err)
+	cut := append(append([]byte(nil), good[:starts[3]]...), good[starts[4]:]...)
+	for _, row := range []struct {
+		name string
+		data []byte
+		want string
+	}{
+		{"empty file", nil, path + ": damaged at offset 0: the record ends too early"},
+		{"another file", []byte("something else, long enough to be one"), path + ": damaged at offset 0: this is not the start of a record"},
+		{"record missing", cut, fmt.Sprintf("%s: damaged at offset %d: a record is missing", path, starts[3])},
+		{"later version", appendFrame(nil, 1, future), path + ": format version 2; this program reads version 1"},
+		{"gap in entries", appendFrame(append([]byte(nil), good[:starts[1]]...), 2, gap),
+			fmt.Sprintf("%s: damaged at offset %d: the record matches its checksum and cannot be decoded", path, starts[1])},
+	} {
+		_, err := decode(path, row.data)
+		assert.Error(t, err, row.want, row.name)
+	}
+}
+
+// TestFullDisk: nothing is promised, nothing is lost, and saving goes on once
+// there is room.
+func TestFullDisk(t *testing.T) {
+	fs, _, _, _ := written(t)
+	f, err := OpenFolder(fs, dir)
+	assert.NilError(t, err)
+	l, c, err := f.Load()
+	assert.NilError(t, err)
+	before := render(c.State)
+	var full *FullError
+	for _, free := range []int{0, 1, 23, 24, 40} {
+		fs.free = free
+		assert.Assert(t, errors.As(l.Save(nil, entries(7, 6, 6)), &full))
+		assert.Assert(t, errors.As(l.Rewrite(agree.State{Entries: entries(7, 1, 9)}), &full))
+		found, err := (&Folder{fs: fs.reboot(), dir: dir}).Read()
+		assert.NilError(t, err)
+		assert.Equal(t, render(found.State), before)
+	}
+	fs.free = -1
+	assert.NilError(t, l.Save(nil, entries(7, 6, 6)))
+	c, err = f.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, c.LastIndex(), uint64(6))
+	assert.NilError(t, l.Rewrite(agree.State{Entries: entries(7, 1, 9)}))
+	c, err = f.Read()
+	assert.NilError(t, err)
+	assert.Equal(t, c.LastIndex(), uint64(9))
+}
+
+// TestFailedSync: after a failed sync nothing more is promised.
+func TestFailedSync(t *testing.T) {
+	fs, _, _, _ := written(t)
+	f, err := OpenFolder(fs, dir)
+	assert.NilError(t, err)
+	l, _, err := f.Load()
+	assert.NilError(t, err)
+	fs.failSync = true
+	var failed *FailedError
+	assert.Assert(t, errors.As(l.Save(nil, entries(7, 6, 6)), &failed))
+	fs.failSync = false
+	assert.Assert(t, errors.As(l.Save(nil, entries(7, 6, 6)), &failed))
+	assert.Assert(t, errors.As(l.Rewrite(agree.State{}), &failed))
+}
+
+// TestRealFolder runs the workload on the operating system's files: a second
+// opener is refused, a formatted folder is not formatted again.
+func TestRealFolder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f, err := OpenFolder(OS{}, path)
+	assert.NilError(t, err)
+	var locked *LockedError
+	_, err = OpenFolder(OS{}, path)
+	assert.Assert(t, errors.As(err, &locked), "%v", err)
+	assert.NilError(t, f.Format(testID, agree.Founding(testID.Self, "a:1")))
+	var notEmpty *NotEmptyError
+	assert.Assert(t, errors.As(f.Format(testID, agree.State{}), &notEmpty))
+	l, _, err := f.Load()
+	assert.NilError(t, err)
+	assert.NilError(t, l.Save(nil, entries(2, 2, 4)))
+	assert.NilError(t, l.Rewrite(agree.State{Entries: entries(2, 1, 4)}))
+	assert.NilError(t, l.Save(nil, entries(3, 4, 5)))
+	assert.NilError(t, l.Close())
+	assert.NilError(t, f.Close())
+	f, err = OpenFolder(OS{}, path)
+	assert.NilError(t, err)
+	defer f.Close()
+	_, c, err := f.Load()
+	assert.NilError(t, err)
+	assert.Equal(t, c.LastIndex(), uint64(5))
+	assert.Equal(t, c.Identity, testID)
+}
