--- a/internal/failover/correct.go
+++ b/internal/failover/correct.go
@@ -43,7 +43,7 @@
 		return c.correctPrimary(m, st)
 	case st.FencedTerm < c.Term:
 		return CorrectFence
-	case st.Role == endpoint.RolePrimary || st.Synced.Term < c.Term:
+	case st.Synced.Term < c.Term:
 		return CorrectFollow
 	case !m.Is(st) || m.Since > c.Term:
 		return CorrectTerm
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -331,11 +331,15 @@
 	return effects
 }
 
-// seen cancels the next attempt when a primary of a later term is at work.
+// seen cancels the next attempt when another promoter's primary is at work.
 func (m *Machine) seen(e Seen) []Effect {
 	st := e.Status
 	working := st.Role == endpoint.RolePrimary && st.FencedTerm == st.Synced.Term
-	if m.phase != phaseYielded || !working || st.Synced.Term <= m.cfg.Term || st.Synced.Term < m.highest {
+	if m.phase != phaseYielded || !working || st.Synced.Term < m.highest {
+		return nil
+	}
+	if st.Synced.Term == m.cfg.Term && m.chosen >= 0 {
+		// It is this attempt's own primary, which nobody was told of.
 		return nil
 	}
 	m.phase = phaseEnded
