Requests with an id run at most once, through any daemon

Cause: a caller that lost its answer resends, and a second run misleads. Ways weighed: a table of ids in the daemons (lost with them, and not atomic with the write), replaying answers from the entry (one daemon only). Taken: the id is a row with a unique key in the transaction of the request itself; a repeat gets the first command tag after the marker's commit is confirmed again. Since the holder sends COMMIT itself, a loss before it is surely not run, and a loss in it may be resent by the entry at once. Two more round trips to the endpoint. TestRequestWithIDRunsAtMostOnce: 6 connections over 3 daemons, in turn and at once, both protocols, transactions; with the id dropped it fails.

--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -47,6 +47,7 @@
 		Deadline:        s.Deadline.AsDuration(),
 		Priority:        int32(s.Priority),
 		ReadOnlyDefault: s.DefaultAccess == service.AccessMode_ACCESS_MODE_READ_ONLY,
+		Repeatable:      s.Repeatable,
 		Level:           convertLevel(s.ReadLevel),
 		MaxAge:          maxAge(s),
 		PreferReplicas:  s.ReadPreference != service.ReadPreference_READ_PREFERENCE_LATENCY,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,8 @@
 	// ReadOnlyDefault states that statements which declare no access mode are
 	// tried at a replica.
 	ReadOnlyDefault bool
+	// Repeatable states that a statement may run twice without harm.
+	Repeatable bool
 	// Level is the default read level.
 	Level ReadLevel
 	// MaxAge is the age that reads accept at LevelMaxAge, and at LevelSession
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -34,6 +34,9 @@
 		return err
 	}
 	a := sess.newAttempt(seg)
+	if refusal := a.checkRequest(); refusal != nil {
+		return a.writeFailure(refusal)
+	}
 	ctx, done := sess.startRunning(a.deadline)
 	defer done()
 	release, refusal := sess.srv.cfg.Admit.Admit(ctx, sess.service, sess.exchange != nil)
@@ -46,12 +49,14 @@
 
 // attempt is one segment on its way.
 type attempt struct {
-	sess     *callerConn
-	seg      *segment
-	sink     heldSink
-	access   access
-	level    ReadLevel
-	request  string
+	sess    *callerConn
+	seg     *segment
+	sink    heldSink
+	access  access
+	level   ReadLevel
+	request string
+	// begins states that the segment is a lone BEGIN.
+	begins   bool
 	started  time.Time
 	deadline time.Time
 	avoid    []string
@@ -85,6 +90,28 @@
 	return a
 }
 
+// checkRequest refuses a request id on what cannot be kept from running twice:
+// it must be one statement, or the BEGIN of a transaction. The id counts for
+// this segment only. Within a transaction, and for segments that run nothing,
+// it is left alone.
+func (a *attempt) checkRequest() *outcome.Error {
+	if a.request == "" {
+		return nil
+	}
+	if a.inTx || a.seg.executes == 0 {
+		a.request = ""
+		return nil
+	}
+	delete(a.sess.own, paramRequestID)
+	if a.seg.executes > 1 || a.seg.end == pgwire.MsgFlush || !isSingle(a.seg.queries[0]) {
+		return outcome.NotRunError(outcome.CodeFeatureNotSupported, outcome.ReasonProtocol,
+			"a request id needs a single statement or a BEGIN", nil)
+	}
+	_, a.begins = declaredMode(a.seg.queries[0])
+	a.access = accessWrite
+	return nil
+}
+
 func (sess *callerConn) deadline() time.Duration {
 	if d, err := time.ParseDuration(sess.own[paramDeadline]); err == nil && d > 0 {
 		return min(d, sess.service.Deadline)
@@ -190,6 +217,7 @@
 		FloorIndex: target.Floor.Index,
 		WaitUs:     uint64(target.Wait / time.Microsecond),
 		RequestId:  a.request,
+		Begins:     a.begins,
 		Priority:   sess.service.Priority,
 	}, nil
 }
@@ -235,16 +263,15 @@
 	return params
 }
 
-// mayRetry reports whether the segment may be sent again: it has not run, or
-// ran as a read at a replica, which cannot have had an effect; nothing of a
-// reply reached the caller; and it does not continue a transaction.
+// mayRetry reports whether the segment may be sent again: nothing of a reply
+// reached the caller, it does not continue a transaction, and a second run does
+// no harm.
 func (a *attempt) mayRetry(ctx context.Context, err error) bool {
 	var failure *outcome.Error
 	if !errors.As(err, &failure) || ctx.Err() != nil || a.inTx || a.sink.started {
 		return false
 	}
-	harmless := failure.Outcome == outcome.NotRun || a.access != accessWrite && !a.primary
-	if !harmless || !isTransient(failure.Reason) {
+	if failure.Outcome != outcome.NotRun && !a.isHarmlessTwice() || !isTransient(failure.Reason) {
 		return false
 	}
 	a.sink.discard()
@@ -255,6 +282,16 @@
 	return true
 }
 
+// isHarmlessTwice reports whether the segment may run again although it may have
+// run: a read at a replica, which cannot have had an effect; a request whose
+// marker lets it run once; or a service whose file says so.
+func (a *attempt) isHarmlessTwice() bool {
+	if a.request != "" || a.sess.service.Repeatable {
+		return true
+	}
+	return a.access != accessWrite && !a.primary
+}
+
 // isTransient reports whether another try may end otherwise.
 func isTransient(reason outcome.Reason) bool {
 	switch reason {
--- a/internal/holder/conn.go
+++ b/internal/holder/conn.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/api/link"
 	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/pgwire"
 )
 
@@ -141,24 +143,85 @@
 	return c.roundTrip("")
 }
 
-// roundTrip runs sql and drops its reply up to ReadyForQuery in idle state.
+// ownReply is the reply to a statement of the holder's own.
+type ownReply struct {
+	// code is the SQLSTATE of the first error, "" without one.
+	code string
+	// commit is the position of the commit; zero when nothing was written.
+	commit logpos.Pos
+	// value is the first column of the last row.
+	value    string
+	txStatus byte
+}
+
+// roundTrip runs sql and drops its reply. An ErrorResponse is *EndpointError.
 func (c *conn) roundTrip(sql string) error {
+	reply, err := c.query(sql)
+	if err == nil && reply.code != "" {
+		return &EndpointError{Code: reply.code}
+	}
+	return err
+}
+
+// query runs sql. The error is one of the connection; what the endpoint refused
+// stands in the reply.
+func (c *conn) query(sql string) (ownReply, error) {
+	var reply ownReply
 	if _, err := c.raw.Write(pgwire.AppendQuery(nil, sql)); err != nil {
-		return err
+		return reply, err
 	}
-	var failure error
 	for {
 		f, err := c.br.Next()
+		if err != nil {
+			return reply, err
+		}
+		if err := reply.take(f); err != nil {
+			return reply, err
+		}
+		if f.Type() == pgwire.MsgReadyForQuery {
+			return reply, nil
+		}
+	}
+}
+
+// take adds one message to the reply.
+func (r *ownReply) take(f pgwire.Frame) error {
+	switch f.Type() {
+	case pgwire.MsgErrorResponse:
+		if r.code == "" {
+			r.code = pgwire.ErrorCode(f.Body())
+		}
+	case pgwire.MsgDataRow:
+		row := pgproto3.DataRow{}
+		if err := row.Decode(f.Body()); err != nil {
+			return err
+		}
+		if len(row.Values) > 0 {
+			r.value = string(row.Values[0])
+		}
+	case pgwire.MsgParameterStatus:
+		pos, ok, err := commitPosition(f)
 		if err != nil {
 			return err
 		}
-		switch f.Type() {
-		case pgwire.MsgErrorResponse:
-			failure = &EndpointError{Code: pgwire.ErrorCode(f.Body())}
-		case pgwire.MsgReadyForQuery:
-			return failure
+		if ok {
+			r.commit = logpos.Max(r.commit, pos)
 		}
+	case pgwire.MsgReadyForQuery:
+		r.txStatus = f.Body()[0]
+	}
+	return nil
+}
+
+// commitPosition returns the position that a ParameterStatus reports; ok is
+// false for other parameters.
+func commitPosition(f pgwire.Frame) (pos logpos.Pos, ok bool, err error) {
+	name, value := pgwire.ParameterStatus(f.Body())
+	if name != endpoint.ParamCommit {
+		return logpos.Pos{}, false, nil
 	}
+	pos, err = logpos.Parse(value)
+	return pos, err == nil, err
 }
 
 // reset removes all session state from an idle connection.
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -42,6 +42,9 @@
 			return exchange.Result{}, err
 		}
 	}
+	if seg.Open.GetRequestId() != "" {
+		return l.runMarked(ctx, seg, sink)
+	}
 	r := newRun(l.conn, build(l.conn, seg), sink)
 	res, err := l.runAttached(ctx, r)
 	if err != nil {
@@ -130,17 +133,26 @@
 	}
 	res.Attached = l.conn != nil
 	res.Pinned = l.pinned
-	if !res.Commit.IsZero() {
-		slotName, err := l.h.ack.Await(ctx, l.group, res.Commit)
-		if err != nil {
-			l.drop()
-			return res, err
-		}
-		res.ConfirmedBy = slotName
+	if err := l.confirm(ctx, &res); err != nil {
+		return res, err
 	}
 	return res, r.releaseWithheld()
 }
 
+// confirm waits until the commit of res, if there is one, is confirmed.
+func (l *local) confirm(ctx context.Context, res *exchange.Result) error {
+	if res.Commit.IsZero() {
+		return nil
+	}
+	slotName, err := l.h.ack.Await(ctx, l.group, res.Commit)
+	if err != nil {
+		l.drop()
+		return err
+	}
+	res.ConfirmedBy = slotName
+	return nil
+}
+
 // detach returns the connection to its pool.
 func (l *local) detach() {
 	c := l.conn
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -40,9 +40,13 @@
 	// withheld collects replies from the first one that may report a commit.
 	withheld  []byte
 	withholds bool
-	result    exchange.Result
+	// withholdAll keeps the whole reply back.
+	withholdAll bool
+	result      exchange.Result
 	// sessionState states that a command changed session state.
-	sessionState   bool
+	sessionState bool
+	// tag is the last command tag.
+	tag            string
 	lostConnection bool
 	sinkErr        error
 }
@@ -179,15 +183,14 @@
 
 // parameterStatus takes the commit position out of the stream.
 func (r *run) parameterStatus(f pgwire.Frame) error {
-	name, value := pgwire.ParameterStatus(f.Body())
-	if name != endpoint.ParamCommit {
-		r.pass(f)
-		return nil
-	}
-	pos, err := logpos.Parse(value)
+	pos, ok, err := commitPosition(f)
 	if err != nil {
 		return err
 	}
+	if !ok {
+		r.pass(f)
+		return nil
+	}
 	r.result.Commit = logpos.Max(r.result.Commit, pos)
 	return nil
 }
@@ -195,6 +198,7 @@
 // commandComplete decides by the command tag whether this reply may report a
 // commit and whether the command changed session state.
 func (r *run) commandComplete(tag string) {
+	r.tag = tag
 	if !streamsAtOnce(tag) {
 		r.withholds = true
 	}
@@ -205,7 +209,7 @@
 
 // pass hands a message to the caller, or withholds it.
 func (r *run) pass(data []byte) {
-	if r.withholds {
+	if r.withholds || r.withholdAll {
 		r.withheld = append(r.withheld, data...)
 		return
 	}
