Contract test of a restart: compare the connection count on its own

Seen twice in 30 runs under load: the count before the restart still held a connection whose closing the endpoint had not noticed. The counts are not read at the same moment as the rest. After the restart exactly one connection is there, which the case now asks for. The fault table gives expected answers as long as the test has, so that a busy machine changes no verdict.

--- a/internal/endpoint/contracttest/cases.go
+++ b/internal/endpoint/contracttest/cases.go
@@ -267,7 +267,10 @@
 		before := g.status(i)
 		g.eps[i].Kill()
 		assert.NilError(g.t, g.eps[i].Restart())
-		assert.DeepEqual(g.t, g.status(i), before)
+		after := g.status(i)
+		assert.Equal(g.t, after.ConnsInUse, 1)
+		after.ConnsInUse = before.ConnsInUse
+		assert.DeepEqual(g.t, after, before)
 	}
 	g.awaitApplied(1, g.write(0, "INSERT INTO t VALUES (1, 'a')"))
 }
--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -17,17 +17,26 @@
 // silence is how long a test listens for an answer that must not come.
 const silence = 200 * time.Millisecond
 
+// patience is how long to wait for what must or must not come: an answer that is
+// expected has as long as the test, so that a busy machine changes no verdict.
+func patience(t *testing.T, expected bool) (context.Context, context.CancelFunc) {
+	if expected {
+		return testContext(t), func() {}
+	}
+	return context.WithTimeout(testContext(t), silence)
+}
+
 // ask sends a write and reports whether it was answered; the connection is
 // useless afterwards if it was not.
-func ask(t *testing.T, c *pgx.Conn, text string) bool {
-	ctx, cancel := context.WithTimeout(testContext(t), silence)
+func ask(t *testing.T, c *pgx.Conn, text string, expected bool) bool {
+	ctx, cancel := patience(t, expected)
 	defer cancel()
 	_, err := c.Exec(ctx, text)
 	return err == nil
 }
 
-func tryNew(t *testing.T, e *standin.Endpoint, params string) bool {
-	ctx, cancel := context.WithTimeout(testContext(t), silence)
+func tryNew(t *testing.T, e *standin.Endpoint, params string, expected bool) bool {
+	ctx, cancel := patience(t, expected)
 	defer cancel()
 	c, err := pgx.Connect(ctx, url(e, params))
 	if err != nil {
@@ -63,9 +72,9 @@
 			c := connect(t, e, "&hemlock.holder=h1")
 			exec(t, c, "CREATE TABLE t (k int PRIMARY KEY)")
 			row.strike(e)
-			assert.Equal(t, ask(t, c, insert), row.answered)
-			assert.Equal(t, tryNew(t, e, "&hemlock.holder=h1"), row.fresh)
-			assert.Equal(t, tryNew(t, e, "&hemlock.holder=h2"), row.other)
+			assert.Equal(t, ask(t, c, insert, row.answered), row.answered)
+			assert.Equal(t, tryNew(t, e, "&hemlock.holder=h1", row.fresh), row.fresh)
+			assert.Equal(t, tryNew(t, e, "&hemlock.holder=h2", row.other), row.other)
 			if row.mend != nil {
 				row.mend(e)
 			}
@@ -97,12 +106,12 @@
 	e := start(t, standin.Config{Primary: true, ConnLimit: 1})
 	c := connect(t, e, "")
 	e.SilenceConnections()
-	assert.Assert(t, !ask(t, c, "SELECT 1"))
+	assert.Assert(t, !ask(t, c, "SELECT 1", false))
 	assert.NilError(t, c.PgConn().Conn().Close())
 	for e.Status().ConnsInUse > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	assert.Assert(t, tryNew(t, e, ""))
+	assert.Assert(t, tryNew(t, e, "", true))
 }
 
 func TestFaultsByStatement(t *testing.T) {
@@ -154,5 +163,5 @@
 		assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%q", raw)
 		c.Close()
 	}
-	assert.Assert(t, tryNew(t, e, ""))
+	assert.Assert(t, tryNew(t, e, "", true))
 }
