Driver of suspicions and promotions, many groups side by side

Cause: the decisions need hands: observers at holders, one goroutine a group at the promoter, one command at a time a slot, bounded promotions at once, typed events for the time line. A turn is held until the primary is announced, not while a dead endpoint is waited for. Endpoints out of line are corrected as their statuses come; a primary whose promoter told nobody is adopted.

The Machine now waits a moment for a primary that is in no doubt (Prefer), found by repeated runs: 1 of 15 runs of a promotion that only had to raise the term moved an idle group's primary, because two replicas had answered first.

Ruled out: a mutex held while a command runs (a channel token stands in, so that virtual time can pass in tests); retrying an attempt that got no term or no majority once the primary is well again (a healed partition would move every primary).

Tests run on virtual time (testing/synctest).

--- /dev/null
+++ b/internal/failover/driver/fake_test.go
@@ -0,0 +1,291 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/failover"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/suspect"
+)
+
+const (
+	fakeConnect = 10 * time.Millisecond
+	fakeTrip    = time.Millisecond
+)
+
+var slots = []string{"a", "b", "c"}
+
+// fakeNet is the endpoints of some groups.
+type fakeNet struct {
+	mu   sync.Mutex
+	eps  map[string]*fakeEndpoint // by group/slot
+	live int                      // commands in progress
+	peak int
+}
+
+// fakeEndpoint keeps the contract in memory. down refuses connections, frozen
+// never answers.
+type fakeEndpoint struct {
+	st           endpoint.Status
+	down, frozen bool
+}
+
+func newNet(groups int) *fakeNet {
+	n := &fakeNet{eps: map[string]*fakeEndpoint{}}
+	for g := range groups {
+		for _, s := range slots {
+			st := endpoint.Status{Group: groupName(g), Slot: s, Incarnation: s + "1", FencedTerm: 1, Synced: logpos.Pos{Term: 1, Index: 1}}
+			if s == "a" {
+				st.Role = endpoint.RolePrimary
+			}
+			n.eps[groupName(g)+"/"+s] = &fakeEndpoint{st: st}
+		}
+	}
+	return n
+}
+
+func groupName(g int) string { return fmt.Sprintf("g%d", g) }
+
+func firstPrimary() failover.Current {
+	var members []quorum.Member
+	for _, s := range slots {
+		members = append(members, quorum.Member{Slot: s, Incarnation: s + "1"})
+	}
+	return failover.Current{Term: 1, Primary: "a", Members: members}
+}
+
+func (n *fakeNet) with(group, slot string, do func(e *fakeEndpoint)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	do(n.eps[group+"/"+slot])
+}
+
+func (n *fakeNet) status(group, slot string) (st endpoint.Status) {
+	n.with(group, slot, func(e *fakeEndpoint) { st = e.st })
+	return st
+}
+
+func (n *fakeNet) connect(ctx context.Context, group, slot string) (endpoint.Controller, error) {
+	c := &fakeController{n: n, group: group, slot: slot}
+	if _, err := c.call(ctx, fakeConnect, func(*fakeEndpoint) error { return nil }); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+type downError struct{}
+
+func (downError) Error() string { return "connection refused" }
+
+type fakeController struct {
+	n           *fakeNet
+	group, slot string
+}
+
+func (c *fakeController) call(ctx context.Context, delay time.Duration, do func(e *fakeEndpoint) error) (endpoint.Status, error) {
+	c.n.count(+1)
+	defer c.n.count(-1)
+	time.Sleep(delay)
+	for {
+		var err error
+		var frozen bool
+		var st endpoint.Status
+		c.n.with(c.group, c.slot, func(e *fakeEndpoint) {
+			switch frozen = e.frozen; {
+			case frozen:
+			case e.down:
+				err = downError{}
+			default:
+				err = do(e)
+			}
+			st = e.st
+		})
+		if !frozen {
+			return st, err
+		}
+		select {
+		case <-ctx.Done():
+			return endpoint.Status{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (n *fakeNet) count(by int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.live += by
+	n.peak = max(n.peak, n.live)
+}
+
+func (c *fakeController) Status(ctx context.Context) (endpoint.Status, error) {
+	return c.call(ctx, fakeTrip, func(*fakeEndpoint) error { return nil })
+}
+
+func (c *fakeController) Wait(ctx context.Context, seen endpoint.Status, timeout time.Duration) (endpoint.Status, error) {
+	for end := time.Now().Add(timeout); ; {
+		st, err := c.Status(ctx)
+		if err != nil || time.Now().After(end) || st.Synced != seen.Synced || st.Role != seen.Role || st.FencedTerm != seen.FencedTerm {
+			return st, err
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *fakeController) Fence(ctx context.Context, term uint64, promoter string) (endpoint.Status, error) {
+	return c.call(ctx, fakeTrip, func(e *fakeEndpoint) error {
+		if term < e.st.FencedTerm || term == e.st.FencedTerm && promoter != e.st.FencedBy {
+			return &endpoint.FencedError{Term: term, FencedTerm: e.st.FencedTerm, FencedBy: e.st.FencedBy}
+		}
+		e.st.FencedTerm, e.st.FencedBy = term, promoter
+		return nil
+	})
+}
+
+func (c *fakeController) Promote(ctx context.Context, term uint64, promoter string) (endpoint.Status, error) {
+	return c.call(ctx, fakeTrip, func(e *fakeEndpoint) error {
+		if term != e.st.FencedTerm || promoter != e.st.FencedBy {
+			return &endpoint.FencedError{Term: term, FencedTerm: e.st.FencedTerm, FencedBy: e.st.FencedBy}
+		}
+		if e.st.Role != endpoint.RolePrimary || e.st.Synced.Term != term {
+			e.st.Role, e.st.Synced = endpoint.RolePrimary, logpos.Pos{Term: term, Index: e.st.Synced.Index + 1}
+		}
+		return nil
+	})
+}
+
+// Follow takes the address of a primary as group/slot and copies its log.
+func (c *fakeController) Follow(ctx context.Context, term uint64, addr string) (endpoint.Status, error) {
+	return c.call(ctx, fakeTrip, func(e *fakeEndpoint) error {
+		if term < e.st.FencedTerm {
+			return &endpoint.FencedError{Term: term, FencedTerm: e.st.FencedTerm, FencedBy: e.st.FencedBy}
+		}
+		e.st.Role, e.st.FencedTerm, e.st.Synced = endpoint.RoleReplica, term, c.n.eps[addr].st.Synced
+		return nil
+	})
+}
+
+func (c *fakeController) Close() error { return nil }
+
+// fakeTerms allocates terms for all drivers of a test.
+type fakeTerms struct {
+	mu      sync.Mutex
+	last    map[string]uint64
+	members map[string][]quorum.Member
+	failing int // calls that fail first
+}
+
+func newTerms() *fakeTerms {
+	return &fakeTerms{last: map[string]uint64{}, members: map[string][]quorum.Member{}}
+}
+
+func (f *fakeTerms) Allocate(_ context.Context, group string, atLeast uint64, seen []Seen) (Allocation, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing > 0 {
+		f.failing--
+		return Allocation{}, downError{}
+	}
+	term := max(f.last[group]+1, atLeast)
+	f.last[group] = term
+	if f.members[group] == nil {
+		f.members[group] = firstPrimary().Members
+	}
+	members := append([]quorum.Member(nil), f.members[group]...)
+	for i := range members {
+		for _, s := range seen {
+			if s.Slot == members[i].Slot && s.Incarnation != members[i].Incarnation {
+				members[i] = quorum.Member{Slot: s.Slot, Incarnation: s.Incarnation, Since: term}
+			}
+		}
+	}
+	f.members[group] = members
+	return Allocation{Term: term, Members: members}, nil
+}
+
+// rig is a driver over a fakeNet with one observer in each of three failure
+// domains for each endpoint. It is also its Confirmer, Announcer and Recorder.
+type rig struct {
+	net    *fakeNet
+	driver *Driver
+
+	mu        sync.Mutex
+	announced []failover.Current
+	told      chan struct{}
+	events    []Event
+}
+
+func newRig(t testing.TB, ctx context.Context, net *fakeNet, terms *fakeTerms, promoter string, maxPromotions int) *rig {
+	r := &rig{net: net, told: make(chan struct{}, 10_000)}
+	d, err := New(ctx, Config{
+		Promoter: promoter, Connect: net.connect, Terms: terms, Confirmer: r, Announcer: r, Recorder: r,
+		Address:       func(group, slot string) (string, bool) { return group + "/" + slot, true },
+		MaxPromotions: maxPromotions,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.driver = d
+	return r
+}
+
+func (r *rig) Confirm(ctx context.Context, group string, ask suspect.AskConfirm) (suspect.Confirmation, error) {
+	c, err := r.net.connect(ctx, group, ask.Slot)
+	if err == nil {
+		_, err = c.Status(ctx)
+	}
+	level := suspect.Well
+	if err != nil {
+		level = suspect.Undialable
+	}
+	return suspect.Confirmation{Domain: "far", Slot: ask.Slot, Level: level}, nil
+}
+
+func (r *rig) Announce(_ string, primary failover.Current) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announced = append(r.announced, primary)
+	r.told <- struct{}{}
+}
+
+func (r *rig) Record(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+func (r *rig) primary() failover.Current {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.announced) == 0 {
+		return failover.Current{}
+	}
+	return r.announced[len(r.announced)-1]
+}
+
+// awaitPrimary waits for a primary to be announced.
+func (r *rig) awaitPrimary(t testing.TB, within time.Duration) {
+	t.Helper()
+	select {
+	case <-r.told:
+	case <-time.After(within):
+		t.Errorf("no primary announced within %v", within)
+	}
+}
+
+func (r *rig) count(k Kind) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.events {
+		if e.Kind == k {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -22,6 +22,8 @@
 	Resend time.Duration
 	// Fence bounds the wait for a majority of grants.
 	Fence time.Duration
+	// Prefer bounds the wait for Config.Prefer once a majority granted.
+	Prefer time.Duration
 	// Promote bounds the wait for the chosen endpoint.
 	Promote time.Duration
 	// Follow bounds the wait for the other endpoints.
@@ -35,6 +37,7 @@
 	return Timing{
 		Resend:      50 * time.Millisecond,
 		Fence:       time.Second,
+		Prefer:      100 * time.Millisecond,
 		Promote:     500 * time.Millisecond,
 		Follow:      5 * time.Second,
 		BackoffBase: 50 * time.Millisecond,
@@ -55,6 +58,10 @@
 	// Avoid names a slot that is chosen only when its log is later than the
 	// others'; usually the suspected primary. May be empty.
 	Avoid string
+	// Prefer names a slot that is chosen when its log is as late as the others',
+	// and whose answer is waited for; the primary where it is in no doubt. May
+	// be empty.
+	Prefer string
 	// Attempt counts the attempts in a row that failed before this one.
 	Attempt int
 	Timing  Timing
@@ -98,6 +105,9 @@
 	slots    []slot
 	chosen   int
 	deadline time.Time
+	// preferUntil is when a majority no longer waits for the preferred slot;
+	// zero while there is none.
+	preferUntil time.Time
 	// highest is the highest fenced term heard of.
 	highest uint64
 }
@@ -126,6 +136,9 @@
 		return time.Time{}, false
 	}
 	next := m.deadline
+	if m.phase == phaseFencing && !m.preferUntil.IsZero() && m.preferUntil.Before(next) {
+		next = m.preferUntil
+	}
 	for i := range m.slots {
 		if r := m.slots[i].resend; !r.IsZero() && r.Before(next) {
 			next = r
@@ -214,6 +227,9 @@
 	if s.state == slotAsked || s.state == slotFollowing || m.isChosen(s) {
 		s.resend = now.Add(m.cfg.Timing.Resend)
 	}
+	if m.phase == phaseFencing {
+		return m.choose(now)
+	}
 	return nil
 }
 
@@ -238,6 +254,9 @@
 		}
 	}
 	majority := quorum.Majority(len(m.slots))
+	if counted >= majority && m.awaitsPreferred(now) {
+		return nil
+	}
 	if counted >= majority {
 		m.phase, m.chosen = phasePromoting, best
 		m.deadline = now.Add(m.cfg.Timing.Promote)
@@ -249,11 +268,27 @@
 	return nil
 }
 
+// awaitsPreferred reports whether a majority has to wait for the preferred slot,
+// which has the term's command and neither answered nor failed yet.
+func (m *Machine) awaitsPreferred(now time.Time) bool {
+	for i := range m.slots {
+		s := &m.slots[i]
+		if s.Slot != m.cfg.Prefer || s.state != slotAsked || !s.resend.IsZero() {
+			continue
+		}
+		if m.preferUntil.IsZero() {
+			m.preferUntil = now.Add(m.cfg.Timing.Prefer)
+		}
+		return now.Before(m.preferUntil)
+	}
+	return false
+}
+
 func (m *Machine) better(s, than *slot) bool {
 	if c := s.status.Synced.Compare(than.status.Synced); c != 0 {
 		return c > 0
 	}
-	return than.Slot == m.cfg.Avoid
+	return than.Slot == m.cfg.Avoid || s.Slot == m.cfg.Prefer
 }
 
 // shortfall says why the slots that answered are no majority.
@@ -353,6 +388,9 @@
 	if !now.Before(m.deadline) {
 		return m.expire(now)
 	}
+	if m.phase == phaseFencing && !m.preferUntil.IsZero() && !now.Before(m.preferUntil) {
+		return m.choose(now)
+	}
 	var effects []Effect
 	for i := range m.slots {
 		s := &m.slots[i]
--- /dev/null
+++ b/internal/failover/failover_test.go
@@ -0,0 +1,111 @@
+package failover
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/quorum"
+)
+
+// TestPreferredSlot gives the grants of equal logs in the order of each row;
+// upper case stands for a failed command, a dot for the end of the wait.
+func TestPreferredSlot(t *testing.T) {
+	for _, tc := range []struct{ name, prefer, avoid, order, want string }{
+		{"first in order without a preference", "", "", "cb", "b"},
+		{"the suspected primary is avoided", "", "a", "ab", "b"},
+		{"the preferred slot is waited for", "a", "", "bca", "a"},
+		{"the preferred slot is among the first", "b", "", "ab", "b"},
+		{"the preferred slot does not answer", "a", "", "bc.", "b"},
+		{"the preferred slot failed before", "a", "", "Abc", "b"},
+		{"the preferred slot fails in the wait", "a", "", "bcA", "b"},
+	} {
+		now := modelTime
+		w := newWorld()
+		m, _, err := New(Config{Promoter: "x", Term: 2, Members: w.members[:], Prefer: tc.prefer, Avoid: tc.avoid, Timing: DefaultTiming()}, now)
+		assert.NilError(t, err)
+		var effects []Effect
+		for i, c := range tc.order {
+			assert.Equal(t, len(effects), 0, "%s: chosen before %d", tc.name, i)
+			slot := strings.ToLower(string(c))
+			switch {
+			case c == '.':
+				now, _ = m.Deadline()
+				assert.Equal(t, now.Sub(modelTime), DefaultTiming().Prefer)
+				effects = m.Step(now, Tick{})
+			case slot == string(c):
+				st := w.nodes[slotIndex(slot)].status(slotIndex(slot))
+				effects = m.Step(now, Granted{Slot: slot, Term: 2, Status: st})
+			default:
+				effects = m.Step(now, Failed{Slot: slot, Term: 2})
+			}
+		}
+		assert.DeepEqual(t, effects, []Effect{Promote{Slot: tc.want, Term: 2}})
+	}
+}
+
+func TestCorrect(t *testing.T) {
+	members := []quorum.Member{{Slot: "a", Incarnation: "1"}, {Slot: "b", Incarnation: "1"}, {Slot: "c", Incarnation: "2", Since: 6}}
+	current := Current{Term: 5, Primary: "a", Members: members}
+	type st = endpoint.Status
+	at := func(term uint64) logpos.Pos { return logpos.Pos{Term: term, Index: 9} }
+	const primary = endpoint.RolePrimary
+	for _, tc := range []struct {
+		name string
+		st   st
+		want Correction
+	}{
+		{"primary in line", st{Slot: "a", Incarnation: "1", Role: primary, FencedTerm: 5, Synced: at(5)}, CorrectNothing},
+		{"primary fenced by an attempt that went no further", st{Slot: "a", Incarnation: "1", Role: primary, FencedTerm: 6, Synced: at(5)}, CorrectTerm},
+		{"primary's disk lost", st{Slot: "a", Incarnation: "2"}, CorrectTerm},
+		{"primary is none any more", st{Slot: "a", Incarnation: "1", FencedTerm: 5, Synced: at(5)}, CorrectTerm},
+		{"primary without the record that starts the term", st{Slot: "a", Incarnation: "1", Role: primary, FencedTerm: 5, Synced: at(4)}, CorrectTerm},
+		{"replica in line", st{Slot: "b", Incarnation: "1", FencedTerm: 5, Synced: at(5)}, CorrectNothing},
+		{"old primary came back", st{Slot: "b", Incarnation: "1", Role: primary, FencedTerm: 4, Synced: at(4)}, CorrectFence},
+		{"old primary fenced", st{Slot: "b", Incarnation: "1", Role: primary, FencedTerm: 5, Synced: at(4)}, CorrectFollow},
+		{"replica does not follow", st{Slot: "b", Incarnation: "1", FencedTerm: 5, Synced: at(4)}, CorrectFollow},
+		{"replica fenced higher", st{Slot: "b", Incarnation: "1", FencedTerm: 7, Synced: at(5)}, CorrectTerm},
+		{"replica's disk lost", st{Slot: "b", Incarnation: "2"}, CorrectFence},
+		{"replica's new disk caught up", st{Slot: "b", Incarnation: "2", FencedTerm: 5, Synced: at(5)}, CorrectTerm},
+		{"recorded incarnation counts from a later term", st{Slot: "c", Incarnation: "2", FencedTerm: 5, Synced: at(5)}, CorrectTerm},
+		{"slot nobody configured", st{Slot: "z", Role: primary, FencedTerm: 9}, CorrectNothing},
+	} {
+		assert.Equal(t, current.Correct(tc.st), tc.want, tc.name)
+	}
+}
+
+// TestRetriesSpread checks that the pause grows, is bounded and differs.
+func TestRetriesSpread(t *testing.T) {
+	var pauses []time.Duration
+	for attempt := range 8 {
+		m := &Machine{cfg: Config{Promoter: "x", Term: 7, Attempt: attempt, Timing: DefaultTiming()}}
+		pauses = append(pauses, m.backoff())
+		other := &Machine{cfg: Config{Promoter: "y", Term: 7, Attempt: attempt, Timing: DefaultTiming()}}
+		assert.Assert(t, other.backoff() != m.backoff())
+	}
+	assert.Assert(t, slices.Max(pauses) < 2*time.Second && pauses[0] < 100*time.Millisecond && pauses[4] > pauses[0], "%v", pauses)
+}
+
+func TestConfigErrors(t *testing.T) {
+	good := newWorld().members[:]
+	for _, tc := range []struct {
+		field string
+		cfg   Config
+	}{
+		{"promoter", Config{Term: 1, Members: good}},
+		{"term", Config{Promoter: "x", Members: good}},
+		{"members", Config{Promoter: "x", Term: 1}},
+		{"members", Config{Promoter: "x", Term: 1, Members: append(good[:2:2], good[0])}},
+		{"members", Config{Promoter: "x", Term: 1, Members: make([]quorum.Member, maxSlots+1)}},
+	} {
+		_, _, err := New(tc.cfg, modelTime)
+		e, ok := err.(*ConfigError)
+		assert.Assert(t, ok, "%v", err)
+		assert.Equal(t, e.Field, tc.field)
+	}
+}
--- a/internal/suspect/detector.go
+++ b/internal/suspect/detector.go
@@ -35,8 +35,8 @@
 	return min(max(d.smoothed+4*d.deviation, minProbeTimeout), maxProbeTimeout)
 }
 
-// Answered records an answer on the probe or data path after rtt, and reports
-// whether the level changed.
+// Answered records an answer on the probe or data path after rtt, or 0 where the
+// round trip was not measured, and reports whether the level changed.
 func (d *Detector) Answered(rtt time.Duration) bool {
 	d.measure(rtt)
 	d.misses, d.doubtful = 0, false
@@ -49,6 +49,9 @@
 }
 
 func (d *Detector) measure(rtt time.Duration) {
+	if rtt <= 0 {
+		return
+	}
 	if d.smoothed == 0 {
 		d.smoothed, d.deviation = rtt, rtt/2
 		return
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -253,6 +253,12 @@
 	})
 }
 
+// Suspicious reports whether the reports that count at now make a suspicion.
+func (j *Judge) Suspicious(now time.Time) bool {
+	j.forget(now)
+	return j.suspicious()
+}
+
 // suspicious holds for two observers, or for one with a failed dial.
 func (j *Judge) suspicious() bool {
 	return len(j.opinions) >= 2 || len(j.opinions) == 1 && j.opinions[0].Level == Undialable
