--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 	holder  *holder.Holder
 	catalog *catalog
 	entry   *entry.Server
+	link    *hlink.Server
 	// directory keeps the floors of named sessions; directoryServer is this
 	// daemon's part of it.
 	directory       *directoryrpc.Client
@@ -114,6 +115,7 @@
 		Floors: d.view,
 		Log:    d.log,
 	})
+	d.link = &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
 	keys, err := session.NewKeys(session.Key{ID: 1, Secret: s.TokenKey})
 	if err != nil {
 		return nil, err
@@ -175,11 +177,25 @@
 	}
 	g.Go(func() error {
 		defer stopServing()
-		if d.listeners.callers == nil {
-			<-ctx.Done()
-			return nil
-		}
-		return d.entry.Serve(ctx, d.listeners.callers)
+		return d.serveUntilDrained(ctx)
+	})
+	return g.Wait()
+}
+
+// serveUntilDrained serves callers and other entries until ctx ends, then lets
+// both finish what is in progress, bounded by the drain timeout.
+func (d *Daemon) serveUntilDrained(ctx context.Context) error {
+	var g errgroup.Group
+	if d.listeners.callers != nil {
+		g.Go(func() error { return d.entry.Serve(ctx, d.listeners.callers) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		d.ready.Store(false)
+		drain, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+		defer cancel()
+		d.link.Drain(drain)
+		return nil
 	})
 	return g.Wait()
 }
@@ -308,8 +324,7 @@
 func incarnationNumber() uint64 { return uint64(time.Now().UnixNano()) }
 
 func (d *Daemon) serveLink(ctx context.Context) error {
-	server := &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
-	return server.Serve(ctx, d.listeners.link)
+	return d.link.Serve(ctx, d.listeners.link)
 }
 
 // watchPeer takes in the statuses that a peer observes.
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -5,12 +5,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"net"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,12 +53,16 @@
 	return cmd
 }
 
+// nextPort numbers the addresses that a test process has given out.
+var nextPort atomic.Uint32
+
+// freeAddr returns an address that no other test uses: a loopback IP of this
+// process's own, and ports below those that the system gives to clients.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	const firstPort = 10000
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f, firstPort+nextPort.Add(1))
 }
 
 // daemonSpec is one daemon of a test.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// maxAttempts bounds how often one segment is sent.
-	maxAttempts = 8
-	// retryPause is the wait before a segment that had not run is sent again.
-	retryPause = 5 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the wait before a segment is sent
+	// again; it doubles with each try.
+	minRetryPause = 2 * time.Millisecond
+	maxRetryPause = 100 * time.Millisecond
 )
 
 // serve runs one segment and answers it. An error ends the session.
@@ -61,6 +61,8 @@
 	deadline time.Time
 	avoid    []string
 	target   Target
+	// mayHaveRun states that an earlier try ended with its outcome unknown.
+	mayHaveRun bool
 	// inTx states that the segment continues an open exchange.
 	inTx    bool
 	primary bool
@@ -119,28 +121,34 @@
 	return sess.service.Deadline
 }
 
-// run sends the segment until it has an outcome that may not be retried.
+// run sends the segment until it has an outcome that may not be retried, or the
+// deadline passes.
 func (a *attempt) run(ctx context.Context) error {
-	var last error
-	for n := range maxAttempts {
-		if n > 0 && !a.pause(ctx) {
-			break
-		}
+	for pause := minRetryPause; ; pause = min(2*pause, maxRetryPause) {
 		res, err := a.once(ctx)
 		if err == nil {
 			return a.finish(ctx, res)
 		}
-		last = err
-		if !a.mayRetry(ctx, err) {
-			break
+		a.remember(err)
+		if !a.mayRetry(ctx, err) || !sleep(ctx, pause) {
+			return a.fail(ctx, err)
 		}
 	}
-	return a.fail(ctx, last)
 }
 
-func (a *attempt) pause(ctx context.Context) bool {
+// remember keeps in mind that a try may have run: then no later failure can
+// mean that the segment was not run.
+func (a *attempt) remember(err error) {
+	var failure *outcome.Error
+	if errors.As(err, &failure) && failure.Outcome == outcome.Unknown && (a.access == accessWrite || a.primary) {
+		a.mayHaveRun = true
+	}
+}
+
+// sleep waits for d and reports whether ctx still stands.
+func sleep(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(d):
 		return true
 	case <-ctx.Done():
 		return false
@@ -197,7 +205,7 @@
 		if target.Done != nil {
 			target.Done(0, err)
 		}
-		a.avoid = append(a.avoid, target.Slot)
+		a.avoidReplica(target.Slot, target.Primary)
 		return nil, err
 	}
 	sess.exchange, sess.onPrimary, sess.slot = ex, target.Primary, target.Slot
@@ -276,12 +284,20 @@
 	}
 	a.sink.discard()
 	a.sess.srv.cfg.Observer.Retry(a.sess.service.Name, failure.Reason)
-	if failure != errReadOnly && a.sess.slot != "" {
-		a.avoid = append(a.avoid, a.sess.slot)
+	if failure != errReadOnly {
+		a.avoidReplica(a.sess.slot, a.primary)
 	}
 	return true
 }
 
+// avoidReplica keeps further tries away from a replica that failed. A primary is
+// tried again: there is no other until a promotion.
+func (a *attempt) avoidReplica(slot string, primary bool) {
+	if !primary && slot != "" {
+		a.avoid = append(a.avoid, slot)
+	}
+}
+
 // isHarmlessTwice reports whether the segment may run again although it may have
 // run: a read at a replica, which cannot have had an effect; a request whose
 // marker lets it run once; or a service whose file says so.
@@ -373,6 +389,9 @@
 		a.observe(VerdictAbandoned)
 		return err
 	}
+	if a.mayHaveRun && failure.Outcome == outcome.NotRun {
+		failure = outcome.UnknownError(failure.Reason, failure.Message, failure)
+	}
 	sess := a.sess
 	sess.dropExchange()
 	sess.forgetStatements(a.seg)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -15,6 +15,7 @@
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/outcome"
 	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/sockpeek"
 )
 
 const (
@@ -151,12 +152,12 @@
 	sess.setIdle(sess.exchange == nil && sess.txStatus == 'I')
 	defer sess.setIdle(false)
 	if sess.mayLeave() {
-		return hasInput(sess.conn)
+		return sockpeek.HasInput(sess.conn)
 	}
-	err := waitReadable(sess.conn)
+	err := sockpeek.WaitReadable(sess.conn)
 	if isTimeout(err) {
 		_ = sess.conn.SetReadDeadline(time.Time{})
-		return !sess.mayLeave() || hasInput(sess.conn)
+		return !sess.mayLeave() || sockpeek.HasInput(sess.conn)
 	}
 	return true
 }
--- a/internal/holder/conn.go
+++ b/internal/holder/conn.go
@@ -13,6 +13,7 @@
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/sockpeek"
 )
 
 const (
@@ -120,6 +121,12 @@
 	return cfg, nil
 }
 
+// isClosedByPeer reports whether the endpoint has closed the connection, or sent
+// something that nobody asked for; either way it must not be used.
+func (c *conn) isClosedByPeer() bool {
+	return c.br.Buffered() > 0 || sockpeek.HasInputOrEnd(c.raw)
+}
+
 // close closes the connection without a farewell; the endpoint rolls back what
 // was open.
 func (c *conn) close() {
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -89,9 +89,15 @@
 // acquire returns a connection for req. Errors are *outcome.Error with outcome
 // not run: no byte of the caller has left. An endpoint that says it has too
 // many connections is asked again until the deadline; the caller never sees it.
+// A connection that the endpoint closed while it was idle is replaced.
 func (p *pool) acquire(ctx context.Context, req request) (*conn, error) {
 	for {
 		c, err := p.tryAcquire(ctx, req)
+		if err == nil && c.isClosedByPeer() {
+			c.broken = true
+			p.release(c, req.service)
+			continue
+		}
 		if !isTooManyConnections(err) {
 			return c, err
 		}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -40,6 +40,9 @@
 	addr string
 	// up states that the peer answers on a watch stream.
 	up atomic.Bool
+	// draining states that the peer refused an exchange because it stops; a new
+	// connection ends it.
+	draining atomic.Bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -60,8 +63,8 @@
 // Addr returns the peer's address.
 func (p *Peer) Addr() string { return p.addr }
 
-// Up reports whether the peer answers on a watch stream.
-func (p *Peer) Up() bool { return p.up.Load() }
+// Up reports whether the peer answers on a watch stream and takes exchanges.
+func (p *Peer) Up() bool { return p.up.Load() && !p.draining.Load() }
 
 // Open implements exchange.Opener. A stream that is idle is used again.
 func (p *Peer) Open(ctx context.Context) (exchange.Exchange, error) {
@@ -222,17 +225,31 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.session, p.dialErr = session, err
+	p.draining.Store(false)
 	close(p.dialing)
 	p.dialing = nil
 	return session, err
 }
 
+// dialSession connects and makes sure that the peer answers, so that a segment
+// is not sent into a connection that leads nowhere.
 func dialSession(addr string) (*yamux.Session, error) {
 	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	return yamux.Client(newCoalescer(conn), sessionConfig())
+	session, err := yamux.Client(newCoalescer(conn), sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	stop := time.AfterFunc(dialTimeout, func() { _ = session.Close() })
+	defer stop.Stop()
+	if _, err := session.Ping(); err != nil {
+		_ = session.Close()
+		return nil, err
+	}
+	return session, nil
 }
 
 // remote is an exchange at a peer.
@@ -270,11 +287,20 @@
 	res, err := r.exchange(seg, sink)
 	if err != nil {
 		r.broken = true
+		r.noteDraining(err)
 	}
 	r.attached = res.Attached
 	return res, err
 }
 
+// noteDraining remembers that the peer stops.
+func (r *remote) noteDraining(err error) {
+	var failure *outcome.Error
+	if errors.As(err, &failure) && failure.Reason == outcome.ReasonDraining {
+		r.peer.draining.Store(true)
+	}
+}
+
 // exchange sends seg and reads replies to the last one. Once the first byte is
 // written the outcome is unknown unless the holder says otherwise.
 func (r *remote) exchange(seg *link.Segment, sink io.Writer) (exchange.Result, error) {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,6 +47,28 @@
 	Opener  exchange.Opener
 	Watcher Watcher
 	Log     logr.Logger
+
+	draining atomic.Bool
+	// busy counts exchanges that run a segment or hold a connection.
+	busy atomic.Int64
+}
+
+// drainPoll is the interval at which Drain looks for exchanges left.
+const drainPoll = 10 * time.Millisecond
+
+// Drain refuses new exchanges as not run and waits until those in progress have
+// ended, or ctx does.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.busy.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Serve accepts peers on ln until ctx ends. Streams in progress are cut.
@@ -162,10 +185,16 @@
 		return
 	}
 	defer ex.Close()
+	attached := false
+	defer func() { s.setBusy(attached, false) }()
 	for {
 		select {
 		case seg := <-segments:
-			if err := s.runSegment(ctx, ex, seg, w); err != nil {
+			s.setBusy(attached, true)
+			var err error
+			attached, err = s.runSegment(ctx, ex, seg, w)
+			s.setBusy(true, attached)
+			if err != nil {
 				return
 			}
 		case <-ctx.Done():
@@ -174,25 +203,49 @@
 	}
 }
 
-// runSegment runs one segment and sends its replies. It returns an error when
-// the stream must not be used further.
-func (s *Server) runSegment(ctx context.Context, ex exchange.Exchange, seg *link.Segment, w *frameWriter) error {
+// setBusy counts the change of one exchange's state.
+func (s *Server) setBusy(was, is bool) {
+	switch {
+	case is && !was:
+		s.busy.Add(1)
+	case was && !is:
+		s.busy.Add(-1)
+	}
+}
+
+// runSegment runs one segment and sends its replies. It reports whether the
+// exchange still holds a connection, and returns an error when the stream must
+// not be used further.
+func (s *Server) runSegment(ctx context.Context, ex exchange.Exchange, seg *link.Segment, w *frameWriter) (bool, error) {
+	if seg.Open != nil && s.draining.Load() {
+		return false, s.refuse(seg, w)
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(seg.TimeoutUs)*time.Microsecond)
 	defer cancel()
 	sink := &replySink{w: w, seq: seg.Seq}
 	res, err := ex.Run(ctx, seg, sink)
 	var failure *outcome.Error
 	if err != nil && !errors.As(err, &failure) {
-		return err
+		return false, err
 	}
 	if failure != nil {
 		s.Log.V(1).Info("segment failed", "error", failure.Error())
 	}
 	last := &link.Reply{Seq: seg.Seq, Data: sink.pending, Result: exchange.ToWire(res, failure)}
 	if sendErr := w.write(last); sendErr != nil {
-		return sendErr
+		return res.Attached, sendErr
 	}
-	return err
+	return res.Attached, err
+}
+
+// refuse tells the entry that nothing was run because this daemon stops.
+func (s *Server) refuse(seg *link.Segment, w *frameWriter) error {
+	failure := outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonDraining,
+		"the holder is stopping", nil)
+	if err := w.write(&link.Reply{Seq: seg.Seq, Result: exchange.ToWire(exchange.Result{}, failure)}); err != nil {
+		return err
+	}
+	return failure
 }
 
 // replySink sends protocol messages as replies. The last piece waits for the
