--- a/internal/confspread/spread_test.go
+++ b/internal/confspread/spread_test.go
@@ -24,9 +24,11 @@
 		name  string
 		cause func(c *cluster)
 		// cut is a failure domain that cannot learn of revision 2.
-		cut  string
-		mend func(c *cluster)
-		gone int
+		cut string
+		// stale means that the relay of fd0 cannot learn of it.
+		stale bool
+		mend  func(c *cluster)
+		gone  int
 	}{
 		{
 			name:  "relay killed",
@@ -54,6 +56,14 @@
 			name:  "relay's link to control frozen",
 			cause: func(c *cluster) { c.net.set(c.relay("fd0").Name, controlAddr, linkFrozen) },
 		},
+		{
+			name: "stale relay that answers all the same",
+			cause: func(c *cluster) {
+				c.net.set(c.relay("fd0").Name, "*", linkCut)
+				c.skew.Add(int64(spreadstate.StaleAge + time.Second))
+			},
+			stale: true,
+		},
 		{
 			name: "all of a domain cut off from control, not from other domains",
 			cause: func(c *cluster) {
@@ -85,7 +95,7 @@
 			c.waitReported(1)
 			tc.cause(c)
 			c.publish()
-			c.waitOutside(tc.cut, 2)
+			c.waitOutside(tc.cut, tc.stale, 2)
 			if tc.cut == "" {
 				return
 			}
@@ -109,13 +119,17 @@
 	}
 }
 
-func (c *cluster) waitOutside(domain string, revision uint64) {
+// waitOutside waits for revision at all daemons but those of domain and, when
+// stale is set, the relay of fd0.
+func (c *cluster) waitOutside(domain string, stale bool, revision uint64) {
 	c.t.Helper()
 	c.wait("new revision outside of the cut", func() bool {
-		for _, d := range c.daemons {
+		for name, d := range c.daemons {
+			if d.opts.Self.FailureDomain == domain || stale && name == c.relay("fd0").Name {
+				continue
+			}
 			state := d.State()
-			if d.opts.Self.FailureDomain != domain &&
-				(state.Revision != revision || state.Mode != confspread.Mode_MODE_CONFIRMED) {
+			if state.Revision != revision || state.Mode != confspread.Mode_MODE_CONFIRMED {
 				return false
 			}
 		}
@@ -422,3 +436,59 @@
 		From: &confspread.Member{Name: "x", FailureDomain: "fd0"}})
 	assert.Assert(t, err != nil)
 }
+
+// upstreamOf returns the control process that d follows.
+func upstreamOf(d *Daemon) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstream
+}
+
+// TestPolledDaemonRelays polls a daemon that is not the relay.
+func TestPolledDaemonRelays(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.startAll()
+	c.publish()
+	c.waitAll(1)
+	d := c.daemons[spreadstate.Rank(c.members, "fd0")[2].Name]
+	assert.Equal(t, upstreamOf(d), "")
+	_, err := d.Poll(context.Background(), &confspread.PollRequest{
+		From: &confspread.Member{Name: "x", FailureDomain: "fd0"}})
+	assert.NilError(t, err)
+	c.wait("control polled", func() bool { return upstreamOf(d) == controlAddr })
+}
+
+// TestRelayReturnsToControl lets a relay find control silent so often that it
+// passes it over for longer than the test waits.
+func TestRelayReturnsToControl(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	d := c.start(c.members[0], nil)
+	d.mu.Lock()
+	for range 4 {
+		d.chooser.Failed(spreadstate.Target{Addr: controlAddr, Control: true}, spreadstate.FailureSilent, c.now())
+	}
+	d.mu.Unlock()
+	c.start(c.members[1], nil)
+	c.publish()
+	c.waitAll(1)
+	c.wait("control polled", func() bool { return upstreamOf(d) == controlAddr })
+}
+
+// TestStartingDaemonIsConfirmedAtOnce polls a relay whose long poll does not
+// end.
+func TestStartingDaemonIsConfirmedAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.publish()
+	d := c.start(c.members[0], nil)
+	c.stop(c.members[0].Name)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { d.refreshLoop(ctx) })
+	answer, err := d.Poll(ctx, &confspread.PollRequest{ConfirmNow: true, HoldMs: 1000,
+		From: &confspread.Member{Name: "x", FailureDomain: "fd0"}})
+	cancel()
+	group.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Confirmed, true)
+	assert.Assert(t, answer.ConfirmedAgeUs <= answer.HeldUs+1)
+}
--- a/internal/spreadstate/spreadstate_test.go
+++ b/internal/spreadstate/spreadstate_test.go
@@ -96,13 +96,13 @@
 	assert.Equal(t, f.ConfirmedAt(), sec(5))
 }
 
-// members returns two daemons of other domains and four of domain d, these in
+// members returns two daemons of other domains and five of domain d, these in
 // the order of their rank.
 func members() ([]Member, []Member) {
 	var all []Member
-	for i := range 6 {
+	for i := range 7 {
 		domain := "d"
-		if i >= 4 {
+		if i >= 5 {
 			domain = fmt.Sprint("other", i)
 		}
 		name := fmt.Sprint("m", i)
@@ -236,7 +236,7 @@
 			}
 			status := b.Status(sec(tc.at), all)
 			assert.Equal(t, len(status), 3)
-			assert.Equal(t, len(status[0].Members), 4)
+			assert.Equal(t, len(status[0].Members), 5)
 			m0 := status[0].Members[0]
 			assert.Equal(t, m0.Name, "m0")
 			assert.Equal(t, m0.Revision, tc.revision)
