Test clusters take ports of their own host

Clusters now take ports in order, below the system's range, and tests give each process a loopback IP of its own.

--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -36,6 +35,10 @@
 	// DrainTimeout bounds a daemon's graceful stop.
 	DrainTimeout time.Duration
 	Log          logr.Logger
+	// Host is the loopback address of the daemons; empty means 127.0.0.1.
+	Host string
+	// FirstPort is where the daemons' ports begin; 0 means DefaultFirstPort.
+	FirstPort int
 }
 
 // Cluster is a set of running daemons and endpoints.
@@ -104,18 +107,16 @@
 	return names
 }
 
-// addresses are the listening addresses of one daemon.
-type addresses struct{ callers, link, admin, heartbeat string }
-
 func (c *Cluster) startDaemons(ctx context.Context, cfg Config) error {
 	type plan struct {
 		name, domain string
 		addr         addresses
 	}
 	var plans []plan
+	ports := newPorts(cfg.Host, cfg.FirstPort)
 	for _, domain := range c.domains() {
 		for i := range cfg.DaemonsPerDomain {
-			addr, err := freeAddresses()
+			addr, err := ports.take()
 			if err != nil {
 				return err
 			}
@@ -212,20 +213,6 @@
 	return err
 }
 
-// freeAddresses returns loopback addresses that are free at the moment.
-func freeAddresses() (addresses, error) {
-	var list [4]string
-	for i := range list {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return addresses{}, err
-		}
-		defer func() { _ = ln.Close() }()
-		list[i] = ln.Addr().String()
-	}
-	return addresses{list[0], list[1], list[2], list[3]}, nil
-}
-
 // announce tells the daemons where an endpoint is.
 func announce(urls []string, group, slot, addr string) error {
 	body, err := json.Marshal(map[string]string{"group": group, "slot": slot, "address": addr})
--- /dev/null
+++ b/internal/devcluster/ports.go
@@ -0,0 +1,70 @@
+package devcluster
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+)
+
+const (
+	// DefaultFirstPort is where the daemons' ports begin. It is below the ports
+	// that systems give to outgoing connections.
+	DefaultFirstPort = 16400
+	// maxPorts bounds the search for free ports.
+	maxPorts = 4096
+)
+
+// addresses are the listening addresses of one daemon.
+type addresses struct{ callers, link, admin, heartbeat string }
+
+// ports hands out ports of one host in ascending order, without those in use.
+type ports struct {
+	host string
+	next int
+	last int
+}
+
+func newPorts(host string, first int) *ports {
+	if host == "" {
+		host = "127.0.0.1"
+	}
+	if first == 0 {
+		first = DefaultFirstPort
+	}
+	return &ports{host: host, next: first, last: first + maxPorts}
+}
+
+// take returns four addresses that are free at the moment.
+func (p *ports) take() (addresses, error) {
+	var list [4]string
+	for i := range list {
+		addr, err := p.one()
+		if err != nil {
+			return addresses{}, err
+		}
+		list[i] = addr
+	}
+	return addresses{list[0], list[1], list[2], list[3]}, nil
+}
+
+func (p *ports) one() (string, error) {
+	for p.next < p.last {
+		addr := net.JoinHostPort(p.host, strconv.Itoa(p.next))
+		p.next++
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			return addr, nil
+		}
+	}
+	return "", &NoPortError{Host: p.host, Last: p.last}
+}
+
+// NoPortError reports that no port was free.
+type NoPortError struct {
+	Host string
+	Last int
+}
+
+func (e *NoPortError) Error() string {
+	return fmt.Sprintf("no free port below %d on %s", e.Last, e.Host)
+}
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"database/sql"
 	"fmt"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,13 +22,27 @@
 	"hemlockmast/internal/devcluster"
 )
 
+// clusterPorts is how many ports a cluster may take.
+const clusterPorts = 40
+
+func splitAddr(t *testing.T, addr string) (string, int) {
+	t.Helper()
+	host, text, err := net.SplitHostPort(addr)
+	assert.NilError(t, err)
+	port, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return host, port
+}
+
 // startCluster runs one daemon in each of three failure domains and one group
 // with three endpoints.
 func startCluster(t *testing.T) *devcluster.Cluster {
 	t.Helper()
+	host, port := splitAddr(t, freeAddr(t))
+	nextPort.Add(clusterPorts)
 	c, err := devcluster.Start(context.Background(), devcluster.Config{
 		Folders: []string{writeFolder(t)}, DaemonsPerDomain: 1,
-		DrainTimeout: 5 * time.Second, Log: logr.Discard(),
+		DrainTimeout: 5 * time.Second, Log: logr.Discard(), Host: host, FirstPort: port,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
