Records of database groups: terms and the incarnations that count

Cause: the rule on lost disks (package quorum) needs terms that are allocated once and a durable record of each slot's incarnation. Left out: a change of a group's set of slots, which is a change of its majorities and needs steps of its own.

--- /dev/null
+++ b/internal/groupstate/groupstate.go
@@ -0,0 +1,180 @@
+// Package groupstate is the replicated state machine of the records of database
+// groups: the terms that were allocated to promoters and the incarnations of
+// endpoints that count towards majorities.
+//
+// Invariant: a term is allocated once, and terms of a group ascend. A member's
+// Since is the term allocated by the command that recorded its incarnation, so
+// that no promoter with a grant of a lost disk has a later term.
+package groupstate
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"hemlockmast/api/control"
+	"hemlockmast/internal/quorum"
+)
+
+const (
+	// maxGroups bounds the records.
+	maxGroups = 1 << 16
+	// maxSlots bounds the slots of one group.
+	maxSlots = 64
+)
+
+// Result codes of a command, the first byte of its answer.
+const (
+	resultRecord byte = iota
+	resultRefused
+)
+
+// RefusedError reports a command that changed nothing.
+type RefusedError struct{ Detail string }
+
+func (e *RefusedError) Error() string { return "group record unchanged: " + e.Detail }
+
+// State holds the records of all groups. It is not safe for concurrent use.
+type State struct {
+	records map[string]*control.GroupRecord
+	version uint64
+}
+
+// New returns an empty State.
+func New() *State { return &State{records: map[string]*control.GroupRecord{}} }
+
+// Apply carries out the command of the log entry at index and returns the
+// encoded answer; DecodeResult reads it.
+func (s *State) Apply(index uint64, cmd *control.GroupCommand) []byte {
+	record, err := s.apply(index, cmd)
+	if err != nil {
+		return append([]byte{resultRefused}, err.Detail...)
+	}
+	out, encodeErr := proto.MarshalOptions{Deterministic: true}.Marshal(record)
+	if encodeErr != nil {
+		return append([]byte{resultRefused}, encodeErr.Error()...)
+	}
+	return append([]byte{resultRecord}, out...)
+}
+
+// DecodeResult reads the answer of Apply. The error is *RefusedError.
+func DecodeResult(result []byte) (*control.GroupRecord, error) {
+	if len(result) == 0 {
+		return nil, &RefusedError{Detail: "the answer is empty"}
+	}
+	if result[0] != resultRecord {
+		return nil, &RefusedError{Detail: string(result[1:])}
+	}
+	record := &control.GroupRecord{}
+	if err := proto.Unmarshal(result[1:], record); err != nil {
+		return nil, &RefusedError{Detail: err.Error()}
+	}
+	return record, nil
+}
+
+func (s *State) apply(index uint64, cmd *control.GroupCommand) (*control.GroupRecord, *RefusedError) {
+	if cmd.Group == "" || len(cmd.Seen) > maxSlots {
+		return nil, &RefusedError{Detail: "a group and at most 64 slots must be named"}
+	}
+	if cmd.Allocate {
+		return s.allocate(index, cmd)
+	}
+	return s.begin(index, cmd)
+}
+
+// begin makes the record of a new group with the incarnations that it starts
+// with. An existing record stays as it is and is the answer.
+func (s *State) begin(index uint64, cmd *control.GroupCommand) (*control.GroupRecord, *RefusedError) {
+	if record := s.records[cmd.Group]; record != nil {
+		return record, nil
+	}
+	if len(s.records) >= maxGroups {
+		return nil, &RefusedError{Detail: fmt.Sprintf("there are %d groups already", maxGroups)}
+	}
+	record := &control.GroupRecord{Group: cmd.Group, Term: cmd.AtLeast}
+	for _, seen := range cmd.Seen {
+		if seen.Slot == "" || seen.Incarnation == "" || find(record, seen.Slot) != nil {
+			return nil, &RefusedError{Detail: "a new group needs the incarnation of each slot once"}
+		}
+		record.Members = append(record.Members, &control.Member{Slot: seen.Slot, Incarnation: seen.Incarnation})
+	}
+	if len(record.Members) == 0 {
+		return nil, &RefusedError{Detail: "a new group needs slots"}
+	}
+	slices.SortFunc(record.Members, func(a, b *control.Member) int { return cmp.Compare(a.Slot, b.Slot) })
+	s.store(index, record)
+	return record, nil
+}
+
+// allocate gives out the next term and records the incarnations that are new.
+func (s *State) allocate(index uint64, cmd *control.GroupCommand) (*control.GroupRecord, *RefusedError) {
+	old := s.records[cmd.Group]
+	if old == nil {
+		return nil, &RefusedError{Detail: "the group has no record yet"}
+	}
+	record := proto.CloneOf(old)
+	record.Term = max(old.Term+1, cmd.AtLeast)
+	for _, seen := range cmd.Seen {
+		member := find(record, seen.Slot)
+		if member == nil || seen.Incarnation == "" || member.Incarnation == seen.Incarnation {
+			continue
+		}
+		member.Incarnation = seen.Incarnation
+		member.Since = record.Term
+	}
+	s.store(index, record)
+	return record, nil
+}
+
+func (s *State) store(index uint64, record *control.GroupRecord) {
+	record.Version = index
+	s.records[record.Group] = record
+	s.version = index
+}
+
+func find(record *control.GroupRecord, slot string) *control.Member {
+	for _, m := range record.Members {
+		if m.Slot == slot {
+			return m
+		}
+	}
+	return nil
+}
+
+// Version is the index of the last command that changed a record.
+func (s *State) Version() uint64 { return s.version }
+
+// After returns the records that changed after version, sorted by name. They
+// must not be changed.
+func (s *State) After(version uint64) []*control.GroupRecord {
+	var list []*control.GroupRecord
+	for _, record := range s.records {
+		if record.Version > version {
+			list = append(list, record)
+		}
+	}
+	slices.SortFunc(list, func(a, b *control.GroupRecord) int { return cmp.Compare(a.Group, b.Group) })
+	return list
+}
+
+// Restore replaces the state by records.
+func (s *State) Restore(records []*control.GroupRecord) {
+	clear(s.records)
+	s.version = 0
+	for _, record := range records {
+		s.records[record.Group] = record
+		s.version = max(s.version, record.Version)
+	}
+}
+
+// Members returns the record's members in the form that majorities are counted
+// with.
+func Members(record *control.GroupRecord) []quorum.Member {
+	members := make([]quorum.Member, 0, len(record.Members))
+	for _, m := range record.Members {
+		members = append(members, quorum.Member{Slot: m.Slot, Incarnation: m.Incarnation, Since: m.Since})
+	}
+	return members
+}
