--- /dev/null
+++ b/cmd/hemlockmast-measure/main.go
@@ -0,0 +1,79 @@
+// Command hemlockmast-measure produces the figures of the documentation.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hemlockmast/internal/measure"
+	"hemlockmast/internal/version"
+)
+
+const exitFailure = 1
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "hemlockmast-measure",
+		Usage:   "measure a running system or a cluster in one process",
+		Version: version.Text,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "json", Usage: "print JSON instead of a line"},
+		},
+		Commands: []*cli.Command{loadCommand()},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "load",
+		Usage:       "run one statement in a closed loop of callers",
+		Description: "Example: hemlockmast-measure load --url postgres://app@127.0.0.1:6432/db --open 10000 --active 64",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "url", Required: true, Usage: "connection string; repeat to spread callers"},
+			&cli.StringFlag{Name: "statement", Value: "SELECT 1", Usage: "the statement"},
+			&cli.IntFlag{Name: "open", Value: 1, Usage: "open connections"},
+			&cli.IntFlag{Name: "active", Value: 1, Usage: "connections that send"},
+			&cli.DurationFlag{Name: "warmup", Value: time.Second, Usage: "time before the measurement"},
+			&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "time of the measurement"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			result, err := measure.RunLoad(ctx, measure.LoadConfig{
+				URLs:      cmd.StringSlice("url"),
+				Statement: cmd.String("statement"),
+				Open:      cmd.Int("open"),
+				Active:    cmd.Int("active"),
+				Warmup:    cmd.Duration("warmup"),
+				Duration:  cmd.Duration("duration"),
+			})
+			if err != nil {
+				return err
+			}
+			return print(cmd, result)
+		},
+	}
+}
+
+// print writes a result as JSON or as its own text.
+func print(cmd *cli.Command, result fmt.Stringer) error {
+	if !cmd.Bool("json") {
+		_, err := fmt.Fprintln(cmd.Root().Writer, result)
+		return err
+	}
+	return json.NewEncoder(cmd.Root().Writer).Encode(result)
+}
