--- a/internal/cli/publish/publish_test.go
+++ b/internal/cli/publish/publish_test.go
@@ -287,3 +287,23 @@
 		})
 	}
 }
+
+func TestInForce(t *testing.T) {
+	cases := []struct {
+		name   string
+		member *confspread.MemberStatus
+		want   bool
+	}{
+		{"runs it", &confspread.MemberStatus{Revision: 4, Reachable: true}, true},
+		{"runs a later one", &confspread.MemberStatus{Revision: 5, Reachable: true}, true},
+		{"behind", &confspread.MemberStatus{Revision: 3, Reachable: true}, false},
+		{"ran it, cannot be reached", &confspread.MemberStatus{Revision: 4}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			status := &Status{Domains: []*confspread.DomainStatus{{Members: []*confspread.MemberStatus{tc.member}}}}
+			assert.Equal(t, status.isInForce(4), tc.want)
+		})
+	}
+	assert.Equal(t, (&Status{}).isInForce(4), false, "nobody known")
+}
--- a/internal/spreadstate/board.go
+++ b/internal/spreadstate/board.go
@@ -14,7 +14,7 @@
 	ReachTimeout = 6 * time.Second
 	// forgetAfter is how long a daemon that membership does not know is shown
 	// after it was last heard of.
-	forgetAfter = time.Hour
+	forgetAfter = 10 * time.Minute
 	// maxBoardMembers bounds the daemons on a board.
 	maxBoardMembers = 20_000
 )
