--- a/cmd/hemlockmast-standin/main.go
+++ b/cmd/hemlockmast-standin/main.go
@@ -48,6 +48,7 @@
 			&cli.StringSliceFlag{Name: "announce", Usage: "base URL of a daemon to announce to; repeat for more"},
 			&cli.BoolFlag{Name: "primary", Usage: "with an empty disk: be the group's first primary"},
 			&cli.StringFlag{Name: "follow", Usage: "with an empty disk: replicate from the group's first primary at this address"},
+			&cli.DurationFlag{Name: "drain", Value: 10 * time.Second, Usage: "how long SIGTERM waits for connections to end"},
 			&cli.DurationFlag{Name: "replication-lag", Usage: "from the primary's sending to synced"},
 			&cli.DurationFlag{Name: "apply-lag", Usage: "from synced to visible"},
 		},
@@ -77,5 +78,20 @@
 	}
 	fmt.Println(e.Addr())
 	<-ctx.Done()
+	drain(e, cmd.Duration("drain"))
 	return e.Close()
 }
+
+// drainPoll is between looks at the connections that are left.
+const drainPoll = 50 * time.Millisecond
+
+// drain says that the endpoint leaves and waits until nobody is connected, at
+// most for limit.
+func drain(e *standin.Endpoint, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	e.Leave(ctx)
+	for e.Status().ConnsInUse > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/membership/announcer"
 	"hemlockmast/internal/standin/disk"
 	"hemlockmast/internal/standin/node"
 )
@@ -61,17 +62,18 @@
 	disk   disk.Disk
 	faults *faults
 
-	mu       sync.Mutex // guards what follows
-	node     *node.Node
-	listener net.Listener
-	addr     string
-	sessions map[uint32]*session
-	inUse    int // connections that count towards the limit
-	number   int // of the last connection
-	running  bool
-	closed   bool
-	stop     context.CancelFunc
-	wg       sync.WaitGroup
+	mu        sync.Mutex // guards what follows
+	node      *node.Node
+	listener  net.Listener
+	addr      string
+	sessions  map[uint32]*session
+	inUse     int // connections that count towards the limit
+	number    int // of the last connection
+	running   bool
+	closed    bool
+	announcer *announcer.Announcer
+	stop      context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // Start runs an endpoint until Close.
@@ -94,9 +96,34 @@
 		e.Close()
 		return nil, err
 	}
+	e.startAnnouncing()
 	return e, nil
 }
 
+// startAnnouncing tells the daemons of the endpoint until Kill.
+func (e *Endpoint) startAnnouncing() {
+	if len(e.cfg.Announce) == 0 {
+		return
+	}
+	a := announcer.Start(e.cfg.Announce, announcer.Announcement{
+		Group: e.cfg.Group, Slot: e.cfg.Slot, Address: e.Addr(), Incarnation: e.Status().Incarnation,
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.announcer = a
+}
+
+// Leave tells the daemons that the endpoint leaves; it goes on serving. It
+// returns when they answered or ctx ends.
+func (e *Endpoint) Leave(ctx context.Context) {
+	e.mu.Lock()
+	a := e.announcer
+	e.mu.Unlock()
+	if a != nil {
+		a.Leave(ctx)
+	}
+}
+
 // ConfigError reports a Config that cannot be used.
 type ConfigError struct{ Field, Reason string }
 
@@ -220,6 +247,11 @@
 		return
 	}
 	e.running = false
+	if e.announcer != nil {
+		// Waits for a post on its way, which takes no lock of this endpoint.
+		e.announcer.Stop()
+		e.announcer = nil
+	}
 	e.stop()
 	e.listener.Close()
 	for _, s := range e.sessions {
@@ -243,7 +275,11 @@
 			return err
 		}
 	}
-	return e.start()
+	if err := e.start(); err != nil {
+		return err
+	}
+	e.startAnnouncing()
+	return nil
 }
 
 // RestartEmpty is Restart with an empty disk: the endpoint comes back as a new
