Membership in the daemon; a commit waits until its term's members are known

Cause: endpoints were told to daemons by the tests. They now announce themselves, announcements and daemons spread by package membership; addresses that others use may differ from those listened on (setting advertise). Found: CREATE TABLE right after the start ended 'unknown' in about one run of three: the acknowledgement state was made while replicas had not been heard and their incarnations counted for nothing.

--- a/internal/acks/acks.go
+++ b/internal/acks/acks.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,16 +36,30 @@
 
 // group tracks the commits of one database group.
 type group struct {
+	name    string
+	members Members
+
 	// mu guards the fields below.
 	mu     sync.Mutex
 	acks   *commitack.Group
+	counts []quorum.Member
 	nextID commitack.ID
-	wait   map[commitack.ID]chan commitack.Result
-	// last is the newest status of each slot, replayed into a new term's state.
+	wait   map[commitack.ID]*commit
+	// last is the newest status of each slot, replayed into a new state.
 	last    map[string]endpoint.Status
 	results []commitack.Result
 }
 
+// commit is one commit that waits for its verdict.
+type commit struct {
+	pos      logpos.Pos
+	deadline time.Time
+	ready    chan commitack.Result
+	// placed states that the group's state knows the commit. One that is not
+	// waits until its term's primary and members are known.
+	placed bool
+}
+
 // New returns a Tracker that learns the members of groups from members.
 func New(members Members) *Tracker {
 	return &Tracker{members: members, groups: map[string]*group{}}
@@ -52,18 +67,15 @@
 
 // Await implements the holder package's Acknowledger.
 func (t *Tracker) Await(ctx context.Context, name string, pos logpos.Pos) (string, error) {
-	g := t.group(name)
-	ready := make(chan commitack.Result, 1)
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return "", outcome.UnknownError(outcome.ReasonDeadline, "a commit without a deadline cannot wait", nil)
 	}
-	id, err := t.add(g, name, pos, deadline, ready)
-	if err != nil {
-		return "", err
-	}
+	g := t.group(name)
+	c := &commit{pos: pos, deadline: deadline, ready: make(chan commitack.Result, 1)}
+	id := g.add(c)
 	select {
-	case res := <-ready:
+	case res := <-c.ready:
 		return verdict(res)
 	case <-ctx.Done():
 		g.forget(id)
@@ -88,55 +100,65 @@
 	defer t.mu.Unlock()
 	g := t.groups[name]
 	if g == nil {
-		g = &group{wait: map[commitack.ID]chan commitack.Result{}, last: map[string]endpoint.Status{}}
+		g = &group{
+			name: name, members: t.members,
+			wait: map[commitack.ID]*commit{}, last: map[string]endpoint.Status{},
+		}
 		t.groups[name] = g
 	}
 	return g
 }
 
-// add records the commit. The group's state is made anew when the commit
-// belongs to a later term than the state.
-func (t *Tracker) add(g *group, name string, pos logpos.Pos, deadline time.Time, ready chan commitack.Result) (commitack.ID, error) {
+// add records a commit.
+func (g *group) add(c *commit) commitack.ID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.acks == nil || g.acks.Term() < pos.Term {
-		members, primary, ok := t.members(name, pos.Term)
-		if !ok {
-			return 0, notConfirmed()
-		}
-		if err := g.begin(pos.Term, primary, members); err != nil {
-			return 0, outcome.UnknownError(outcome.ReasonNotConfirmed, "the group's slots changed", err)
-		}
-	}
 	g.nextID++
 	id := g.nextID
-	g.wait[id] = ready
-	results, err := g.acks.Add(g.results[:0], id, pos, deadline)
+	g.wait[id] = c
+	if g.acks == nil || g.acks.Term() < c.pos.Term {
+		g.renew(c.pos.Term)
+	}
+	g.place(id, c)
+	return id
+}
+
+// place gives a commit to the state of its term. One of an earlier term than
+// the state's cannot be confirmed any more.
+func (g *group) place(id commitack.ID, c *commit) {
+	if c.placed || g.acks == nil || g.acks.Term() < c.pos.Term {
+		return
+	}
+	c.placed = true
+	results, err := g.acks.Add(g.results[:0], id, c.pos, c.deadline)
 	if err != nil {
-		delete(g.wait, id)
-		return 0, outcome.UnknownError(outcome.ReasonSuperseded, "the primary was superseded", err)
+		results = append(results, commitack.Result{ID: id, Outcome: commitack.Unknown})
 	}
 	g.deliver(results)
-	return id, nil
 }
 
-// begin starts the state of a term with what is known of the slots.
-func (g *group) begin(term uint64, primary string, members []quorum.Member) error {
-	if g.acks != nil {
-		g.deliver(g.acks.Close(g.results[:0]))
+// renew makes the state of a term anew, if its primary is known and the members
+// differ, and gives it what waits.
+func (g *group) renew(term uint64) {
+	members, primary, ok := g.members(g.name, term)
+	if !ok || g.acks != nil && g.acks.Term() == term && slices.Equal(g.counts, members) {
+		return
 	}
 	acks, err := commitack.New(term, primary, members)
 	if err != nil {
-		return err
+		return
 	}
-	g.acks = acks
+	g.acks, g.counts = acks, members
 	for _, status := range g.last {
 		g.observe(status)
 	}
-	return nil
+	for id, c := range g.wait {
+		c.placed = false
+		g.place(id, c)
+	}
 }
 
-// observe takes a status in. The caller holds mu.
+// observe gives the state a status. The caller holds mu.
 func (g *group) observe(status endpoint.Status) {
 	results, err := g.acks.Observe(g.results[:0], status)
 	if err != nil {
@@ -145,11 +167,27 @@
 	g.deliver(results)
 }
 
+// countsAs reports whether the state knows the status's incarnation.
+func (g *group) countsAs(status endpoint.Status) bool {
+	return slices.ContainsFunc(g.counts, func(m quorum.Member) bool { return m.Is(status) })
+}
+
+// latestWaiting returns the latest term of a commit without a state, 0 if there
+// is none.
+func (g *group) latestWaiting() (term uint64) {
+	for _, c := range g.wait {
+		if !c.placed {
+			term = max(term, c.pos.Term)
+		}
+	}
+	return term
+}
+
 // deliver wakes those whose verdict is known. The caller holds mu.
 func (g *group) deliver(results []commitack.Result) {
 	for _, res := range results {
-		if ready := g.wait[res.ID]; ready != nil {
-			ready <- res
+		if c := g.wait[res.ID]; c != nil {
+			c.ready <- res
 			delete(g.wait, res.ID)
 		}
 	}
@@ -168,6 +206,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.last[status.Slot] = status
+	switch term := g.latestWaiting(); {
+	case term > 0:
+		g.renew(term)
+	case g.acks != nil && !g.countsAs(status):
+		g.renew(g.acks.Term())
+	}
 	if g.acks != nil {
 		g.observe(status)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/holder"
 	hlink "hemlockmast/internal/link"
+	"hemlockmast/internal/membership/assign"
+	"hemlockmast/internal/membership/runner"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/routing"
 	"hemlockmast/internal/servicefile"
@@ -40,8 +43,6 @@
 	directoryTimeout = time.Second
 	// dialTimeout bounds a connection to an endpoint.
 	dialTimeout = 2 * time.Second
-	// peerRetry is the wait after a failed watch of a peer.
-	peerRetry = 100 * time.Millisecond
 	// shutdownTimeout bounds the end of the admin server.
 	shutdownTimeout = time.Second
 )
@@ -63,7 +64,8 @@
 	// daemon's part of it.
 	directory       *directoryrpc.Client
 	directoryServer *directoryrpc.Server
-	peers           map[string]*hlink.Peer
+	members         *runner.Runner
+	peers           *peerSet
 	ready           atomic.Bool
 	seq             atomic.Uint64
 
@@ -98,16 +100,18 @@
 		view:        slotview.New(),
 		hub:         watch.NewHub(),
 		catalog:     newCatalog(),
-		peers:       map[string]*hlink.Peer{},
+		peers:       newPeerSet(s.Name),
 		watchers:    map[slotKey]*runningWatcher{},
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	for _, p := range s.Peers {
-		d.peers[p.Name] = hlink.NewPeer(s.Name, p.Link)
+	members, err := runner.New(runner.Config{Self: self(s), Seeds: seeds(s)})
+	if err != nil {
+		return nil, err
 	}
-	d.acks = acks.New(d.members)
+	d.members = members
+	d.acks = acks.New(d.ackMembers)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
@@ -158,6 +162,9 @@
 // Run runs the daemon until ctx ends, then stops it gracefully: callers are
 // drained first, the rest serves them until the end.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.loadConfiguration(); err != nil {
+		return err
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	g, serving := errgroup.WithContext(serving)
@@ -166,15 +173,9 @@
 	g.Go(func() error { return d.serveLink(serving) })
 	g.Go(func() error { return d.serveAdmin(serving) })
 	g.Go(func() error { return d.manageWatchers(serving) })
-	for name, peer := range d.peers {
-		g.Go(func() error { return d.watchPeer(serving, name, peer) })
-	}
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
-	if err := d.loadConfiguration(); err != nil {
-		stopServing()
-		_ = g.Wait()
-		return err
-	}
+	g.Go(func() error { return d.members.Run(serving) })
+	g.Go(func() error { return d.followMembership(serving) })
 	g.Go(func() error {
 		defer stopServing()
 		return d.serveUntilDrained(ctx)
@@ -216,6 +217,7 @@
 func (d *Daemon) apply(cfg *service.Configuration) {
 	d.catalog.set(cfg)
 	d.view.SetConfiguration(cfg)
+	d.members.SetSlots(slotIDs(cfg))
 	shares := map[string]int{}
 	for _, s := range cfg.Services {
 		if s.Connections != nil {
@@ -229,12 +231,14 @@
 
 // reassign computes which slots this daemon holds.
 func (d *Daemon) reassign() {
-	members := d.holderMembers()
+	candidates := d.holderCandidates()
 	var mine []holder.Assignment
 	for _, g := range d.view.Groups() {
 		for i := range g.Slots {
 			slot := &g.Slots[i]
-			names := chooseHolders(slot, members, d.settings.HoldersPerSlot)
+			names := assign.Holders(assign.Slot{
+				Group: g.Name, Name: slot.Name, FailureDomain: slot.FailureDomain,
+			}, candidates, d.settings.HoldersPerSlot)
 			d.view.SetHolders(g.Name, slot.Name, names)
 			for index, name := range names {
 				if name == d.settings.Name && slot.Endpoint.Addr != "" {
@@ -251,37 +255,42 @@
 	d.setWatchers(mine)
 }
 
-func (d *Daemon) holderMembers() []member {
-	var members []member
+// holderCandidates returns the daemons that may hold connections. They come from
+// the settings, not from who is up: the share of a daemon that is cut off must
+// not be given to another while it may still use it.
+func (d *Daemon) holderCandidates() []assign.Candidate {
+	var list []assign.Candidate
 	if d.settings.Has(settings.RoleHolder) {
-		members = append(members, member{d.settings.Name, d.settings.FailureDomain})
+		list = append(list, assign.Candidate{Name: d.settings.Name, FailureDomain: d.settings.FailureDomain})
 	}
 	for _, p := range d.settings.Peers {
-		for _, role := range p.Roles {
-			if role == settings.RoleHolder {
-				members = append(members, member{p.Name, p.FailureDomain})
-			}
+		if slices.Contains(p.Roles, settings.RoleHolder) {
+			list = append(list, assign.Candidate{Name: p.Name, FailureDomain: p.FailureDomain})
 		}
 	}
-	return members
+	return list
 }
 
-// members implements acks.Members.
-func (d *Daemon) members(group string, term uint64) ([]quorum.Member, string, bool) {
+// ackMembers implements acks.Members. Without a control group the incarnations
+// are those that this daemon saw; it waits until it has seen a majority.
+func (d *Daemon) ackMembers(group string, term uint64) ([]quorum.Member, string, bool) {
 	g, ok := d.view.Group(group)
 	if !ok {
 		return nil, "", false
 	}
-	primary := ""
+	primary, known := "", 0
 	members := make([]quorum.Member, 0, len(g.Slots))
 	for i := range g.Slots {
 		s := &g.Slots[i]
 		members = append(members, quorum.Member{Slot: s.Name, Incarnation: s.Status.Incarnation})
+		if s.Known {
+			known++
+		}
 		if s.Known && s.Status.Role == endpoint.RolePrimary && s.Status.Synced.Term == term {
 			primary = s.Name
 		}
 	}
-	return members, primary, primary != ""
+	return members, primary, primary != "" && known >= quorum.Majority(len(members))
 }
 
 // openSlot returns the opener of exchanges on a slot: this daemon's holder if it
@@ -292,7 +301,7 @@
 	}
 	var last exchange.Opener
 	for _, name := range slot.Holders {
-		peer, ok := d.peers[name]
+		peer, ok := d.peers.get(name)
 		if !ok {
 			continue
 		}
@@ -327,25 +336,6 @@
 	return d.link.Serve(ctx, d.listeners.link)
 }
 
-// watchPeer takes in the statuses that a peer observes.
-func (d *Daemon) watchPeer(ctx context.Context, name string, peer *hlink.Peer) error {
-	defer peer.Close()
-	for {
-		err := peer.Watch(ctx, func(o watch.Observation) {
-			d.view.Apply(o, time.Now())
-		})
-		if ctx.Err() != nil {
-			return nil
-		}
-		d.log.V(1).Info("watch of peer ended", "peer", name, "error", err.Error())
-		select {
-		case <-time.After(peerRetry):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 func (d *Daemon) feedOwnStatuses(ctx context.Context) error {
 	_ = d.hub.Watch(ctx, func(o watch.Observation) error {
 		d.view.Apply(o, time.Now())
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -3,11 +3,8 @@
 package devcluster
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -190,9 +187,6 @@
 				return err
 			}
 			c.Endpoints[g.Name][s.Name] = e
-			if err := announce(urls, g.Name, s.Name, e.Addr()); err != nil {
-				return err
-			}
 			if i == 0 {
 				primary = e.Addr()
 			}
@@ -212,19 +206,3 @@
 	}
 	return err
 }
-
-// announce tells the daemons where an endpoint is.
-func announce(urls []string, group, slot, addr string) error {
-	body, err := json.Marshal(map[string]string{"group": group, "slot": slot, "address": addr})
-	if err != nil {
-		return err
-	}
-	for _, url := range urls {
-		resp, err := http.Post(url+"/v1/announce", "application/json", bytes.NewReader(body))
-		if err != nil {
-			return err
-		}
-		_ = resp.Body.Close()
-	}
-	return nil
-}
--- a/internal/e2e/outcomes_test.go
+++ b/internal/e2e/outcomes_test.go
@@ -66,9 +66,19 @@
 	return d, cancel
 }
 
-func startEndpoint(t *testing.T, slot, follow string) *standin.Endpoint {
+// startEndpoint runs an endpoint that announces the address of via, if given.
+func startEndpoint(t *testing.T, slot, follow, daemonURL string, via *proxy) *standin.Endpoint {
 	t.Helper()
-	e, err := standin.Start(standin.Config{Group: "g", Slot: slot, ConnLimit: 20, Primary: follow == "", Follow: follow})
+	cfg := standin.Config{
+		Group: "g", Slot: slot, ConnLimit: 20, Primary: follow == "", Follow: follow,
+		Announce: []string{daemonURL},
+	}
+	if via != nil {
+		cfg.Addr = freeAddr(t)
+		cfg.Advertise = via.addr()
+		via.setTarget(cfg.Addr)
+	}
+	e, err := standin.Start(cfg)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = e.Close() })
 	return e
@@ -79,25 +89,24 @@
 	folder := writeFolder(t)
 	es := pathSettings(t, "e1", "a", folder, settings.RoleEntry)
 	hs := pathSettings(t, "h1", "b", folder, settings.RoleHolder)
-	p := &path{primary: startEndpoint(t, "s1", "")}
-	for _, slot := range []string{"s2", "s3"} {
-		p.replicas = append(p.replicas, startEndpoint(t, slot, p.primary.Addr()))
+	p := &path{
+		caller:   newProxy(t, es.Listen.Callers),
+		link:     newProxy(t, hs.Listen.Link),
+		endpoint: newProxy(t, ""),
 	}
-	p.caller = newProxy(t, es.Listen.Callers)
-	p.link = newProxy(t, hs.Listen.Link)
-	p.endpoint = newProxy(t, p.primary.Addr())
+	hs.Advertise = &pb.Listen{Link: p.link.addr()}
 	hs.Peers = []*pb.Peer{peerOf(es)}
-	throughProxy := peerOf(hs)
-	throughProxy.Link = p.link.addr()
-	es.Peers = []*pb.Peer{throughProxy}
+	es.Peers = []*pb.Peer{peerOf(hs)}
+	es.Peers[0].Link = p.link.addr()
 	p.holder, p.stopHolder = runDaemon(t, hs)
 	p.entry, _ = runDaemon(t, es)
 	for _, d := range []*pb.Settings{es, hs} {
-		spec := &daemonSpec{Name: d.Name, Listen: map[string]string{"admin": d.Listen.Admin}}
-		waitReady(t, spec)
-		announce(t, spec, "s1", p.endpoint.addr())
-		announce(t, spec, "s2", p.replicas[0].Addr())
-		announce(t, spec, "s3", p.replicas[1].Addr())
+		waitReady(t, &daemonSpec{Name: d.Name, Listen: map[string]string{"admin": d.Listen.Admin}})
+	}
+	url := p.entry.AdminURL()
+	p.primary = startEndpoint(t, "s1", "", url, p.endpoint)
+	for _, slot := range []string{"s2", "s3"} {
+		p.replicas = append(p.replicas, startEndpoint(t, slot, p.endpoint.target, url, nil))
 	}
 	return p
 }
@@ -112,7 +121,7 @@
 func (p *path) rows(t *testing.T, k string) (n int) {
 	t.Helper()
 	ctx := testContext(t)
-	conn, err := pgx.Connect(ctx, "postgres://app@"+p.primary.Addr()+"/db")
+	conn, err := pgx.Connect(ctx, "postgres://app@"+p.endpoint.target+"/db")
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close(ctx) }()
 	assert.NilError(t, conn.QueryRow(ctx, "SELECT count(*) FROM t WHERE k = $1", k).Scan(&n))
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -141,16 +141,6 @@
 	t.Fatalf("daemon %s is not ready", s.Name)
 }
 
-func announce(t *testing.T, s *daemonSpec, slot, addr string) {
-	t.Helper()
-	body, err := json.Marshal(map[string]string{"group": "g", "slot": slot, "address": addr})
-	assert.NilError(t, err)
-	resp, err := http.Post("http://"+s.Listen["admin"]+"/v1/announce", "application/json", strings.NewReader(string(body)))
-	assert.NilError(t, err)
-	_ = resp.Body.Close()
-	assert.Equal(t, resp.StatusCode, http.StatusNoContent)
-}
-
 // TestStatementThroughEntryAndHolderProcesses runs a caller with the default
 // settings of pgx through an entry and a holder in another process to stand-in
 // endpoints in processes of their own, then stops the entry gracefully.
@@ -161,19 +151,16 @@
 	holder := newSpec(t, "h1", "b", folder, "holder")
 	entry.knows(holder)
 	holder.knows(entry)
-	standin := filepath.Join(bin, "hemlockmast-standin")
-	s1 := start(t, standin, "--group", "g", "--slot", "s1", "--database", "db", "--primary")
-	addr := s1.Args[len(s1.Args)-1]
-	s2 := start(t, standin, "--group", "g", "--slot", "s2", "--database", "db", "--follow", addr)
-	s3 := start(t, standin, "--group", "g", "--slot", "s3", "--database", "db", "--follow", addr)
 	holder.run(t, bin)
 	process := entry.run(t, bin)
-	for _, d := range []*daemonSpec{holder, entry} {
-		waitReady(t, d)
-		announce(t, d, "s1", addr)
-		announce(t, d, "s2", s2.Args[len(s2.Args)-1])
-		announce(t, d, "s3", s3.Args[len(s3.Args)-1])
-	}
+	waitReady(t, holder)
+	waitReady(t, entry)
+	standin := filepath.Join(bin, "hemlockmast-standin")
+	url := "http://" + entry.Listen["admin"]
+	s1 := start(t, standin, "--group", "g", "--slot", "s1", "--database", "db", "--announce", url, "--primary")
+	addr := s1.Args[len(s1.Args)-1]
+	start(t, standin, "--group", "g", "--slot", "s2", "--database", "db", "--announce", url, "--follow", addr)
+	start(t, standin, "--group", "g", "--slot", "s3", "--database", "db", "--announce", url, "--follow", addr)
 
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
--- a/internal/e2e/proxy_test.go
+++ b/internal/e2e/proxy_test.go
@@ -34,14 +34,14 @@
 
 // proxy passes TCP connections on to a target.
 type proxy struct {
-	ln     net.Listener
-	target string
+	ln net.Listener
 
 	// mu guards the fields below.
-	mu   sync.Mutex
-	rule *rule
-	open map[net.Conn]struct{}
-	down bool
+	mu     sync.Mutex
+	target string
+	rule   *rule
+	open   map[net.Conn]struct{}
+	down   bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
@@ -59,6 +59,12 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
+func (p *proxy) setTarget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = addr
+}
+
 // arm sets the rule and returns the channel that is closed when it strikes.
 func (p *proxy) arm(r rule) <-chan struct{} {
 	p.mu.Lock()
@@ -98,7 +104,10 @@
 
 func (p *proxy) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,6 +139,7 @@
 	c.checkNames()
 	c.checkRoles()
 	c.checkListen()
+	c.checkAdvertise()
 	c.checkPeers()
 	c.checkLimits()
 	c.checkLog()
@@ -205,6 +206,34 @@
 	}
 }
 
+// checkAdvertise fills the advertised addresses from the listening ones.
+func (c *checker) checkAdvertise() {
+	listen := c.s.GetListen()
+	if listen == nil {
+		return
+	}
+	if c.s.Advertise == nil {
+		c.s.Advertise = &pb.Listen{}
+	}
+	a := c.s.Advertise
+	for _, f := range []struct {
+		name     string
+		value    *string
+		fallback string
+	}{
+		{"advertise.callers", &a.Callers, listen.Callers},
+		{"advertise.link", &a.Link, listen.Link},
+		{"advertise.admin", &a.Admin, listen.Admin},
+		{"advertise.heartbeat", &a.Heartbeat, listen.Heartbeat},
+	} {
+		if *f.value == "" {
+			*f.value = f.fallback
+		} else {
+			c.checkAddress(f.name, *f.value)
+		}
+	}
+}
+
 func (c *checker) checkClash(seen map[string]string, field, addr string) {
 	if addr == "" || strings.HasSuffix(addr, ":0") {
 		return
