--- a/internal/agree/explore_test.go
+++ b/internal/agree/explore_test.go
@@ -40,6 +40,8 @@
 		if s.survives(name) {
 			s.wipe(name)
 		}
+	case k < 870:
+		s.putBack()
 	case k < 880:
 		s.compact(p)
 	case k < 886:
@@ -95,6 +97,22 @@
 	return true
 }
 
+// putBack puts a disk that was taken away in place of the present one.
+func (s *sim) putBack() {
+	if len(s.lost) == 0 {
+		return
+	}
+	i := s.rng.IntN(len(s.lost))
+	old := s.lost[i]
+	p := s.procs[old.id.Name]
+	if !s.survives(old.id.Name) {
+		return
+	}
+	s.lost[i] = *p
+	s.lost[i].node = nil
+	*p = old
+}
+
 // enoughAlive reports whether a majority of voters remains without name.
 func (s *sim) enoughAlive(voters []ID, name string) bool {
 	alive := 0
@@ -121,6 +139,13 @@
 		if l == nil || l.log.commit < l.termStart {
 			return false
 		}
+		for _, name := range s.names {
+			// The operator formats a removed incarnation's folder anew.
+			if wasRemoved(l.Status().Membership, s.procs[name].id) {
+				s.wipe(name)
+				s.start(name)
+			}
+		}
 		if !proposed {
 			proposed = s.propose(l)
 			return false
@@ -150,7 +175,11 @@
 		return
 	}
 	s.deliver(m)
-	s.work(s.procs[m.To.Name], 0)
+	crashAt := 0
+	if s.rng.IntN(60) == 0 {
+		crashAt = 1 + s.rng.IntN(2)
+	}
+	s.work(s.procs[m.To.Name], crashAt)
 }
 
 // TestExplore runs recorded seeds of random schedules over groups of 3 and 5.
--- /dev/null
+++ b/internal/agree/faults_test.go
@@ -0,0 +1,376 @@
+package agree
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	agreepb "hemlockmast/api/agree"
+)
+
+// others returns the names without those given.
+func (s *sim) others(not ...string) []string {
+	var list []string
+	for _, name := range s.names {
+		keep := true
+		for _, n := range not {
+			keep = keep && n != name
+		}
+		if keep {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// commit proposes at the leader and waits until it is applied there.
+func (s *sim) commit(t *testing.T, count int) {
+	t.Helper()
+	for range count {
+		l := s.leader()
+		assert.Assert(t, l != nil && s.propose(l))
+		p, index := s.procs[l.cfg.Self.Name], l.log.last()
+		assert.Assert(t, s.settle(100, func() bool { return p.applied >= index }))
+	}
+}
+
+func (s *sim) rest(t *testing.T) {
+	t.Helper()
+	assert.Assert(t, s.heal(), "%s", s)
+}
+
+// TestFaults makes each fault happen and then ends it. After every row the
+// group must come to rest with all that was committed, and the invariants that
+// sim checks at every step must have held.
+func TestFaults(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		procs []string
+		fault func(t *testing.T, s *sim)
+	}{
+		{"leader cut off for long", []string{"a", "b", "c"}, cutOffLeader},
+		{"repaired voter, second lost before it caught up", []string{"a", "b", "c"}, secondLoss},
+		{"repaired voter a learner, second lost", []string{"a", "b", "c"}, secondLossOfLearner},
+		{"two elections at once", []string{"a", "b", "c", "d", "e"}, elections},
+		{"all restarted after 500 changes", []string{"a", "b", "c"}, restartAll},
+		{"old disk put back", []string{"a", "b", "c"}, oldDisk},
+		{"cut-off voter returns", []string{"a", "b", "c"}, quietReturn},
+		{"one-way cut", []string{"a", "b", "c"}, oneWay},
+		{"late snapshot", []string{"a", "b", "c"}, lateSnapshot},
+		{"voter that does not hear the leader", []string{"a", "b", "c"}, deafVoter},
+		{"voter of a higher term", []string{"a", "b", "c"}, higherTerm},
+		{"change that is overwritten", []string{"a", "b", "c"}, overwrittenChange},
+		{"restart between two candidates of a term", []string{"a", "b", "c"}, votesOnce},
+		{"entry of a former term on a majority", []string{"a", "b", "c"}, formerTerm},
+		{"removal of the leader", []string{"a", "b", "c", "d", "e"}, removedLeader},
+		{"changes that must be refused", []string{"a", "b", "c"}, refusedChanges},
+		{"member lost its log under the same incarnation", []string{"a", "b", "c"}, forgetful},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 10; seed++ {
+				s := formed(t, seed, row.procs...)
+				row.fault(t, s)
+				assert.Equal(t, s.failure, "", "seed %d", seed)
+			}
+		})
+	}
+}
+
+func cutOffLeader(t *testing.T, s *sim) {
+	old := s.leader()
+	name, term := old.cfg.Self.Name, old.term
+	s.isolate(name, true)
+	assert.Assert(t, s.propose(old))
+	lost := old.log.last()
+	assert.NilError(t, s.read(old)) // taken while it still believes it leads
+	confirmed := s.confirmed
+	elected := func() bool { l := s.leader(); return l != nil && l != old && l.log.commit >= l.termStart }
+	assert.Assert(t, s.settle(100, elected))
+	s.commit(t, 5)
+	assert.Assert(t, s.settle(40, func() bool { return old.role != Leader }))
+	var notLeader *NotLeaderError
+	assert.Assert(t, errors.As(s.read(old), &notLeader))
+	assert.Equal(t, s.confirmed, confirmed)
+	assert.Equal(t, s.refused, 1)
+	s.settle(200, func() bool { return false })
+	assert.Equal(t, old.term, term, "a cut-off member must not raise its term")
+	s.rest(t)
+	got, _ := old.log.term(lost)
+	assert.Assert(t, got != term, "the uncommitted proposal must be gone")
+}
+
+// behind makes c miss entries that a majority of a and b holds, a leading.
+func behind(t *testing.T, s *sim) (a, b, c string) {
+	a = s.leader().cfg.Self.Name
+	rest := s.others(a)
+	b, c = rest[0], rest[1]
+	s.isolate(c, true)
+	s.commit(t, 3)
+	return a, b, c
+}
+
+func secondLoss(t *testing.T, s *sim) {
+	a, b, c := behind(t, s)
+	s.wipe(b)
+	s.start(b)
+	s.crash(a)
+	s.isolate(c, false)
+	stuck(t, s)
+	s.start(a)
+	s.rest(t)
+}
+
+func secondLossOfLearner(t *testing.T, s *sim) {
+	a, b, c := behind(t, s)
+	s.wipe(b)
+	s.start(b)
+	leader := s.procs[a].node
+	assert.NilError(t, leader.AddLearner(s.procs[b].id, b))
+	s.work(s.procs[a], 0) // in a's log, on its way to b, never committed
+	s.crash(a)
+	s.isolate(c, false)
+	stuck(t, s)
+	s.start(a)
+	s.rest(t)
+}
+
+// stuck asserts that no leader comes up and nothing is committed.
+func stuck(t *testing.T, s *sim) {
+	t.Helper()
+	committed := s.committed
+	assert.Assert(t, !s.settle(300, func() bool { return s.leader() != nil }), "%s", s)
+	assert.Equal(t, s.committed, committed)
+}
+
+func elections(t *testing.T, s *sim) {
+	s.crash(s.leader().cfg.Self.Name)
+	for range 3 {
+		for _, name := range s.names {
+			if n := s.procs[name].node; n != nil {
+				n.drawElectionWait()
+				n.sinceContact, n.electionWait = 20, 21
+				n.leader = ID{}
+			}
+		}
+		s.round() // all stand in the same tick
+	}
+	s.rest(t)
+}
+
+func restartAll(t *testing.T, s *sim) {
+	for i := range 500 {
+		s.commit(t, 1)
+		if i%120 == 50 {
+			s.compact(s.procs[s.names[i%len(s.names)]])
+		}
+	}
+	committed := s.committed
+	for _, name := range s.names {
+		s.crash(name)
+	}
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.rest(t)
+	for _, name := range s.names {
+		assert.Assert(t, s.procs[name].applied > committed)
+	}
+}
+
+func oldDisk(t *testing.T, s *sim) {
+	name := s.others(s.leader().cfg.Self.Name)[0]
+	old := *s.procs[name]
+	s.wipe(name)
+	s.start(name)
+	s.rest(t)
+	replacement := *s.procs[name]
+	*s.procs[name] = old
+	s.start(name)
+	s.settle(100, func() bool { return false })
+	var change *ChangeError
+	err := s.leader().AddLearner(old.id, name)
+	assert.Assert(t, errors.As(err, &change) && change.Reason == ChangeWasRemoved, "%v", err)
+	assert.Assert(t, Find(s.leader().Status().Membership, old.id) == nil)
+	*s.procs[name] = replacement
+	s.start(name)
+	s.rest(t)
+}
+
+func quietReturn(t *testing.T, s *sim) {
+	l := s.leader()
+	s.isolate(s.others(l.cfg.Self.Name)[0], true)
+	s.settle(200, func() bool { return false })
+	clear(s.cut)
+	s.settle(50, func() bool { return false })
+	assert.Assert(t, s.leader() == l, "a returning voter must not unseat the leader")
+	s.rest(t)
+}
+
+func oneWay(t *testing.T, s *sim) {
+	old := s.leader()
+	for _, other := range s.others(old.cfg.Self.Name) {
+		s.cut[[2]string{other, old.cfg.Self.Name}] = true // it speaks and hears nothing
+	}
+	assert.Assert(t, s.settle(100, func() bool { return s.leader() != nil && s.leader() != old }))
+	s.commit(t, 2)
+	s.rest(t)
+}
+
+func deafVoter(t *testing.T, s *sim) {
+	l := s.leader()
+	deaf := s.others(l.cfg.Self.Name)[0]
+	s.cut[[2]string{l.cfg.Self.Name, deaf}] = true
+	s.settle(200, func() bool { return false })
+	assert.Assert(t, s.leader() == l, "a voter that a quorum need not hear must not unseat the leader")
+	s.rest(t)
+}
+
+func higherTerm(t *testing.T, s *sim) {
+	name := s.others(s.leader().cfg.Self.Name)[0]
+	s.isolate(name, true)
+	s.procs[name].node.campaign(Candidate) // as if its pre-vote had just been won
+	s.work(s.procs[name], 0)
+	s.rest(t)
+}
+
+func overwrittenChange(t *testing.T, s *sim) {
+	old := s.leader()
+	name := old.cfg.Self.Name
+	s.isolate(name, true)
+	assert.NilError(t, old.Remove(s.others(name)[0]))
+	assert.Equal(t, len(old.voters()), 2)
+	assert.Assert(t, s.settle(100, func() bool { return s.leader() != nil && s.leader() != old }))
+	s.rest(t)
+	assert.Equal(t, len(old.voters()), 3)
+}
+
+func votesOnce(t *testing.T, s *sim) {
+	l := s.leader()
+	names := s.others(l.cfg.Self.Name)
+	p, other := s.procs[names[0]], s.procs[names[1]]
+	s.crash(l.cfg.Self.Name)
+	for i, candidate := range []ID{other.id, l.cfg.Self} {
+		s.crash(p.id.Name)
+		s.start(p.id.Name) // knows no leader, so only its vote can refuse
+		s.net = nil
+		s.deliver(&agreepb.Message{
+			Kind: agreepb.MessageKind_MESSAGE_KIND_VOTE, Group: simGroup, Term: 50,
+			From: candidate.Proto(), To: p.id.Proto(), LogIndex: 99, LogTerm: 49,
+		})
+		s.work(p, 0)
+		assert.Equal(t, s.net[0].Refused, i == 1)
+	}
+	s.net = nil
+	s.rest(t)
+}
+
+func formerTerm(t *testing.T, s *sim) {
+	old := s.leader()
+	s.isolate(old.cfg.Self.Name, true)
+	assert.Assert(t, s.propose(old))
+	s.work(s.procs[old.cfg.Self.Name], 0)
+	s.net = nil
+	index := old.log.last()
+	old.becomeFollower(old.term, ID{})
+	old.campaign(Candidate)
+	old.countVote(s.procs[s.others(old.cfg.Self.Name)[0]].id)
+	for old.HasReady() { // outside of sim, which must not see this leader
+		old.Ready()
+		old.Advance()
+	}
+	for _, name := range s.others(old.cfg.Self.Name) {
+		assert.NilError(t, old.Step(&agreepb.Message{
+			Kind: agreepb.MessageKind_MESSAGE_KIND_APPEND_REPLY, Group: simGroup, Term: old.term,
+			From: s.procs[name].id.Proto(), To: old.cfg.Self.Proto(), LogIndex: index,
+		}))
+	}
+	assert.Assert(t, old.role == Leader && old.log.commit < index)
+	s.crash(old.cfg.Self.Name) // the vote and the answers were made up
+	s.rest(t)
+}
+
+func lateSnapshot(t *testing.T, s *sim) {
+	l := s.leader()
+	p, f := s.procs[l.cfg.Self.Name], s.procs[s.others(l.cfg.Self.Name)[0]]
+	s.commit(t, 2)
+	s.compact(p)
+	late := &agreepb.Message{
+		Kind: agreepb.MessageKind_MESSAGE_KIND_SNAPSHOT, Group: simGroup, Term: l.term,
+		From: p.id.Proto(), To: f.id.Proto(), Snapshot: l.log.snapshot,
+	}
+	// f holds the snapshot's last entry and one more, and knows of no commit.
+	s.commit(t, 1)
+	s.crash(f.id.Name)
+	f.disk.HardState.Commit = 0
+	s.start(f.id.Name)
+	last := f.node.log.last()
+	s.deliver(late)
+	s.work(f, 0)
+	assert.Equal(t, f.node.log.last(), last, "a promised entry was dropped")
+	s.rest(t)
+}
+
+func removedLeader(t *testing.T, s *sim) {
+	old := s.leader()
+	assert.NilError(t, old.Remove(old.cfg.Self.Name))
+	assert.Assert(t, s.settle(100, func() bool { l := s.leader(); return l != nil && l != old }))
+	assert.Assert(t, !old.isVoter())
+	assert.Equal(t, len(s.leader().voters()), 4)
+	s.rest(t)
+}
+
+func refusedChanges(t *testing.T, s *sim) {
+	l := s.leader()
+	reason := func(err error) ChangeReason {
+		var change *ChangeError
+		assert.Assert(t, errors.As(err, &change), "%v", err)
+		return change.Reason
+	}
+	assert.Equal(t, reason(l.Remove("nobody")), ChangeNoSuchMember)
+	assert.NilError(t, l.AddLearner(ID{"x", 99}, "x:1"))
+	assert.NilError(t, l.AddLearner(ID{"x", 99}, "x:1")) // repeated
+	assert.Equal(t, reason(l.Remove("x")), ChangeInProgress)
+	s.rest(t)
+	l = s.leader()
+	others := s.others(l.cfg.Self.Name)
+	s.crash(others[0])
+	for range l.cfg.ElectionTicks {
+		s.round()
+	}
+	assert.Equal(t, reason(l.Remove(others[1])), ChangeLosesQuorum)
+	l.termStart = l.log.commit + 1
+	var notReady *NotReadyError
+	assert.Assert(t, errors.As(l.Remove(others[0]), &notReady))
+	assert.Assert(t, errors.As(l.ReadIndex(1), &notReady))
+	l.termStart = 0
+	var tooLarge *TooLargeError
+	_, err := l.Propose(make([]byte, MaxCommandBytes+1))
+	assert.Assert(t, errors.As(err, &tooLarge))
+	var busy *BusyError
+	for err = nil; err == nil; {
+		_, err = l.Propose(make([]byte, MaxCommandBytes))
+	}
+	assert.Assert(t, errors.As(err, &busy))
+}
+
+// forgetful breaks the rule that a lost disk brings a new incarnation. The
+// loss must be told by *InvariantError rather than hidden.
+func forgetful(t *testing.T, s *sim) {
+	a, b, c := behind(t, s)
+	id := s.procs[b].id
+	s.wipe(b)
+	s.procs[b].id = id
+	old := s.procs[c].disk
+	s.procs[b].disk = State{HardState: old.HardState, Snapshot: old.Snapshot, Entries: old.Entries}
+	s.start(b)
+	s.crash(a)
+	s.isolate(c, false)
+	s.settle(300, func() bool { return s.leader() != nil })
+	assert.Assert(t, s.failure != "", "the check must see the lost entry")
+	s.failure = ""
+	s.start(a)
+	s.settle(200, func() bool { return false })
+	assert.Assert(t, s.failure != "", "the conflict must be told")
+	s.failure = ""
+}
--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -161,13 +161,15 @@
 		Messages: n.messages,
 		Reads:    n.readResults,
 	}
-	if n.savedTerm != n.term || n.savedVote != n.vote || n.installed != nil {
+	// The commit index travels along whenever something is saved. No promise
+	// rests on it, but it lets a restarted member notice a conflict.
+	if n.savedTerm != n.term || n.savedVote != n.vote || n.installed != nil || len(rd.Entries) > 0 {
 		rd.HardState = n.HardState()
 	}
-	// An entry is applied only once it is durable here, so that a restart
-	// cannot go back behind what was shown.
+	// Entries holds all that is not durable, and is saved first: what is
+	// applied is durable here.
 	if n.installed == nil {
-		rd.Committed = n.stableCommitted(rd.Entries)
+		rd.Committed = n.log.committed(maxAppendBytes)
 	}
 	n.given = &rd
 	return rd
@@ -177,19 +179,6 @@
 // amount is bounded by MaxUncommittedBytes and by the size of an append.
 const maxReadyBytes = 1 << 40
 
-// stableCommitted returns committed entries that are durable once saved is.
-func (n *Node) stableCommitted(saved []*agreepb.Entry) []*agreepb.Entry {
-	stable := n.log.stable
-	if len(saved) > 0 {
-		stable = saved[len(saved)-1].Index
-	}
-	list := n.log.committed(maxAppendBytes)
-	for len(list) > 0 && list[len(list)-1].Index > stable {
-		list = list[:len(list)-1]
-	}
-	return list
-}
-
 // HardState returns the state that a save of the present Ready must hold.
 func (n *Node) HardState() *agreepb.HardState {
 	return &agreepb.HardState{Term: n.term, Vote: n.vote.Proto(), Commit: n.log.commit}
--- a/internal/agree/sim_test.go
+++ b/internal/agree/sim_test.go
@@ -48,6 +48,7 @@
 	refused   int
 	failure   string
 	reckless  bool
+	lost      []process // with disks taken away
 }
 
 // String describes every process, for failure messages.
@@ -97,8 +98,13 @@
 	}
 }
 
+// wipe takes the process's disk away and puts an empty one in.
 func (s *sim) wipe(name string) {
 	s.nextLife++
+	if old := *s.procs[name]; old.id.Name != "" {
+		old.node = nil
+		s.lost = append(s.lost, old)
+	}
 	*s.procs[name] = process{id: ID{name, s.nextLife}}
 }
 
@@ -140,7 +146,7 @@
 // work handles Readys until there is none. crashAt, when 1 or 2, stops the
 // process before the save or between the save and the sends.
 func (s *sim) work(p *process, crashAt int) {
-	for p.node != nil && p.node.HasReady() {
+	for p != nil && p.node != nil && p.node.HasReady() {
 		rd := p.node.Ready()
 		if crashAt == 1 {
 			p.node = nil
@@ -215,7 +221,7 @@
 
 func (s *sim) deliver(m *agreepb.Message) {
 	p := s.procs[m.To.Name]
-	if p.node == nil || s.cut[[2]string{m.From.Name, m.To.Name}] {
+	if p == nil || p.node == nil || s.cut[[2]string{m.From.Name, m.To.Name}] {
 		return
 	}
 	if err := p.node.Step(m); err != nil {
--- a/internal/agree/types.go
+++ b/internal/agree/types.go
@@ -109,7 +109,7 @@
 // Ready is the work that a Node asks for. See the package comment for the
 // order in which it is done.
 type Ready struct {
-	// HardState is nil when term and vote are unchanged.
+	// HardState is nil when nothing has to be saved.
 	HardState *agreepb.HardState
 	// Snapshot, when set, replaces the log and the applied state; Entries then
 	// holds every entry after it.
