Silent connections, callers that leave or do not read, graceful stop: tests

Every open connection of a hop goes silent while new ones work: statements with 500 ms of deadline work again through new connections, none doubled (endpoint and link). A caller that reads nothing held its endpoint connection for ever: the answer now has a write deadline. An abandoned statement frees its connection; stopping entry or holder lets a transaction and a statement end and tells idle callers to reconnect (57P01). internal/e2e passes in 8 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,6 +159,9 @@
 // AdminURL returns the base URL for operators and announcements.
 func (d *Daemon) AdminURL() string { return "http://" + d.listeners.admin.Addr().String() }
 
+// HolderUsage returns the use of the connections that this daemon holds.
+func (d *Daemon) HolderUsage() map[holder.SlotID]holder.Usage { return d.holder.Usage() }
+
 // Run runs the daemon until ctx ends, then stops it gracefully: callers are
 // drained first, the rest serves them until the end.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/e2e/outcomes_test.go
+++ b/internal/e2e/outcomes_test.go
@@ -27,7 +27,7 @@
 	caller, link, endpoint *proxy
 	primary                *standin.Endpoint
 	replicas               []*standin.Endpoint
-	stopHolder             context.CancelFunc
+	stopEntry, stopHolder  context.CancelFunc
 }
 
 // peerOf returns the peer entry for a daemon with settings s.
@@ -99,7 +99,7 @@
 	es.Peers = []*pb.Peer{peerOf(hs)}
 	es.Peers[0].Link = p.link.addr()
 	p.holder, p.stopHolder = runDaemon(t, hs)
-	p.entry, _ = runDaemon(t, es)
+	p.entry, p.stopEntry = runDaemon(t, es)
 	for _, d := range []*pb.Settings{es, hs} {
 		waitReady(t, &daemonSpec{Name: d.Name, Listen: map[string]string{"admin": d.Listen.Admin}})
 	}
--- a/internal/e2e/proxy_test.go
+++ b/internal/e2e/proxy_test.go
@@ -40,7 +40,7 @@
 	mu     sync.Mutex
 	target string
 	rule   *rule
-	open   map[net.Conn]struct{}
+	open   map[net.Conn]func()
 	down   bool
 }
 
@@ -48,7 +48,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := &proxy{ln: ln, target: target, open: map[net.Conn]struct{}{}}
+	p := &proxy{ln: ln, target: target, open: map[net.Conn]func(){}}
 	go p.accept()
 	t.Cleanup(func() {
 		_ = ln.Close()
@@ -92,6 +92,15 @@
 	}
 }
 
+// silenceAll makes the open connections silent; new ones work.
+func (p *proxy) silenceAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hush := range p.open {
+		hush()
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		client, err := p.ln.Accept()
@@ -117,16 +126,17 @@
 		p.mu.Unlock()
 		return
 	}
-	p.open[client] = struct{}{}
+	silent := make(chan struct{})
+	var once sync.Once
+	hush := func() { once.Do(func() { close(silent) }) }
+	p.open[client] = hush
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		delete(p.open, client)
 		p.mu.Unlock()
 	}()
-	silent := make(chan struct{})
-	var once sync.Once
-	link := &pipe{p: p, client: client, server: server, silent: silent, hush: func() { once.Do(func() { close(silent) }) }}
+	link := &pipe{p: p, client: client, server: server, silent: silent, hush: hush}
 	done := make(chan struct{}, 2)
 	go func() { link.copy(server, client, true); done <- struct{}{} }()
 	go func() { link.copy(client, server, false); done <- struct{}{} }()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// answerGrace is the time beyond the deadline in which an answer is written.
+	answerGrace = time.Second
 	// minRetryPause and maxRetryPause bound the wait before a segment is sent
 	// again; it doubles with each try.
 	minRetryPause = 2 * time.Millisecond
@@ -34,6 +36,9 @@
 		return err
 	}
 	a := sess.newAttempt(seg)
+	// A caller that does not read its answer must not hold an endpoint connection
+	// for longer than its deadline.
+	_ = sess.conn.SetWriteDeadline(a.deadline.Add(answerGrace))
 	if refusal := a.checkRequest(); refusal != nil {
 		return a.writeFailure(refusal)
 	}
