--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/holder"
 	hlink "hemlockmast/internal/link"
+	"hemlockmast/internal/membership/assign"
+	"hemlockmast/internal/membership/runner"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/routing"
 	"hemlockmast/internal/servicefile"
@@ -40,8 +43,6 @@
 	directoryTimeout = time.Second
 	// dialTimeout bounds a connection to an endpoint.
 	dialTimeout = 2 * time.Second
-	// peerRetry is the wait after a failed watch of a peer.
-	peerRetry = 100 * time.Millisecond
 	// shutdownTimeout bounds the end of the admin server.
 	shutdownTimeout = time.Second
 )
@@ -58,11 +59,13 @@
 	holder  *holder.Holder
 	catalog *catalog
 	entry   *entry.Server
+	link    *hlink.Server
 	// directory keeps the floors of named sessions; directoryServer is this
 	// daemon's part of it.
 	directory       *directoryrpc.Client
 	directoryServer *directoryrpc.Server
-	peers           map[string]*hlink.Peer
+	members         *runner.Runner
+	peers           *peerSet
 	ready           atomic.Bool
 	seq             atomic.Uint64
 
@@ -97,16 +100,18 @@
 		view:        slotview.New(),
 		hub:         watch.NewHub(),
 		catalog:     newCatalog(),
-		peers:       map[string]*hlink.Peer{},
+		peers:       newPeerSet(s.Name),
 		watchers:    map[slotKey]*runningWatcher{},
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	for _, p := range s.Peers {
-		d.peers[p.Name] = hlink.NewPeer(s.Name, p.Link)
+	members, err := runner.New(runner.Config{Self: self(s), Seeds: seeds(s)})
+	if err != nil {
+		return nil, err
 	}
-	d.acks = acks.New(d.members)
+	d.members = members
+	d.acks = acks.New(d.ackMembers)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
@@ -114,6 +119,7 @@
 		Floors: d.view,
 		Log:    d.log,
 	})
+	d.link = &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
 	keys, err := session.NewKeys(session.Key{ID: 1, Secret: s.TokenKey})
 	if err != nil {
 		return nil, err
@@ -153,9 +159,15 @@
 // AdminURL returns the base URL for operators and announcements.
 func (d *Daemon) AdminURL() string { return "http://" + d.listeners.admin.Addr().String() }
 
+// HolderUsage returns the use of the connections that this daemon holds.
+func (d *Daemon) HolderUsage() map[holder.SlotID]holder.Usage { return d.holder.Usage() }
+
 // Run runs the daemon until ctx ends, then stops it gracefully: callers are
 // drained first, the rest serves them until the end.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.loadConfiguration(); err != nil {
+		return err
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	g, serving := errgroup.WithContext(serving)
@@ -164,22 +176,30 @@
 	g.Go(func() error { return d.serveLink(serving) })
 	g.Go(func() error { return d.serveAdmin(serving) })
 	g.Go(func() error { return d.manageWatchers(serving) })
-	for name, peer := range d.peers {
-		g.Go(func() error { return d.watchPeer(serving, name, peer) })
-	}
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
-	if err := d.loadConfiguration(); err != nil {
-		stopServing()
-		_ = g.Wait()
-		return err
-	}
+	g.Go(func() error { return d.members.Run(serving) })
+	g.Go(func() error { return d.followMembership(serving) })
 	g.Go(func() error {
 		defer stopServing()
-		if d.listeners.callers == nil {
-			<-ctx.Done()
-			return nil
-		}
-		return d.entry.Serve(ctx, d.listeners.callers)
+		return d.serveUntilDrained(ctx)
+	})
+	return g.Wait()
+}
+
+// serveUntilDrained serves callers and other entries until ctx ends, then lets
+// both finish what is in progress, bounded by the drain timeout.
+func (d *Daemon) serveUntilDrained(ctx context.Context) error {
+	var g errgroup.Group
+	if d.listeners.callers != nil {
+		g.Go(func() error { return d.entry.Serve(ctx, d.listeners.callers) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		d.ready.Store(false)
+		drain, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+		defer cancel()
+		d.link.Drain(drain)
+		return nil
 	})
 	return g.Wait()
 }
@@ -200,6 +220,7 @@
 func (d *Daemon) apply(cfg *service.Configuration) {
 	d.catalog.set(cfg)
 	d.view.SetConfiguration(cfg)
+	d.members.SetSlots(slotIDs(cfg))
 	shares := map[string]int{}
 	for _, s := range cfg.Services {
 		if s.Connections != nil {
@@ -213,12 +234,14 @@
 
 // reassign computes which slots this daemon holds.
 func (d *Daemon) reassign() {
-	members := d.holderMembers()
+	candidates := d.holderCandidates()
 	var mine []holder.Assignment
 	for _, g := range d.view.Groups() {
 		for i := range g.Slots {
 			slot := &g.Slots[i]
-			names := chooseHolders(slot, members, d.settings.HoldersPerSlot)
+			names := assign.Holders(assign.Slot{
+				Group: g.Name, Name: slot.Name, FailureDomain: slot.FailureDomain,
+			}, candidates, d.settings.HoldersPerSlot)
 			d.view.SetHolders(g.Name, slot.Name, names)
 			for index, name := range names {
 				if name == d.settings.Name && slot.Endpoint.Addr != "" {
@@ -235,37 +258,42 @@
 	d.setWatchers(mine)
 }
 
-func (d *Daemon) holderMembers() []member {
-	var members []member
+// holderCandidates returns the daemons that may hold connections. They come from
+// the settings, not from who is up: the share of a daemon that is cut off must
+// not be given to another while it may still use it.
+func (d *Daemon) holderCandidates() []assign.Candidate {
+	var list []assign.Candidate
 	if d.settings.Has(settings.RoleHolder) {
-		members = append(members, member{d.settings.Name, d.settings.FailureDomain})
+		list = append(list, assign.Candidate{Name: d.settings.Name, FailureDomain: d.settings.FailureDomain})
 	}
 	for _, p := range d.settings.Peers {
-		for _, role := range p.Roles {
-			if role == settings.RoleHolder {
-				members = append(members, member{p.Name, p.FailureDomain})
-			}
+		if slices.Contains(p.Roles, settings.RoleHolder) {
+			list = append(list, assign.Candidate{Name: p.Name, FailureDomain: p.FailureDomain})
 		}
 	}
-	return members
+	return list
 }
 
-// members implements acks.Members.
-func (d *Daemon) members(group string, term uint64) ([]quorum.Member, string, bool) {
+// ackMembers implements acks.Members. Without a control group the incarnations
+// are those that this daemon saw; it waits until it has seen a majority.
+func (d *Daemon) ackMembers(group string, term uint64) ([]quorum.Member, string, bool) {
 	g, ok := d.view.Group(group)
 	if !ok {
 		return nil, "", false
 	}
-	primary := ""
+	primary, known := "", 0
 	members := make([]quorum.Member, 0, len(g.Slots))
 	for i := range g.Slots {
 		s := &g.Slots[i]
 		members = append(members, quorum.Member{Slot: s.Name, Incarnation: s.Status.Incarnation})
+		if s.Known {
+			known++
+		}
 		if s.Known && s.Status.Role == endpoint.RolePrimary && s.Status.Synced.Term == term {
 			primary = s.Name
 		}
 	}
-	return members, primary, primary != ""
+	return members, primary, primary != "" && known >= quorum.Majority(len(members))
 }
 
 // openSlot returns the opener of exchanges on a slot: this daemon's holder if it
@@ -276,7 +304,7 @@
 	}
 	var last exchange.Opener
 	for _, name := range slot.Holders {
-		peer, ok := d.peers[name]
+		peer, ok := d.peers.get(name)
 		if !ok {
 			continue
 		}
@@ -308,27 +336,7 @@
 func incarnationNumber() uint64 { return uint64(time.Now().UnixNano()) }
 
 func (d *Daemon) serveLink(ctx context.Context) error {
-	server := &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
-	return server.Serve(ctx, d.listeners.link)
-}
-
-// watchPeer takes in the statuses that a peer observes.
-func (d *Daemon) watchPeer(ctx context.Context, name string, peer *hlink.Peer) error {
-	defer peer.Close()
-	for {
-		err := peer.Watch(ctx, func(o watch.Observation) {
-			d.view.Apply(o, time.Now())
-		})
-		if ctx.Err() != nil {
-			return nil
-		}
-		d.log.V(1).Info("watch of peer ended", "peer", name, "error", err.Error())
-		select {
-		case <-time.After(peerRetry):
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	return d.link.Serve(ctx, d.listeners.link)
 }
 
 func (d *Daemon) feedOwnStatuses(ctx context.Context) error {
