--- a/internal/failover/driver/standin_test.go
+++ b/internal/failover/driver/standin_test.go
@@ -87,8 +87,11 @@
 	c.cancel = cancel
 	terms := newTerms()
 	terms.last["g"], terms.members["g"] = 1, current.Members
+	timing := failover.DefaultTiming()
+	timing.Follow = 100 * time.Millisecond // what comes later is corrected
 	d, err := New(ctx, Config{
-		Promoter: "p1", Connect: c.connect, Terms: terms, Confirmer: c, Announcer: c, Recorder: c,
+		Promotion: timing,
+		Promoter:  "p1", Connect: c.connect, Terms: terms, Confirmer: c, Announcer: c, Recorder: c,
 		Address: func(_, slot string) (string, bool) { return c.eps[slot].Addr(), true },
 	})
 	assert.NilError(t, err)
@@ -273,6 +276,16 @@
 	})
 }
 
+// awaitDone waits until the promotion no longer waits for any slot.
+func (c *cluster) awaitDone() {
+	c.t.Helper()
+	c.eventually("promotion done", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return slices.ContainsFunc(c.events, func(e Event) bool { return e.Kind == PromotionDone })
+	})
+}
+
 // rows returns the rows at slot.
 func (c *cluster) rows(slot string) []int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -333,6 +346,7 @@
 				c.eps[s].PauseReplication(false)
 			}
 			c.gap()
+			c.awaitDone()
 			assert.NilError(c.t, c.eps["a"].Restart())
 			c.converge()
 			assert.Assert(c.t, !slices.Contains(c.rows("a"), tail))
@@ -341,6 +355,7 @@
 			old := c.primary
 			c.eps["a"].Freeze()
 			c.gap()
+			c.awaitDone()
 			c.eps["a"].Thaw()
 			c.converge()
 			assert.Assert(c.t, c.primary.Term > old.Term)
@@ -348,12 +363,14 @@
 		{"one direction: the primary's answers are lost", func(c *cluster) {
 			c.eps["a"].Cut(standin.AnyPeer, standin.Out)
 			c.gap()
+			c.awaitDone()
 			c.eps["a"].Heal()
 			c.converge()
 		}},
 		{"one direction: nothing reaches the primary", func(c *cluster) {
 			c.eps["a"].Cut(standin.AnyPeer, standin.In)
 			c.gap()
+			c.awaitDone()
 			c.eps["a"].Heal()
 			c.converge()
 		}},
