--- a/internal/failover/driver/driver_test.go
+++ b/internal/failover/driver/driver_test.go
@@ -228,6 +228,32 @@
 	})
 }
 
+func TestRemovedGroupsGiveTheirTurnsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const groups, limit = 50, 4
+		ctx, cancel := context.WithCancel(t.Context())
+		net := newNet(groups)
+		r := newRig(t, ctx, net, newTerms(), "p", limit)
+		for g := range groups {
+			r.driver.Add(groupName(g), firstPrimary())
+			net.with(groupName(g), "a", func(e *fakeEndpoint) { e.down = true })
+			for _, d := range []string{"d1", "d2"} {
+				r.driver.Report(groupName(g), suspect.Report{Observer: d, Domain: d, Slot: "a", Level: suspect.Undialable})
+			}
+		}
+		for g := range groups - 1 {
+			time.Sleep(time.Duration(g%5) * time.Millisecond)
+			r.driver.Remove(groupName(g))
+		}
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(r.driver.turns), 0)
+		assert.Equal(t, r.primary().Term, uint64(2), "the group that stayed")
+		cancel()
+		assert.NilError(t, r.driver.Wait())
+	})
+}
+
 func TestConfigError(t *testing.T) {
 	_, err := New(t.Context(), Config{Promoter: "p"})
 	e, ok := err.(*ConfigError)
--- a/internal/failover/driver/group.go
+++ b/internal/failover/driver/group.go
@@ -17,8 +17,6 @@
 	heard    struct{ event suspect.Event }
 	observed struct{ status endpoint.Status }
 	known    struct{ current failover.Current }
-	// turn says that the group may run a promotion now.
-	turn struct{}
 	// allocated is the answer to the request for a term.
 	allocated struct {
 		Allocation
@@ -50,6 +48,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  chan message
+	// turn hands the group a place among the running promotions. It is
+	// unbuffered, so that a place is either taken by run or given back.
+	turn chan struct{}
 
 	current failover.Current
 	judge   *suspect.Judge
@@ -76,6 +77,7 @@
 	g := &group{
 		d: d, name: name, current: current,
 		queue:     make(chan message, queueLength),
+		turn:      make(chan struct{}),
 		judge:     suspect.NewJudge(current.Primary, d.cfg.Suspicion),
 		seen:      map[string]string{},
 		corrected: map[string]time.Time{},
@@ -101,6 +103,8 @@
 		select {
 		case m := <-g.queue:
 			m.handle(g)
+		case <-g.turn:
+			g.takeTurn()
 		case <-timer.C:
 			g.tick()
 		case <-g.ctx.Done():
@@ -197,7 +201,7 @@
 		select {
 		case g.d.turns <- struct{}{}:
 			select {
-			case g.queue <- turn{}:
+			case g.turn <- struct{}{}:
 			case <-g.ctx.Done():
 				<-g.d.turns
 			}
@@ -207,7 +211,7 @@
 	})
 }
 
-func (turn) handle(g *group) {
+func (g *group) takeTurn() {
 	if g.stage != queued {
 		<-g.d.turns
 		return
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -324,6 +324,9 @@
 			break
 		}
 		b = append(b, byte(s.state))
+		if s.state == slotRefused && s.fencedTerm <= m.cfg.Term {
+			b = append(b, 0xfe)
+		}
 		if s.state == slotGranted && m.phase == phaseFencing {
 			b = append(b, s.status.Incarnation...)
 			b = append(b, byte(s.status.Synced.Term), byte(s.status.Synced.Index))
