Pools never exceed their limit; silent connections are found in mid-statement

Cause 1: the pool counted a connection as closed before it was; the property test TestPoolNeverExceedsItsLimit saw 9 open with a limit of 4. A place is now free once the connection is closed. Cause 2: a connection that went silent in mid-statement was found at the deadline only. Tests tell it from a slow statement by the reason in the answer.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"hemlockmast/internal/session/directoryrpc"
 )
@@ -12,6 +13,8 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /readyz", d.handleReady)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	d.members.Register(mux)
 	mux.Handle(directoryrpc.PathPrefix, d.directoryServer.Handler())
 	return mux
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,7 +117,9 @@
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
 		Ack:    d.acks,
 		Floors: d.view,
-		Log:    d.log,
+
+		Activity: d,
+		Log:      d.log,
 	})
 	d.link = &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
 	keys, err := session.NewKeys(session.Key{ID: 1, Secret: s.TokenKey})
--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/silence_test.go
@@ -153,3 +153,57 @@
 	_, err := conn.Exec(context.Background(), "SELECT 1")
 	assert.Assert(t, sqlState(err) == "57P01" || err == io.ErrUnexpectedEOF || conn.IsClosed(), fmt.Sprint(err))
 }
+
+// TestSilenceInStatementIsFoundBeforeTheDeadline tells a connection that went
+// silent in mid-statement from a slow statement. The reason in the answer shows
+// which of the two ended the wait.
+func TestSilenceInStatementIsFoundBeforeTheDeadline(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		rule rule
+	}{
+		{"request lost", rule{toServer: true, pattern: "INSERT", action: silence}},
+		{"answer lost", rule{toServer: false, pattern: "INSERT 0 1", action: silence}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			p := startPath(t)
+			ctx := testContext(t)
+			conn := connect(t, ctx, p.url(5*time.Second))
+			mustExec(t, ctx, conn, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+			p.endpoint.arm(tc.rule)
+			_, err := conn.Exec(ctx, "INSERT INTO t (k, v) VALUES ('a', 1)")
+			assert.Equal(t, told(err), toldUnknown)
+			assert.ErrorContains(t, err, "connection to the endpoint was lost")
+		})
+	}
+	t.Run("slow statement", func(t *testing.T) {
+		t.Parallel()
+		p := startPath(t)
+		ctx := testContext(t)
+		mustExec(t, ctx, connect(t, ctx, p.url(5*time.Second)), "SELECT pg_sleep(2.5)")
+	})
+}
+
+// TestEndpointThatCameBackEmptyServesNoFloor replaces the disk of the replica
+// that a session's reads go to: the session must not see the empty data.
+func TestEndpointThatCameBackEmptyServesNoFloor(t *testing.T) {
+	c := startCluster(t)
+	ctx := testContext(t)
+	writer := connect(t, ctx, url(c.Daemons[0])+"?hemlock.session_id=s1")
+	mustExec(t, ctx, writer, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+	mustExec(t, ctx, writer, "INSERT INTO t (k, v) VALUES ('a', 1)")
+	reader := connect(t, ctx, readerURL(c.Daemons[1], "hemlock.session_id=s1"))
+	for i := range 40 {
+		if i == 5 {
+			for _, slot := range []string{"s2", "s3"} {
+				e := c.Endpoints["g"][slot]
+				e.Kill()
+				assert.NilError(t, e.RestartEmpty())
+			}
+		}
+		n, err := countRow(ctx, reader, "a")
+		assert.NilError(t, err)
+		assert.Equal(t, n, 1, "read %d", i)
+	}
+}
--- a/internal/endpoint/contracttest/cases.go
+++ b/internal/endpoint/contracttest/cases.go
@@ -37,6 +37,8 @@
 	{"wait returns at a change", waitReturns},
 	{"the connection limit is the slot's", connectionLimit},
 	{"holders are listed while they have connections", holders},
+	{"a connection names the endpoint's incarnation", connectionIncarnation},
+	{"a connection is active while it runs a statement", activity},
 }
 
 func emptyEndpoint(g *group) {
@@ -353,3 +355,31 @@
 		}
 	}
 }
+
+func connectionIncarnation(g *group) {
+	conn := g.connect(0)
+	assert.Equal(g.t, conn.PgConn().ParameterStatus(endpoint.ParamIncarnation), g.status(0).Incarnation)
+}
+
+func activity(g *group) {
+	c, conn := g.control(0), g.connect(0)
+	active := func() bool {
+		on, err := c.Active(g.ctx, conn.PgConn().PID())
+		assert.NilError(g.t, err)
+		return on
+	}
+	assert.Assert(g.t, !active())
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(g.ctx, "SELECT pg_sleep(0.5)")
+		done <- err
+	}()
+	for !active() {
+		assert.NilError(g.t, g.ctx.Err())
+	}
+	assert.NilError(g.t, <-done)
+	assert.Assert(g.t, !active())
+	on, err := c.Active(g.ctx, 1<<31)
+	assert.NilError(g.t, err)
+	assert.Assert(g.t, !on)
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -33,6 +33,9 @@
 const (
 	// ParamHolder names the holder and its incarnation on each connection.
 	ParamHolder = "hemlock.holder"
+	// ParamIncarnation is the ParameterStatus by which an endpoint names its
+	// incarnation at the start of each connection.
+	ParamIncarnation = "hemlock.incarnation"
 	// ParamCommit is the ParameterStatus that an endpoint sends before
 	// ReadyForQuery after a transaction that wrote; its value is a logpos.Pos
 	// in text form: the position of the commit record.
@@ -98,6 +101,14 @@
 	Close() error
 }
 
+// ActivityReader is a Controller that can look at one connection.
+type ActivityReader interface {
+	// Active reports whether the connection of pid, the process id that the
+	// endpoint gave at its start, runs a statement. A connection that the
+	// endpoint does not know is not active.
+	Active(ctx context.Context, pid uint32) (bool, error)
+}
+
 // FencedError reports a command that an endpoint refused because of its term.
 type FencedError struct {
 	Term       uint64
--- a/internal/endpoint/pgcontrol/pgcontrol.go
+++ b/internal/endpoint/pgcontrol/pgcontrol.go
@@ -35,7 +35,10 @@
 // *endpoint.FencedError the connection is closed.
 type Controller struct{ conn *pgconn.PgConn }
 
-var _ endpoint.Controller = (*Controller)(nil)
+var (
+	_ endpoint.Controller     = (*Controller)(nil)
+	_ endpoint.ActivityReader = (*Controller)(nil)
+)
 
 // ConnectError reports that no contract connection could be opened. Code is the
 // endpoint's SQLSTATE, empty if it gave none.
@@ -158,6 +161,19 @@
 	return out, nil
 }
 
+// Active implements endpoint.ActivityReader.
+func (c *Controller) Active(ctx context.Context, pid uint32) (bool, error) {
+	command := wire.ActiveCommand(pid)
+	rows, err := c.rows(ctx, command)
+	if err != nil {
+		return false, err
+	}
+	if len(rows) != 1 || len(rows[0]) != len(wire.ActiveColumns) {
+		return false, c.malformed(command, &wire.MalformedError{What: "number of rows", Text: strconv.Itoa(len(rows))})
+	}
+	return rows[0][0] == "t", nil
+}
+
 func (c *Controller) command(ctx context.Context, command string) (endpoint.Status, error) {
 	rows, err := c.rows(ctx, command)
 	if err != nil {
--- a/internal/endpoint/wire/wire.go
+++ b/internal/endpoint/wire/wire.go
@@ -21,6 +21,7 @@
 	VerbPromote = "PROMOTE"
 	VerbFollow  = "FOLLOW"
 	VerbHolders = "HOLDERS"
+	VerbActive  = "ACTIVE"
 )
 
 // StatusCommand asks for the status.
@@ -50,6 +51,11 @@
 // HoldersCommand asks for the connections of each holder.
 func HoldersCommand() string { return "HEMLOCK " + VerbHolders }
 
+// ActiveCommand asks whether a connection runs a statement.
+func ActiveCommand(pid uint32) string {
+	return "HEMLOCK " + VerbActive + " " + strconv.FormatUint(uint64(pid), 10)
+}
+
 // Quote makes an SQL string constant.
 func Quote(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
 
@@ -57,6 +63,9 @@
 var Columns = []string{"group", "slot", "incarnation", "role", "fenced_term", "fenced_by",
 	"synced", "applied", "conn_limit", "conns_in_use"}
 
+// ActiveColumns of the row that answers ACTIVE; the value is "t" or "f".
+var ActiveColumns = []string{"active"}
+
 // HolderColumns of the rows that answer HOLDERS.
 var HolderColumns = []string{"holder", "connections"}
 
--- a/internal/holder/conn.go
+++ b/internal/holder/conn.go
@@ -45,6 +45,8 @@
 	uses     uint64
 	// params are the session parameters set on the connection.
 	params map[string]string
+	// incarnation is the endpoint's when the connection was made.
+	incarnation string
 	// lastUsed is when the connection last became idle.
 	lastUsed time.Time
 	// skipping states that the endpoint skips messages until the next Sync.
@@ -89,13 +91,15 @@
 		return nil, err
 	}
 	return &conn{
-		key:      key,
-		raw:      hijacked.Conn,
-		br:       pgwire.NewReader(bufio.NewReaderSize(hijacked.Conn, readBufferBytes), maxMessageBytes),
-		pid:      hijacked.PID,
-		secret:   hijacked.SecretKey,
-		prepared: map[string]uint64{},
-		lastUsed: time.Now(),
+		key:    key,
+		raw:    hijacked.Conn,
+		br:     pgwire.NewReader(bufio.NewReaderSize(hijacked.Conn, readBufferBytes), maxMessageBytes),
+		pid:    hijacked.PID,
+		secret: hijacked.SecretKey,
+
+		incarnation: hijacked.ParameterStatuses[endpoint.ParamIncarnation],
+		prepared:    map[string]uint64{},
+		lastUsed:    time.Now(),
 	}, nil
 }
 
@@ -134,8 +138,12 @@
 	_ = c.raw.Close()
 }
 
-// terminate says farewell and closes.
+// terminate says farewell, unless the connection is broken, and closes.
 func (c *conn) terminate() {
+	if c.broken {
+		_ = c.raw.Close()
+		return
+	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(terminateTimeout))
 	_, _ = c.raw.Write(pgwire.AppendEmpty(nil, pgwire.MsgTerminate))
 	c.close()
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -65,7 +65,8 @@
 	if err != nil {
 		return err
 	}
-	if err := l.h.awaitFloor(ctx, open); err != nil {
+	incarnation, err := l.h.awaitFloor(ctx, open)
+	if err != nil {
 		return err
 	}
 	c, err := s.pool.acquire(ctx, request{
@@ -79,6 +80,10 @@
 		return err
 	}
 	l.slot, l.conn, l.service, l.group = s, c, open.Service, open.Group
+	if incarnation != "" && c.incarnation != "" && c.incarnation != incarnation {
+		l.drop()
+		return staleEndpoint()
+	}
 	return nil
 }
 
@@ -110,7 +115,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	guard := l.guard(ctx, r)
 	res, err := r.drive()
+	guard.stop()
 	if err == nil {
 		return res, nil
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -51,9 +51,16 @@
 
 // Floors knows what the endpoints of the holder's slots have applied.
 type Floors interface {
-	// AwaitApplied returns once the slot has applied pos, or false after wait or
-	// at the end of ctx.
-	AwaitApplied(ctx context.Context, group, slot string, pos logpos.Pos, wait time.Duration) bool
+	// AwaitApplied returns once the slot has applied pos, with the incarnation of
+	// the endpoint that has; ok is false after wait or at the end of ctx.
+	AwaitApplied(ctx context.Context, group, slot string, pos logpos.Pos, wait time.Duration) (incarnation string, ok bool)
+}
+
+// Activity tells whether connections run statements.
+type Activity interface {
+	// Active asks the slot's endpoint whether it runs a statement for the
+	// connection of pid; ok is false when there is no answer.
+	Active(ctx context.Context, group, slot string, pid uint32) (active, ok bool)
 }
 
 // SlotID names a slot.
@@ -67,6 +74,9 @@
 	Dialer Dialer
 	Ack    Acknowledger
 	Floors Floors
+	// Activity may be nil; then silent connections in use are found by their
+	// deadlines only.
+	Activity Activity
 	// Alarm may be nil.
 	Alarm Alarm
 	Log   logr.Logger
@@ -79,6 +89,7 @@
 	dialer Dialer
 	ack    Acknowledger
 	floors Floors
+	active Activity
 	alarm  Alarm
 	log    logr.Logger
 
@@ -101,6 +112,7 @@
 		dialer: cfg.Dialer,
 		ack:    cfg.Ack,
 		floors: cfg.Floors,
+		active: cfg.Activity,
 		alarm:  cfg.Alarm,
 		log:    cfg.Log,
 		slots:  map[SlotID]*slot{},
@@ -219,16 +231,22 @@
 }
 
 // awaitFloor makes sure that a read runs only where its floor is applied. The
-// entry's picture may be old, and this daemon watches the endpoint itself.
-func (h *Holder) awaitFloor(ctx context.Context, open *link.Open) error {
+// entry's picture may be old, and this daemon watches the endpoint itself. It
+// returns the incarnation that has the floor; empty means any.
+func (h *Holder) awaitFloor(ctx context.Context, open *link.Open) (string, error) {
 	floor := logpos.Pos{Term: open.FloorTerm, Index: open.FloorIndex}
 	if open.Write || floor.IsZero() {
-		return nil
+		return "", nil
 	}
 	wait := time.Duration(open.WaitUs) * time.Microsecond
-	if h.floors.AwaitApplied(ctx, open.Group, open.Slot, floor, wait) {
-		return nil
+	incarnation, ok := h.floors.AwaitApplied(ctx, open.Group, open.Slot, floor, wait)
+	if !ok {
+		return "", staleEndpoint()
 	}
+	return incarnation, nil
+}
+
+func staleEndpoint() error {
 	return outcome.NotRunError(outcome.CodeStaleRead, outcome.ReasonStale,
 		"the endpoint has not applied the session's last write", nil)
 }
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -36,9 +36,12 @@
 	mu    sync.Mutex
 	addr  string
 	limit int
-	// open counts connections that are idle, in use or being dialed.
+	// open counts connections that are idle, in use, being dialed or being
+	// closed: the endpoint may count each of them.
 	open int
-	idle []*conn
+	// retiring counts connections that are being closed.
+	retiring int
+	idle     []*conn
 	// inUse holds the connections that exchanges own, to cut them when the
 	// endpoint is replaced.
 	inUse   map[*conn]struct{}
@@ -146,9 +149,8 @@
 		return nil, dialError(ctx, err)
 	}
 	if p.closed || p.addr != g.addr {
-		p.open--
 		p.discharge(w.service)
-		c.close()
+		p.retire(c)
 		return nil, endpointGone()
 	}
 	p.inUse[c] = struct{}{}
@@ -179,13 +181,39 @@
 		p.inUse[c] = struct{}{}
 		return grant{conn: c}, true
 	}
-	if p.open >= p.limit && !p.evictIdle() {
+	if p.open >= p.limit {
+		p.makeRoom()
 		return grant{}, false
 	}
 	p.open++
 	return grant{addr: p.addr}, true
 }
 
+// makeRoom retires the idle connection that was unused longest, unless enough
+// are on their way out for those who wait. The caller holds mu.
+func (p *pool) makeRoom() {
+	if len(p.idle) == 0 || p.retiring >= p.waiters.len() {
+		return
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.retire(c)
+}
+
+// retire closes a connection; its place is free once it is closed, so that the
+// endpoint never has more than the limit. The caller holds mu.
+func (p *pool) retire(c *conn) {
+	p.retiring++
+	go func() {
+		c.terminate()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.retiring--
+		p.open--
+		p.dispatch()
+	}()
+}
+
 // takeIdle returns the idle connection of key that was used last.
 func (p *pool) takeIdle(key connKey) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -198,27 +226,20 @@
 	return nil
 }
 
-// evictIdle closes the idle connection that was unused longest.
-func (p *pool) evictIdle() bool {
-	if len(p.idle) == 0 || p.open > p.limit {
-		return false
-	}
-	c := p.idle[0]
-	p.idle = p.idle[1:]
-	p.open--
-	go c.terminate()
-	return true
-}
-
 // release takes a connection back. A broken one is closed.
 func (p *pool) release(c *conn, service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, c)
 	p.discharge(service)
-	if c.broken || p.closed || p.open > p.limit {
-		p.open--
-		go c.close()
+	p.takeBack(c)
+}
+
+// takeBack makes a connection idle, or retires one that must not be used. The
+// caller holds mu.
+func (p *pool) takeBack(c *conn) {
+	if c.broken || p.closed || p.open-p.retiring > p.limit {
+		p.retire(c)
 	} else {
 		c.lastUsed = time.Now()
 		p.idle = append(p.idle, c)
@@ -267,11 +288,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
-	for p.open > p.limit && len(p.idle) > 0 {
+	for p.open-p.retiring > p.limit && len(p.idle) > 0 {
 		c := p.idle[0]
 		p.idle = p.idle[1:]
-		p.open--
-		go c.terminate()
+		p.retire(c)
 	}
 	p.dispatch()
 }
@@ -300,8 +320,8 @@
 // then release them as broken. The caller holds mu.
 func (p *pool) cutAll() {
 	for _, c := range p.idle {
-		p.open--
-		go c.close()
+		c.close()
+		p.retire(c)
 	}
 	p.idle = nil
 	for c := range p.inUse {
@@ -357,14 +377,7 @@
 func (p *pool) returnChecked(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.broken || p.closed || p.open > p.limit {
-		p.open--
-		go c.close()
-	} else {
-		c.lastUsed = time.Now()
-		p.idle = append(p.idle, c)
-	}
-	p.dispatch()
+	p.takeBack(c)
 }
 
 // Usage is a pool's state at one moment.
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -49,6 +50,11 @@
 	tag            string
 	lostConnection bool
 	sinkErr        error
+
+	// waiting states that the run waits for the endpoint, and not for its caller;
+	// progress counts the messages received. A silence guard reads both.
+	waiting  atomic.Bool
+	progress atomic.Uint64
 }
 
 func newRun(c *conn, p *plan, sink io.Writer) *run {
@@ -99,7 +105,12 @@
 			return err
 		}
 	}
+	if r.c.br.Buffered() == 0 {
+		r.waiting.Store(true)
+	}
 	f, err := r.c.br.Next()
+	r.waiting.Store(false)
+	r.progress.Add(1)
 	if err != nil {
 		r.lostConnection = !isTimeout(err)
 		return err
--- a/internal/slotview/slotview.go
+++ b/internal/slotview/slotview.go
@@ -253,33 +253,40 @@
 	return wasReachable
 }
 
-// AwaitApplied returns once the slot's endpoint has applied pos, or false after
-// wait or at the end of ctx. It looks at least once.
-func (v *View) AwaitApplied(ctx context.Context, group, slot string, pos logpos.Pos, wait time.Duration) bool {
+// AwaitApplied returns once the slot's endpoint has applied pos, with the
+// endpoint's incarnation; ok is false after wait or at the end of ctx. It looks
+// at least once.
+func (v *View) AwaitApplied(ctx context.Context, group, slot string, pos logpos.Pos, wait time.Duration) (incarnation string, ok bool) {
+	if incarnation, ok = v.applied(group, slot, pos); ok || wait <= 0 {
+		return incarnation, ok
+	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		changed := v.Changed()
-		if v.hasApplied(group, slot, pos) {
-			return true
+		if incarnation, ok = v.applied(group, slot, pos); ok {
+			return incarnation, true
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return v.hasApplied(group, slot, pos)
+			return v.applied(group, slot, pos)
 		case <-ctx.Done():
-			return false
+			return "", false
 		}
 	}
 }
 
-func (v *View) hasApplied(group, slot string, pos logpos.Pos) bool {
+func (v *View) applied(group, slot string, pos logpos.Pos) (incarnation string, ok bool) {
 	g, ok := v.Group(group)
 	if !ok {
-		return false
+		return "", false
 	}
 	s, ok := g.Slot(slot)
-	return ok && s.Known && !s.Status.Applied.Less(pos)
+	if !ok || !s.Known || s.Status.Applied.Less(pos) {
+		return "", false
+	}
+	return s.Status.Incarnation, true
 }
 
 // updateSlot changes one slot in a new snapshot. The caller holds mu.
--- a/internal/standin/contract.go
+++ b/internal/standin/contract.go
@@ -24,6 +24,8 @@
 	switch verb {
 	case wire.VerbHolders:
 		return s.holdersResult(), nil
+	case wire.VerbActive:
+		return s.activeResult(args)
 	case verbFault:
 		if err := s.e.switchFault(args); err != nil {
 			return nil, err
@@ -82,6 +84,35 @@
 	return textRows(wire.HolderColumns, rows)
 }
 
+// activeResult says whether the connection of a process id runs a statement.
+func (s *session) activeResult(args []string) (*exec.Result, error) {
+	if len(args) != 1 {
+		return nil, contractError(&wire.MalformedError{What: "command", Text: wire.VerbActive})
+	}
+	pid, err := strconv.ParseUint(args[0], 10, 32)
+	if err != nil {
+		return nil, contractError(&wire.MalformedError{What: "process id", Text: args[0]})
+	}
+	value := "f"
+	if s.e.isActive(uint32(pid)) {
+		value = "t"
+	}
+	return textRows(wire.ActiveColumns, [][]string{{value}}), nil
+}
+
+// isActive reports whether the session of pid runs a statement.
+func (e *Endpoint) isActive(pid uint32) bool {
+	e.mu.Lock()
+	s := e.sessions[pid]
+	e.mu.Unlock()
+	if s == nil {
+		return false
+	}
+	s.stmtMu.Lock()
+	defer s.stmtMu.Unlock()
+	return s.stopStmt != nil
+}
+
 func textRows(names []string, values [][]string) *exec.Result {
 	var cols []exec.Col
 	for _, n := range names {
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -330,6 +330,7 @@
 		recovery = "off"
 	}
 	s.backend.Send(&pgproto3.ParameterStatus{Name: "in_hot_standby", Value: recovery})
+	s.backend.Send(&pgproto3.ParameterStatus{Name: endpoint.ParamIncarnation, Value: s.e.Status().Incarnation})
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: binary.BigEndian.AppendUint32(nil, s.secret)})
 	ok := s.ready()
 	s.out.answering = true
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -34,6 +34,15 @@
 	// Sequence numbers observations; it is shared by the watchers that follow
 	// each other on one slot.
 	Sequence func() uint64
+	// Questions are answered on the watch connection, between two waits.
+	Questions <-chan Question
+}
+
+// Question asks whether a connection to the endpoint runs a statement. Answer
+// receives one value, unless the watch connection fails.
+type Question struct {
+	PID    uint32
+	Answer chan<- bool
 }
 
 // Run observes until ctx ends. A change at the endpoint is published at once,
@@ -70,6 +79,9 @@
 			return
 		}
 		w.publish(status, asked, true)
+		if err = w.answer(ctx, ctl); err != nil {
+			return
+		}
 		seen := status
 		asked = time.Now()
 		status, err = w.probe(ctx, func(ctx context.Context) (endpoint.Status, error) {
@@ -78,6 +90,28 @@
 	}
 }
 
+// answer answers the questions that wait.
+func (w *Watcher) answer(ctx context.Context, ctl endpoint.Controller) error {
+	reader, ok := ctl.(endpoint.ActivityReader)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for {
+		select {
+		case q := <-w.Questions:
+			active, err := reader.Active(ctx, q.PID)
+			if err != nil {
+				return err
+			}
+			q.Answer <- active
+		default:
+			return nil
+		}
+	}
+}
+
 func (w *Watcher) probe(ctx context.Context, ask func(context.Context) (endpoint.Status, error)) (endpoint.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeInterval+probeTimeout)
 	defer cancel()
