Control runner: agreement driven with disk, twirp and an injected ticker

Cause: the pure protocol needs one place for disk, sockets and clock, and callers need outcomes by type: not taken, superseded, unknown. A group is founded by the first control VM by name, once every other one has answered that it belongs to none; an empty folder otherwise joins as a learner. The leader now tells followers of a new commit index at once, not with the next heartbeat.

--- a/internal/agree/leader.go
+++ b/internal/agree/leader.go
@@ -12,6 +12,7 @@
 	n.votes = nil
 	n.sinceHeartbeat = 0
 	n.round = 0
+	n.commitMoved = false
 	n.progress = make(map[ID]*progress)
 	n.trackMembers()
 	e := &agreepb.Entry{Kind: agreepb.EntryKind_ENTRY_KIND_TERM_START}
@@ -214,6 +215,7 @@
 		n.uncommittedBytes = max(0, n.uncommittedBytes-len(e.Command))
 	}
 	n.log.commit = index
+	n.commitMoved = true
 	n.confirmReads()
 	// A leader that was removed leaves once its removal is committed.
 	if p := n.members.current(); p.index <= index && !n.isVoter() {
--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -29,6 +29,8 @@
 	reads            []pendingRead
 	uncommittedBytes int
 	termStart        uint64
+	// commitMoved is set until the peers are told of a new commit index.
+	commitMoved bool
 
 	messages    []*agreepb.Message
 	readResults []ReadResult
@@ -141,8 +143,17 @@
 
 // flush builds the appends that are due.
 func (n *Node) flush() {
-	if n.role == Leader && n.given == nil {
-		n.sendAppends()
+	if n.role != Leader || n.given != nil {
+		return
+	}
+	n.sendAppends()
+	if !n.commitMoved {
+		return
+	}
+	// Followers apply what is committed now, not at the next heartbeat.
+	n.commitMoved = false
+	for _, id := range n.peers() {
+		n.sendRound(id)
 	}
 }
 
@@ -221,17 +232,18 @@
 }
 
 // Compact replaces the entries up to index by a snapshot of the state machine
-// at index, which must be the last applied index. The caller then saves
-// Durable in place of the old log.
-func (n *Node) Compact(index uint64, state []byte) {
+// at index, which must be the last applied index. When it reports true, the
+// caller saves Durable in place of the old log.
+func (n *Node) Compact(index uint64, state []byte) bool {
 	if index != n.log.applied || index == n.log.snapshot.Index {
-		return
+		return false
 	}
 	term, _ := n.log.term(index)
 	n.log.compact(&agreepb.Snapshot{
 		Index: index, Term: term, Membership: n.members.at(index), State: state,
 	})
 	n.members = n.members.compact(index)
+	return true
 }
 
 func (n *Node) notLeader() error {
--- a/internal/agree/read.go
+++ b/internal/agree/read.go
@@ -26,7 +26,7 @@
 	return nil
 }
 
-// sendRound sends an empty append whose answer carries the newest round.
+// sendRound sends an empty append with the newest round and commit index.
 func (n *Node) sendRound(id ID) {
 	prev := max(n.progress[id].match, n.log.snapshot.Index)
 	n.sendEntries(id, prev, nil)
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,433 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	agreepb "hemlockmast/api/agree"
+	"hemlockmast/internal/agree"
+	"hemlockmast/internal/agreelog"
+)
+
+const (
+	testTick     = 5 * time.Millisecond
+	waitDeadline = 60 * time.Second
+)
+
+// journal is a state machine that keeps every command.
+type journal struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (j *journal) Apply(index uint64, cmd []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = append(j.list, string(cmd))
+	return fmt.Appendf(nil, "%s is number %d", cmd, len(j.list))
+}
+
+func (j *journal) Snapshot() ([]byte, error) { return []byte(j.String()), nil }
+
+func (j *journal) Restore(state []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = strings.Split(string(state), "\n")
+	return nil
+}
+
+func (j *journal) String() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return strings.Join(j.list, "\n")
+}
+
+// fullFS is the operating system's, with a disk that can be full.
+type fullFS struct {
+	agreelog.OS
+	full atomic.Bool
+}
+
+type fullFile struct {
+	agreelog.File
+	fs *fullFS
+}
+
+func (f *fullFS) OpenAppend(path string) (agreelog.File, error) {
+	file, err := f.OS.OpenAppend(path)
+	return &fullFile{file, f}, err
+}
+
+func (f *fullFS) Create(path string) (agreelog.File, error) {
+	if f.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	file, err := f.OS.Create(path)
+	return &fullFile{file, f}, err
+}
+
+func (f *fullFile) Write(p []byte) (int, error) {
+	if f.fs.full.Load() {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// cuttable loses everything to and from a member while it is cut off.
+type cuttable struct {
+	Transport
+	group *group
+	own   string
+}
+
+func (c *cuttable) open(address string) bool {
+	return !c.group.member(c.own).cut.Load() && !c.group.at(address).cut.Load()
+}
+
+func (c *cuttable) Send(address string, request *agreepb.DeliverRequest) {
+	if c.open(address) {
+		c.Transport.Send(address, request)
+	}
+}
+
+func (c *cuttable) Join(ctx context.Context, address string, request *agreepb.JoinRequest) (*agreepb.JoinReply, error) {
+	if !c.open(address) {
+		return nil, context.DeadlineExceeded
+	}
+	return c.Transport.Join(ctx, address, request)
+}
+
+// member is a control VM: its address and folder outlive its process.
+type member struct {
+	name, address, dir string
+	fs                 *fullFS
+	cut                atomic.Bool
+	machine            *journal
+	control            *Control
+	stop               func()
+}
+
+type group struct {
+	t       testing.TB
+	members []*member
+	compact int64
+}
+
+func newGroup(t testing.TB, names ...string) *group {
+	g := &group{t: t}
+	for _, name := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		g.members = append(g.members, &member{
+			name: name, address: l.Addr().String(), dir: filepath.Join(t.TempDir(), name), fs: &fullFS{},
+		})
+		assert.NilError(t, l.Close())
+	}
+	t.Cleanup(func() {
+		for _, m := range g.members {
+			m.stop()
+		}
+	})
+	return g
+}
+
+func (g *group) member(name string) *member {
+	for _, m := range g.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (g *group) at(address string) *member {
+	for _, m := range g.members {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func (g *group) start(m *member) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &http.Client{Transport: &http.Transport{}}
+	var peers []Peer
+	for _, p := range g.members {
+		peers = append(peers, Peer{Name: p.name, Address: p.address})
+	}
+	ticker := time.NewTicker(testTick)
+	m.machine = &journal{}
+	c, err := Open(Config{
+		Name: m.name, Address: m.address, Peers: peers, FS: m.fs, Dir: m.dir,
+		Machine: m.machine, Transport: &cuttable{NewPeers(ctx, client, "http"), g, m.name},
+		Ticks: ticker.C, Rand: rand.IntN, NewNumber: rand.Uint64, Log: logr.Discard(),
+		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compact,
+	})
+	assert.NilError(g.t, err)
+	listener, err := net.Listen("tcp", m.address)
+	assert.NilError(g.t, err)
+	server := &http.Server{Handler: Handler(c), ReadHeaderTimeout: time.Minute}
+	done := make(chan error, 1)
+	go func() { _ = server.Serve(listener) }()
+	go func() { done <- c.Run(ctx) }()
+	m.control = c
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		err := <-done
+		_ = server.Close()
+		client.CloseIdleConnections()
+		ticker.Stop()
+		assert.Check(g.t, err == nil, "%s: %v", m.name, err)
+	})
+}
+
+func (g *group) startAll() {
+	for _, m := range g.members {
+		g.start(m)
+	}
+}
+
+func (g *group) until(what string, done func() bool) {
+	g.t.Helper()
+	for deadline := time.Now().Add(waitDeadline); !done(); time.Sleep(testTick) {
+		if time.Now().After(deadline) {
+			text := ""
+			for _, m := range g.members {
+				text += fmt.Sprintf("\n%s: %+v", m.name, m.control.Status())
+			}
+			g.t.Fatalf("waited in vain for: %s%s", what, text)
+		}
+	}
+}
+
+// formed reports whether all members are voters of one group.
+func (g *group) formed() bool {
+	for _, m := range g.members {
+		st := m.control.Status()
+		if !st.Voter || len(agree.Voters(st.Membership)) != len(g.members) || st.LeaderAddress == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// leader waits for a member that leads, other than those cut off.
+func (g *group) leader() *member {
+	g.t.Helper()
+	var found *member
+	g.until("a leader", func() bool {
+		for _, m := range g.members {
+			if !m.cut.Load() && m.control.Status().Role == agree.Leader {
+				found = m
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// propose retries until the command is done; a command in doubt is reported.
+func (g *group) propose(cmd string) (doubts int) {
+	g.t.Helper()
+	g.until("proposal "+cmd, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), waitDeadline)
+		defer cancel()
+		result, err := g.leader().control.Propose(ctx, []byte(cmd))
+		var unknown *OutcomeUnknownError
+		if errors.As(err, &unknown) {
+			doubts++
+		}
+		return err == nil && strings.HasPrefix(string(result), cmd+" is number")
+	})
+	return doubts
+}
+
+func (g *group) same(want string) {
+	g.t.Helper()
+	for _, m := range g.members {
+		g.until(m.name+" to be up to date", func() bool { return m.machine.String() == want })
+	}
+}
+
+func commands(from, to int) string {
+	var list []string
+	for i := from; i < to; i++ {
+		list = append(list, fmt.Sprintf("c%d", i))
+	}
+	return strings.Join(list, "\n")
+}
+
+// TestRestartAfter500 stops every process after 500 commands, with snapshots
+// on the way, and starts them again.
+func TestRestartAfter500(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.compact = 8 << 10
+	g.startAll()
+	g.until("the group", g.formed)
+	for i := range 500 {
+		assert.Equal(t, g.propose(fmt.Sprintf("c%d", i)), 0)
+	}
+	g.same(commands(0, 500))
+	for _, m := range g.members {
+		assert.Assert(t, m.control.Status().Snapshots > 0)
+		m.stop()
+	}
+	g.startAll()
+	g.propose("c500")
+	g.same(commands(0, 501))
+	assert.NilError(t, g.leader().control.ReadBarrier(context.Background()))
+}
+
+// TestLostDisk wipes a voter's folder: it returns as another incarnation, gets
+// its vote back, and the group then bears the loss of another member.
+func TestLostDisk(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.compact = 4 << 10
+	g.startAll()
+	g.until("the group", g.formed)
+	for i := range 100 {
+		g.propose(fmt.Sprintf("c%d", i))
+	}
+	for round := range 2 {
+		lost := g.leader() // the founder or its successor: it must not found again
+		before := lost.control.Status()
+		lost.stop()
+		lost.dir = filepath.Join(t.TempDir(), "new")
+		g.start(lost)
+		g.until("the vote of the new incarnation", func() bool {
+			st := lost.control.Status()
+			return st.Voter && len(agree.Voters(st.Membership)) == 3
+		})
+		after := lost.control.Status()
+		assert.Assert(t, after.Self != before.Self && after.Group == before.Group)
+		g.propose(fmt.Sprintf("c%d", 100+round))
+		g.same(commands(0, 101+round))
+	}
+	last := g.leader()
+	last.stop()
+	last.cut.Store(true)
+	g.propose("c102")
+}
+
+// TestFullDisk: a leader without room promises nothing and gives way; with room
+// again it catches up.
+func TestFullDisk(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.until("the group", g.formed)
+	g.propose("c0")
+	full := g.leader()
+	full.fs.full.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), waitDeadline)
+	defer cancel()
+	caller, giveUp := context.WithCancel(ctx)
+	answer := make(chan error, 1)
+	go func() {
+		_, err := full.control.Propose(caller, []byte("lost"))
+		answer <- err
+	}()
+	g.until("the stall to be shown", func() bool { return full.control.Status().Stalled != nil })
+	giveUp()
+	var unknown *OutcomeUnknownError
+	assert.Assert(t, errors.As(<-answer, &unknown))
+	var notProposed *NotProposedError
+	_, err := full.control.Propose(ctx, []byte("refused"))
+	assert.Assert(t, errors.As(err, &notProposed), "%v", err)
+	var noRoom *agreelog.FullError
+	assert.Assert(t, errors.As(err, &noRoom), "%v", err)
+	full.cut.Store(true) // only so that leader() looks elsewhere
+	g.propose("c1")
+	full.fs.full.Store(false)
+	full.cut.Store(false)
+	g.until("room to be used", func() bool { return full.control.Status().Stalled == nil })
+	g.propose("c2")
+	g.same(commands(0, 3))
+}
+
+// TestCutOffLeader: it refuses reads and commands; what it took in last comes
+// to a typed end; healed, it follows.
+func TestCutOffLeader(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.until("the group", g.formed)
+	g.propose("c0")
+	old := g.leader()
+	old.cut.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), waitDeadline)
+	defer cancel()
+	answer := make(chan error, 1)
+	go func() {
+		_, err := old.control.Propose(ctx, []byte("lost"))
+		answer <- err
+	}()
+	var refused *NotLeaderError
+	assert.Assert(t, errors.As(old.control.ReadBarrier(ctx), &refused))
+	g.propose("c1")
+	var unknown *OutcomeUnknownError
+	var notLeader *NotLeaderError
+	err := <-answer // refused at once when the leader had stepped down before
+	assert.Assert(t, errors.As(err, &unknown) || errors.As(err, &notLeader), "%v", err)
+	old.cut.Store(false)
+	g.propose("c2")
+	g.same(commands(0, 3))
+}
+
+// TestRefusals lists calls that must be refused by type.
+func TestRefusals(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.until("the group", g.formed)
+	leader := g.leader()
+	follower := g.members[0]
+	if follower == leader {
+		follower = g.members[1]
+	}
+	ctx := context.Background()
+	gone, cancel := context.WithCancel(ctx)
+	cancel()
+	var notLeader *NotLeaderError
+	_, err := follower.control.Propose(ctx, []byte("x"))
+	assert.Assert(t, errors.As(err, &notLeader) && notLeader.Address == leader.address, "%v", err)
+	assert.Assert(t, errors.As(follower.control.ReadBarrier(ctx), &notLeader))
+	assert.Assert(t, errors.As(follower.control.Remove(ctx, "a"), &notLeader))
+	var tooLarge *agree.TooLargeError
+	_, err = leader.control.Propose(ctx, make([]byte, agree.MaxCommandBytes+1))
+	assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+	var change *agree.ChangeError
+	assert.Assert(t, errors.As(leader.control.Remove(ctx, "nobody"), &change))
+	leader.stop()
+	var stopped *StoppedError
+	_, err = leader.control.Propose(ctx, []byte("x"))
+	assert.Assert(t, errors.As(err, &stopped), "%v", err)
+	assert.Assert(t, errors.As(leader.control.ReadBarrier(ctx), &stopped))
+	_, err = leader.control.Propose(gone, []byte("x"))
+	var notProposed *NotProposedError
+	assert.Assert(t, errors.As(err, &notProposed))
+	var locked *agreelog.LockedError
+	_, err = Open(Config{FS: agreelog.OS{}, Dir: follower.dir, NewNumber: rand.Uint64})
+	assert.Assert(t, errors.As(err, &locked), "%v", err)
+	alone := newGroup(t, "a", "b")
+	alone.start(alone.members[0])
+	alone.members[1].stop = func() {}
+	var noGroup *NoGroupError
+	_, err = alone.members[0].control.Propose(ctx, []byte("x"))
+	assert.Assert(t, errors.As(err, &noGroup), "%v", err)
+	assert.Assert(t, errors.As(alone.members[0].control.ReadBarrier(ctx), &noGroup))
+}
--- /dev/null
+++ b/internal/control/errors.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"fmt"
+
+	"hemlockmast/internal/agree"
+)
+
+// NotLeaderError refuses a call that only the leader serves. The call had no
+// effect and can be made at Address, when it is known.
+type NotLeaderError struct {
+	Leader  agree.ID
+	Address string
+}
+
+func (e *NotLeaderError) Error() string {
+	if e.Address == "" {
+		return "control: not the leader, and no leader is known"
+	}
+	return fmt.Sprintf("control: not the leader; ask %s at %s", e.Leader.Name, e.Address)
+}
+
+// NotProposedError reports a command that was surely not taken: it is not in
+// the log and never will be. Cause says why.
+type NotProposedError struct{ Cause error }
+
+func (e *NotProposedError) Error() string {
+	return fmt.Sprintf("control: command not taken: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotProposedError) Unwrap() error { return e.Cause }
+
+// NotCommittedError reports a command that was in the log and lost its place to
+// another leader's entry: it surely has no effect and never will.
+type NotCommittedError struct {
+	Term  uint64
+	Index uint64
+}
+
+func (e *NotCommittedError) Error() string {
+	return fmt.Sprintf("control: command at entry %d of term %d was superseded and has no effect",
+		e.Index, e.Term)
+}
+
+// OutcomeUnknownError reports a command that may or may not take effect, now or
+// later. Cause says why the wait ended.
+type OutcomeUnknownError struct{ Cause error }
+
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("control: outcome unknown: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// NotCurrentError refuses a read because the node cannot prove in time that
+// what it holds is current.
+type NotCurrentError struct{ Cause error }
+
+func (e *NotCurrentError) Error() string {
+	return fmt.Sprintf("control: cannot prove to be current: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotCurrentError) Unwrap() error { return e.Cause }
+
+// StoppedError reports that the process is stopping.
+type StoppedError struct{}
+
+func (e *StoppedError) Error() string { return "control: stopping" }
+
+// LeadershipLostError is the cause of an outcome unknown after a step-down.
+type LeadershipLostError struct{ Term uint64 }
+
+func (e *LeadershipLostError) Error() string {
+	return fmt.Sprintf("leadership of term %d ended", e.Term)
+}
+
+// SnapshotError reports that the state machine could not give or take a
+// snapshot.
+type SnapshotError struct {
+	Index uint64
+	Cause error
+}
+
+func (e *SnapshotError) Error() string {
+	return fmt.Sprintf("control: snapshot at entry %d: %v", e.Index, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Cause }
+
+// NoGroupError reports that this process belongs to no group yet.
+type NoGroupError struct{ Name string }
+
+func (e *NoGroupError) Error() string {
+	return fmt.Sprintf("control: %s has not joined a group yet", e.Name)
+}
