--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"net/http"
+
+	"hemlockmast/internal/session/directoryrpc"
+)
+
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", d.handleReady)
+	d.members.Register(mux)
+	mux.Handle(directoryrpc.PathPrefix, d.directoryServer.Handler())
+	return mux
+}
+
+func (d *Daemon) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		http.Error(w, "no configuration in force", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
