--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,58 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// warmUp is left to the news of the start.
+const warmUp = 3 * time.Minute
+
+// measured is the refresh interval of claims, so that each counts once.
+const measured = refreshInterval
+
+// BenchmarkTraffic measures one daemon's share of a quiet time: packets and
+// bytes that it sends, and processor time, by number of daemons and endpoints.
+func BenchmarkTraffic(b *testing.B) {
+	for _, size := range []struct{ domains, perDomain, endpoints int }{{4, 2, 9}, {4, 9, 50}, {12, 10, 160}, {12, 33, 530}, {12, 100, 1600}} {
+		daemons := size.domains * size.perDomain
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			var names []string
+			for i := range size.domains {
+				names = append(names, string(rune('a'+i)))
+			}
+			s := newSimOf(b, names, size.perDomain, 7)
+			eps := s.announcers(size.endpoints)
+			s.keep(warmUp, eps...)
+			for b.Loop() {
+				s.sent, s.bytes = 0, 0
+				s.keep(measured, eps...)
+			}
+			seconds := float64(daemons) * measured.Seconds()
+			b.ReportMetric(float64(s.sent)/seconds, "packets/daemon-s")
+			b.ReportMetric(float64(s.bytes)/seconds, "bytes/daemon-s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/seconds, "cpu-us/daemon-s")
+			if s.nodes[s.names[0]].usable() != daemons || len(s.nodes[s.names[0]].Endpoints()) != size.endpoints {
+				b.Fatalf("%d daemons, %d endpoints known", s.nodes[s.names[0]].usable(), len(s.nodes[s.names[0]].Endpoints()))
+			}
+		})
+	}
+}
+
+// announcers makes endpoints of as many slots, each known to two daemons.
+func (s *sim) announcers(count int) []*announcer {
+	var ids []SlotID
+	var out []*announcer
+	for i := range count {
+		slot := fmt.Sprintf("s%d", i)
+		ids = append(ids, SlotID{"g", slot})
+		e := endpointAt(slot, fmt.Sprintf("10.0.%d.%d:5432", i/256, i%256), fmt.Sprintf("%016x", i), 100)
+		e.to = []string{s.nodes[s.names[i%len(s.names)]].Self().Name, s.nodes[s.names[(i+1)%len(s.names)]].Self().Name}
+		out = append(out, e)
+	}
+	for _, n := range s.nodes {
+		n.SetSlots(ids)
+	}
+	return out
+}
--- a/internal/membership/claims.go
+++ b/internal/membership/claims.go
@@ -10,10 +10,14 @@
 	// lapseInterval is how long an endpoint may go without announcing itself to
 	// a daemon that it announced itself to.
 	lapseInterval = 3 * time.Second
+	// claimInterval is between looks for claims that lapsed.
+	claimInterval = 500 * time.Millisecond
 	// refreshInterval is between news of a claim that only went on.
-	refreshInterval = time.Minute
+	refreshInterval = 5 * time.Minute
+	// refreshSends is how often such news is sent by each daemon.
+	refreshSends = 3
 	// claimExpiry is how long a claim counts without news of it.
-	claimExpiry = 3 * time.Minute
+	claimExpiry = 15 * time.Minute
 	// cloneLimit is how long the earlier run of a disk may still be heard after
 	// the later one before the disk counts as copied.
 	cloneLimit = 2 * time.Second
@@ -108,8 +112,11 @@
 	if at.After(old.heard) {
 		old.heard = at
 	}
-	if urgent || now.Sub(old.spread) >= refreshInterval {
+	switch {
+	case urgent:
 		old.sends, old.spread = 0, now
+	case now.Sub(old.spread) >= refreshInterval:
+		old.sends, old.spread = s.sendLimit()-refreshSends, now
 	}
 	eff.Changed = eff.Changed || urgent
 	return urgent
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -27,12 +27,11 @@
 
 func (s *State) localNames() []string {
 	var out []string
-	for name, m := range s.members {
-		if s.local(m.Member) && m.Status != Left {
-			out = append(out, name)
+	for _, m := range s.byDomain()[s.self.FailureDomain] {
+		if m.Status != Left {
+			out = append(out, m.Name)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -105,8 +104,7 @@
 // checkSuspects gives up daemons of this domain that did not contradict.
 func (s *State) checkSuspects(now time.Time) Effects {
 	var eff Effects
-	for _, name := range s.localNames() {
-		m := s.members[name]
+	for _, m := range s.byDomain()[s.self.FailureDomain] {
 		if m.Status == Suspect && now.Sub(m.changed) >= suspicionTimeout {
 			m.Status, m.changed, m.sends = Down, now, 0
 			eff.add(s.push(now, true, true))
@@ -230,7 +228,8 @@
 // whether it is to be passed on at once.
 func (s *State) mergeMember(now time.Time, a Aged[Member], eff *Effects) (urgent bool) {
 	r := a.Record
-	if r.check() != nil {
+	// Incarnation 0 stands for a daemon of which only the settings are known.
+	if r.Incarnation == 0 || r.check() != nil {
 		return false
 	}
 	if r.Name == s.self.Name {
@@ -252,6 +251,9 @@
 	}
 	// Suspicion alone waits for the usual packets: it is often contradicted.
 	urgent = old.Incarnation != r.Incarnation || r.Status >= Down || old.Status >= Down
+	if old.Incarnation != r.Incarnation {
+		s.index = nil // the daemon may be new, or have moved
+	}
 	old.Member, old.sends, old.changed = r, 0, now
 	if r.Status >= Down {
 		old.changed = now.Add(-a.Age)
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -21,7 +21,7 @@
 // sim runs states over a virtual clock and network. Equal calls give equal
 // runs.
 type sim struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	rand  *rand.Rand
 	nodes map[string]*node // by heartbeat address
@@ -30,6 +30,7 @@
 	loss  float64
 	cut   func(from, to Member) bool
 	sent  int
+	bytes int
 	boots uint64
 }
 
@@ -45,12 +46,17 @@
 	return Member{Name: name, FailureDomain: domain, Heartbeat: name + ":1", Admin: name + ":2", Link: name + ":3"}
 }
 
-// newSim starts perDomain daemons in each of four failure domains; each knows
-// the first daemons of the domains a and b from its settings.
-func newSim(t *testing.T, perDomain int, seed uint64) *sim {
+// newSim starts perDomain daemons in each of four failure domains.
+func newSim(t testing.TB, perDomain int, seed uint64) *sim {
+	return newSimOf(t, []string{"a", "b", "c", "d"}, perDomain, seed)
+}
+
+// newSimOf starts daemons that each know the first ones of the domains a and b
+// from their settings.
+func newSimOf(t testing.TB, domains []string, perDomain int, seed uint64) *sim {
 	s := &sim{t: t, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*node{},
 		cut: func(Member, Member) bool { return false }}
-	for _, d := range []string{"a", "b", "c", "d"} {
+	for _, d := range domains {
 		for i := range perDomain {
 			s.boot(daemon(fmt.Sprintf("%s%d", d, i), d))
 		}
@@ -78,6 +84,7 @@
 func (s *sim) do(n *node, eff Effects) {
 	for _, send := range eff.Send {
 		s.sent++
+		s.bytes += send.Packet.bytes()
 		if s.rand.Float64() >= s.loss {
 			s.queue = append(s.queue, packetAt{s.now.Add(hop), n.Self().Heartbeat, send.To, send.Packet})
 		}
@@ -220,3 +227,18 @@
 	return &announcer{Claim: Claim{SlotID: SlotID{"g", slot}, Address: addr, Incarnation: incarnation, Started: started},
 		to: []string{"a0", "c1"}}
 }
+
+// bytes estimates the packet's size on the wire.
+func (p Packet) bytes() int {
+	n := memberBytes(p.From)
+	for _, m := range p.Members {
+		n += memberBytes(m.Record)
+	}
+	for _, c := range p.Claims {
+		n += claimBytes(c.Record)
+	}
+	for _, d := range p.Domains {
+		n += len(d.FailureDomain) + 8
+	}
+	return n
+}
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -14,9 +14,10 @@
 	recordBytes = 40
 	// maxSends is above every limit of repeated sending.
 	maxSends = 1 << 20
-	// sendFactor times the logarithm of the number of members is how often a
-	// change is sent.
-	sendFactor = 4
+	// minSends is how often a change is sent by each daemon at least; the
+	// logarithm of the number of members comes on top. A daemon expects to hear a
+	// change as often as each one sends it.
+	minSends = 4
 	// maxPush bounds the daemons of this domain that a change is pushed to.
 	maxPush = 128
 	// maxPushedNews bounds the records of one table that are pushed on.
@@ -24,7 +25,7 @@
 )
 
 // sendLimit is how often this daemon repeats a change.
-func (s *State) sendLimit() int { return sendFactor * (1 + bits.Len(uint(len(s.members)))) }
+func (s *State) sendLimit() int { return minSends + bits.Len(uint(len(s.members))) }
 
 // send addresses a packet to a member and fills it with news.
 func (s *State) send(now time.Time, to *member, p Packet) Effects {
@@ -74,7 +75,7 @@
 	limit := s.sendLimit()
 	var out []*member
 	for _, m := range s.members {
-		if m.sends < limit {
+		if m.Incarnation > 0 && m.sends < limit {
 			out = append(out, m)
 		}
 	}
@@ -139,7 +140,6 @@
 	if !s.speaker() {
 		return eff
 	}
-	s.summaryTurn++
 	for _, d := range s.domains() {
 		m := s.pickIn(d)
 		if s.silent[d] || m == nil {
@@ -153,15 +153,12 @@
 }
 
 func (s *State) inTurn(domain string) *member {
-	var names []string
-	for name, m := range s.members {
-		if m.FailureDomain == domain && m.Status != Left {
-			names = append(names, name)
+	ms := s.byDomain()[domain]
+	for range ms {
+		s.summaryTurn++
+		if m := ms[s.summaryTurn%len(ms)]; m.Status != Left {
+			return m
 		}
 	}
-	if len(names) == 0 {
-		return nil
-	}
-	slices.Sort(names)
-	return s.members[names[s.summaryTurn%len(names)]]
+	return nil
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -71,6 +71,9 @@
 	leaving bool
 	rand    *rand.Rand
 	members map[string]*member // all but self
+	// index and others are made of members by byDomain; index is nil when stale.
+	index   map[string][]*member
+	others  []string
 	claims  map[claimKey]*claim
 	slots   map[SlotID]bool
 	unknown map[SlotID]unknownSlot
@@ -85,8 +88,8 @@
 	heardFrom map[string]time.Time
 	silent    map[string]bool // domains, as the views show them
 
-	lastTick, nextProbe, nextSummary, nextJoin, nextExchange time.Time
-	summaryTurn                                              int
+	lastTick, nextProbe, nextSummary, nextJoin, nextExchange, nextClaims time.Time
+	summaryTurn                                                          int
 }
 
 // New returns the state of a daemon that has just started.
@@ -121,10 +124,12 @@
 	s.lastTick = now
 	eff.add(s.checkProbes(now))
 	eff.add(s.checkSuspects(now))
-	eff.add(s.checkClaims(now))
 	eff.add(s.checkDomains(now))
 	eff.add(s.checkRival(now))
-	s.forget(now)
+	if due(&s.nextClaims, now, claimInterval) {
+		eff.add(s.checkClaims(now))
+		s.forget(now)
+	}
 	if s.leaving {
 		return eff
 	}
@@ -177,29 +182,42 @@
 
 func (s *State) local(m Member) bool { return m.FailureDomain == s.self.FailureDomain }
 
-// up returns the members that may answer, in name order. With domain empty it
-// returns those of all domains.
+// byDomain returns the other daemons by failure domain, each list in name
+// order. The index is made again after a daemon came, went or moved.
+func (s *State) byDomain() map[string][]*member {
+	if s.index != nil {
+		return s.index
+	}
+	s.index = map[string][]*member{}
+	for _, m := range s.members {
+		s.index[m.FailureDomain] = append(s.index[m.FailureDomain], m)
+	}
+	s.others = nil
+	for d, ms := range s.index {
+		slices.SortFunc(ms, func(a, b *member) int { return compareText(a.Name, b.Name) })
+		if d != s.self.FailureDomain {
+			s.others = append(s.others, d)
+		}
+	}
+	slices.Sort(s.others)
+	return s.index
+}
+
+// up returns a domain's members that may answer, in name order.
 func (s *State) up(domain string) []*member {
 	var out []*member
-	for _, m := range s.members {
-		if m.Status <= Suspect && (domain == "" || m.FailureDomain == domain) {
+	for _, m := range s.byDomain()[domain] {
+		if m.Status <= Suspect {
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b *member) int { return compareText(a.Name, b.Name) })
 	return out
 }
 
 // domains returns the other failure domains in order.
 func (s *State) domains() []string {
-	var out []string
-	for _, m := range s.members {
-		if !s.local(m.Member) && !slices.Contains(out, m.FailureDomain) {
-			out = append(out, m.FailureDomain)
-		}
-	}
-	slices.Sort(out)
-	return out
+	s.byDomain()
+	return s.others
 }
 
 func compareText(a, b string) int {
@@ -230,6 +248,7 @@
 	for name, m := range s.members {
 		if m.Status >= Down && !m.seed && now.Sub(m.changed) > forgetInterval {
 			delete(s.members, name)
+			s.index = nil
 		}
 	}
 }
--- a/internal/standin/sqltext/lex.go
+++ b/internal/standin/sqltext/lex.go
@@ -2,6 +2,9 @@
 
 import "strings"
 
+// maxTokens bounds one text, and so the parser's memory.
+const maxTokens = 1 << 20
+
 type kind uint8
 
 const (
@@ -35,6 +38,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(out) == maxTokens {
+			return nil, &Error{Code: "54000", Message: "statement is too long"}
+		}
 		out = append(out, tok)
 		i = end
 	}
--- a/internal/standin/sqltext/parse.go
+++ b/internal/standin/sqltext/parse.go
@@ -6,8 +6,9 @@
 )
 
 type parser struct {
-	toks []token
-	pos  int
+	toks  []token
+	pos   int
+	depth int // of nested expressions
 }
 
 // Parse reads the statements of src, which are separated by semicolons. Empty
--- a/internal/standin/sqltext/query.go
+++ b/internal/standin/sqltext/query.go
@@ -5,8 +5,12 @@
 	"strings"
 )
 
-// maxParam bounds the number of a parameter, as the protocol does.
-const maxParam = 65535
+const (
+	// maxParam bounds the number of a parameter, as the protocol does.
+	maxParam = 65535
+	// maxDepth bounds how deep expressions nest, and so the parser's stack.
+	maxDepth = 200
+)
 
 func (p *parser) selectStmt() (Stmt, error) {
 	s := Select{}
@@ -192,6 +196,11 @@
 }
 
 func (p *parser) primary() (Expr, error) {
+	p.depth++
+	defer func() { p.depth-- }()
+	if p.depth > maxDepth {
+		return nil, &Error{Code: "54001", Message: "expression is nested too deep"}
+	}
 	t := p.next()
 	switch t.kind {
 	case kNumber:
