Book of terms: what control has to agree on for promotions, as a pure value

Cause: the rule on lost disks rests on terms that are allocated in rising order and on the term from which an incarnation counts; both belong into one decision that control's agreed state can apply and that the explorer runs.

Also: an observer whose connection broke and whose dial succeeded pauses before it goes on, so that an endpoint that breaks each connection is not dialled without end.

Seen: TestExplore and TestExploreFindsEachTrap pass with Book in the model.

--- a/internal/failover/driver/driver_test.go
+++ b/internal/failover/driver/driver_test.go
@@ -21,7 +21,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		net, terms := newNet(1), newTerms()
-		terms.last["g0"] = 1
 		var rigs []*rig
 		var observers sync.WaitGroup
 		for i := range drivers {
--- a/internal/failover/driver/fake_test.go
+++ b/internal/failover/driver/fake_test.go
@@ -176,14 +176,11 @@
 // fakeTerms allocates terms for all drivers of a test.
 type fakeTerms struct {
 	mu      sync.Mutex
-	last    map[string]uint64
-	members map[string][]quorum.Member
+	books   map[string]quorum.Book
 	failing int // calls that fail first
 }
 
-func newTerms() *fakeTerms {
-	return &fakeTerms{last: map[string]uint64{}, members: map[string][]quorum.Member{}}
-}
+func newTerms() *fakeTerms { return &fakeTerms{books: map[string]quorum.Book{}} }
 
 func (f *fakeTerms) Allocate(_ context.Context, group string, atLeast uint64, seen []Seen) (Allocation, error) {
 	f.mu.Lock()
@@ -192,21 +189,12 @@
 		f.failing--
 		return Allocation{}, downError{}
 	}
-	term := max(f.last[group]+1, atLeast)
-	f.last[group] = term
-	if f.members[group] == nil {
-		f.members[group] = firstPrimary().Members
-	}
-	members := append([]quorum.Member(nil), f.members[group]...)
-	for i := range members {
-		for _, s := range seen {
-			if s.Slot == members[i].Slot && s.Incarnation != members[i].Incarnation {
-				members[i] = quorum.Member{Slot: s.Slot, Incarnation: s.Incarnation, Since: term}
-			}
-		}
+	book, ok := f.books[group]
+	if !ok {
+		book = quorum.Book{Members: firstPrimary().Members}
 	}
-	f.members[group] = members
-	return Allocation{Term: term, Members: members}, nil
+	f.books[group] = book.Allocate(atLeast, seen)
+	return f.books[group], nil
 }
 
 // rig is a driver over a fakeNet with one observer in each of three failure
--- a/internal/failover/driver/observer.go
+++ b/internal/failover/driver/observer.go
@@ -64,7 +64,8 @@
 			return true // the interval has passed in the wait
 		}
 		o.detector.Broken()
-		return o.dial(ctx)
+		o.dial(ctx)
+		return false
 	}
 	o.answered(st, max(0, time.Since(began)-suspect.ProbeInterval))
 	return true
--- a/internal/failover/explore_test.go
+++ b/internal/failover/explore_test.go
@@ -156,10 +156,16 @@
 	c.start(term)
 	yield(c)
 	c = w.clone(step{stepAttempt, term, 1})
-	for i := range c.members {
-		if seen := incarnation(c.nodes[i].incarnation); seen != c.members[i].Incarnation {
-			c.members[i] = quorum.Member{Slot: slotNames[i], Incarnation: seen, Since: r.since(term)}
+	var seen []quorum.Seen
+	for i := range c.nodes {
+		seen = append(seen, quorum.Seen{Slot: slotNames[i], Incarnation: incarnation(c.nodes[i].incarnation)})
+	}
+	book := quorum.Book{Members: w.members[:]}.Allocate(uint64(term), seen)
+	for i, m := range book.Members {
+		if m != w.members[i] {
+			m.Since = r.since(term, m.Since)
 		}
+		c.members[i] = m
 	}
 	if c.members != w.members {
 		c.start(term)
@@ -167,14 +173,15 @@
 	}
 }
 
-func (r *rules) since(term uint8) uint64 {
+// since returns the term from which a new incarnation counts.
+func (r *rules) since(term uint8, recorded uint64) uint64 {
 	switch {
 	case r.countEmptyDisk:
 		return 0
 	case r.admitEarly:
 		return uint64(term) - 1
 	}
-	return uint64(term)
+	return recorded
 }
 
 func (w *world) start(term uint8) {
