Time line of a failover records changes, not each renewed report

Cause: a slot that is down is reported five times a second by each observer, and an unanswered fence is repeated twenty times a second; both filled the time line. Recorded now: changes of a level, and the first failure of a slot in an attempt. A drop of a retry no longer follows an attempt that may have fenced a majority and then got no term.

--- a/internal/failover/driver/attempt.go
+++ b/internal/failover/driver/attempt.go
@@ -15,6 +15,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// failed names the slots whose failure was recorded; used by the group's
+	// goroutine only.
+	failed map[string]bool
+
 	mu    sync.Mutex // guards links
 	links map[string]*slotLink
 }
@@ -27,7 +31,13 @@
 
 func newAttempt(g *group) *attempt {
 	ctx, cancel := context.WithCancel(g.ctx)
-	return &attempt{g: g, ctx: ctx, cancel: cancel, links: map[string]*slotLink{}}
+	return &attempt{g: g, ctx: ctx, cancel: cancel, failed: map[string]bool{}, links: map[string]*slotLink{}}
+}
+
+func (a *attempt) firstFailure(slot string) bool {
+	first := !a.failed[slot]
+	a.failed[slot] = true
+	return first
 }
 
 func (a *attempt) link(slot string) *slotLink {
--- a/internal/failover/driver/driver_test.go
+++ b/internal/failover/driver/driver_test.go
@@ -104,6 +104,8 @@
 			set(net, "b", func(e *fakeEndpoint) { e.down = true })
 			time.Sleep(20 * time.Second)
 			assert.Equal(t, rigs[0].primary().Term, uint64(0))
+			assert.Equal(t, rigs[0].count(Reported), 4, "changes only")
+			assert.Assert(t, rigs[0].count(Unanswered) <= 2*rigs[0].count(PromotionBegun), "once an attempt and slot")
 			set(net, "b", func(e *fakeEndpoint) { e.down = false })
 			rigs[0].awaitPrimary(t, 3*time.Second)
 		}},
--- a/internal/failover/driver/effects.go
+++ b/internal/failover/driver/effects.go
@@ -92,12 +92,27 @@
 	case failover.Refused:
 		g.record(Event{Kind: Refused, Slot: e.Slot, Term: e.Term})
 	case failover.Failed:
-		g.record(Event{Kind: Unanswered, Slot: e.Slot, Term: e.Term})
+		if g.attempt.firstFailure(e.Slot) {
+			g.record(Event{Kind: Unanswered, Slot: e.Slot, Term: e.Term})
+		}
 	case failover.Followed:
 		g.record(Event{Kind: Follows, Slot: e.Slot, Term: e.Term})
 	}
 }
 
+// recordReport records changes only: reports are renewed all the time.
+func (g *group) recordReport(r suspect.Report) {
+	key := reporter{r.Observer, r.Slot}
+	if g.reported[key] == r.Level {
+		return
+	}
+	g.reported[key] = r.Level
+	if r.Level == suspect.Well {
+		delete(g.reported, key)
+	}
+	g.record(Event{Kind: Reported, Slot: r.Slot, Observer: r.Observer, Domain: r.Domain, Level: r.Level})
+}
+
 func (g *group) record(e Event) {
 	e.At, e.Group = g.d.cfg.Now(), g.name
 	g.d.cfg.Recorder.Record(e)
--- a/internal/failover/driver/group.go
+++ b/internal/failover/driver/group.go
@@ -41,6 +41,9 @@
 	pausing
 )
 
+// reporter is an observer of a slot.
+type reporter struct{ observer, slot string }
+
 // group is the state of one group, owned by its goroutine.
 type group struct {
 	d      *Driver
@@ -58,8 +61,7 @@
 	machine *failover.Machine
 	attempt *attempt
 	retry   failover.RetryAt
-	// optional is set when the last attempt got too little to have stopped a
-	// primary that is well.
+	// optional is set while no attempt can have stopped a primary that is well.
 	optional bool
 	// suspected is the slot that a promotion avoids; empty when none is lost.
 	suspected string
@@ -67,6 +69,8 @@
 	allocation Allocation
 	// seen is the last incarnation of each slot.
 	seen map[string]string
+	// reported is the last level of each observer and slot.
+	reported map[reporter]suspect.Level
 	// corrected is when each slot was last corrected.
 	corrected map[string]time.Time
 	// apart is since when only a new term helps; zero if it is not so.
@@ -80,6 +84,7 @@
 		turn:      make(chan struct{}),
 		judge:     suspect.NewJudge(current.Primary, d.cfg.Suspicion),
 		seen:      map[string]string{},
+		reported:  map[reporter]suspect.Level{},
 		corrected: map[string]time.Time{},
 		apart:     map[string]time.Time{},
 	}
@@ -155,9 +160,7 @@
 func (m heard) handle(g *group) {
 	switch e := m.event.(type) {
 	case suspect.Report:
-		if e.Level != suspect.Well {
-			g.record(Event{Kind: Reported, Slot: e.Slot, Observer: e.Observer, Domain: e.Domain, Level: e.Level})
-		}
+		g.recordReport(e)
 	case suspect.Confirmation:
 		g.record(Event{Kind: ConfirmationGiven, Slot: e.Slot, Domain: e.Domain, Level: e.Level})
 	}
@@ -173,7 +176,7 @@
 		case suspect.Cleared:
 			g.record(Event{Kind: SuspicionCleared, Slot: e.Slot})
 		case suspect.Promote:
-			g.retry, g.suspected = failover.RetryAt{}, e.Slot
+			g.retry, g.suspected, g.optional = failover.RetryAt{}, e.Slot, true
 			g.begin()
 		}
 	}
@@ -249,7 +252,6 @@
 	now := g.d.cfg.Now()
 	if m.err != nil {
 		g.record(Event{Kind: NoTerm})
-		g.optional = true
 		g.pause(failover.RetryAt{At: now.Add(g.d.cfg.Promotion.BackoffCap), MinTerm: g.retry.MinTerm, Attempt: g.retry.Attempt})
 		return
 	}
@@ -280,7 +282,9 @@
 }
 
 func (m stepped) handle(g *group) {
-	g.recordAnswer(m.event)
+	if g.attempt != nil {
+		g.recordAnswer(m.event)
+	}
 	if g.machine != nil {
 		g.carryOut(g.machine.Step(g.d.cfg.Now(), m.event))
 	}
--- a/internal/failover/driver/record.go
+++ b/internal/failover/driver/record.go
@@ -12,7 +12,7 @@
 
 // Kinds of events, in the order in which a failover goes.
 const (
-	// Reported: an observer reported Level for Slot.
+	// Reported: an observer's Level for Slot changed.
 	Reported Kind = iota
 	// ConfirmationAsked: another failure domain is asked about Slot.
 	ConfirmationAsked
@@ -28,7 +28,8 @@
 	Fenced
 	// Refused: Slot refused a command of Term.
 	Refused
-	// Unanswered: Slot did not answer a command of Term.
+	// Unanswered: Slot did not answer a command of Term, for the first time in
+	// the attempt.
 	Unanswered
 	// Chosen: Slot is to be promoted.
 	Chosen
