One observer per slot: the watch of positions is the failover's observer

Cause: a holder would have watched each endpoint twice, over two of its scarce connections: once for positions, once for suspicion. The observer of package driver now passes each status with the time before its question and lets the holder's questions in between; the watcher of its own is removed.

--- a/internal/daemon/watchers.go
+++ b/internal/daemon/watchers.go
@@ -6,7 +6,9 @@
 
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/endpoint/pgcontrol"
+	"hemlockmast/internal/failover/driver"
 	"hemlockmast/internal/holder"
+	"hemlockmast/internal/suspect"
 	"hemlockmast/internal/watch"
 )
 
@@ -69,19 +71,44 @@
 	}
 }
 
-// startWatcher runs a watcher until it is canceled. The caller holds mu.
+// startWatcher observes an endpoint until it is canceled. The caller holds mu.
 func (d *Daemon) startWatcher(key slotKey, addr string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &runningWatcher{addr: addr, cancel: cancel, questions: make(chan watch.Question, questionQueue)}
 	d.watchers[key] = running
-	w := &watch.Watcher{
-		Group: key.group, Slot: key.slot, Addr: addr,
-		Observer: d.settings.Name + "/" + d.incarnation,
-		Connect:  d.connect, Publish: d.hub.Publish,
-		Questions: running.questions,
-		Sequence:  func() uint64 { return d.seq.Add(1) },
+	observer := &driver.Observer{
+		Name: d.settings.Name, Domain: d.settings.FailureDomain,
+		Group: key.group, Slot: key.slot,
+		Connect: func(ctx context.Context, group, _ string) (endpoint.Controller, error) {
+			return d.connect(ctx, group, addr)
+		},
+		Report: d.reportLevel,
+		Status: func(_ string, st endpoint.Status, asked time.Time) {
+			if st.Group == key.group && st.Slot == key.slot {
+				d.publish(st, asked, true)
+			}
+		},
+		Between: func(ctx context.Context, ctl endpoint.Controller) error {
+			return watch.Answer(ctx, ctl, running.questions)
+		},
+	}
+	go observer.Run(ctx)
+}
+
+// publish passes an observation on to those who watch.
+func (d *Daemon) publish(st endpoint.Status, asked time.Time, reachable bool) {
+	wire := watch.StatusToWire(st)
+	wire.Observer = d.settings.Name + "/" + d.incarnation
+	wire.Reachable = reachable
+	wire.Sequence = d.seq.Add(1)
+	d.hub.Publish(watch.Observation{Status: wire, AskedAt: asked})
+}
+
+// reportLevel takes what an observer of this daemon makes of its endpoint.
+func (d *Daemon) reportLevel(group string, r suspect.Report) {
+	if r.Level >= suspect.Unreachable {
+		d.publish(endpoint.Status{Group: group, Slot: r.Slot}, time.Now(), false)
 	}
-	go w.Run(ctx)
 }
 
 // manageWatchers stops all watchers when ctx ends.
--- a/internal/failover/driver/observer.go
+++ b/internal/failover/driver/observer.go
@@ -19,8 +19,11 @@
 	// Report takes each change of the level, and again after each probe while
 	// the level is not Well.
 	Report func(group string, r suspect.Report)
-	// Status takes each status; nil drops them.
-	Status func(group string, st endpoint.Status)
+	// Status takes each status with a time before the question that it answers;
+	// nil drops them.
+	Status func(group string, st endpoint.Status, asked time.Time)
+	// Between, if set, may use the connection after each status.
+	Between func(ctx context.Context, ctl endpoint.Controller) error
 
 	detector suspect.Detector
 	ctl      endpoint.Controller
@@ -55,21 +58,31 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, suspect.ProbeInterval+o.detector.Timeout())
 	defer cancel()
+	if o.Between != nil {
+		if err := o.Between(limit, o.ctl); err != nil {
+			return o.failed(ctx, limit)
+		}
+	}
 	began := time.Now()
 	st, err := o.ctl.Wait(limit, o.last, suspect.ProbeInterval)
 	if err != nil {
-		o.drop()
-		if limit.Err() != nil {
-			o.detector.Missed()
-			return true // the interval has passed in the wait
-		}
-		o.detector.Broken()
-		return o.dial(ctx)
+		return o.failed(ctx, limit)
 	}
-	o.answered(st, max(0, time.Since(began)-suspect.ProbeInterval))
+	o.answered(st, began, max(0, time.Since(began)-suspect.ProbeInterval))
 	return true
 }
 
+// failed handles a command that got no answer within limit.
+func (o *Observer) failed(ctx, limit context.Context) (ok bool) {
+	o.drop()
+	if limit.Err() != nil {
+		o.detector.Missed()
+		return true // the interval has passed in the wait
+	}
+	o.detector.Broken()
+	return o.dial(ctx)
+}
+
 // dial connects and reads a first status. An endpoint that refuses the
 // connection with an error of its own is alive.
 func (o *Observer) dial(ctx context.Context) (ok bool) {
@@ -93,15 +106,15 @@
 		o.detector.Missed()
 		return false
 	}
-	o.answered(st, time.Since(began))
+	o.answered(st, began, time.Since(began))
 	return true
 }
 
-func (o *Observer) answered(st endpoint.Status, rtt time.Duration) {
+func (o *Observer) answered(st endpoint.Status, asked time.Time, rtt time.Duration) {
 	o.last = st
 	o.detector.Answered(rtt)
 	if o.Status != nil {
-		o.Status(o.Group, st)
+		o.Status(o.Group, st, asked)
 	}
 }
 
