--- a/internal/failover/driver/driver_test.go
+++ b/internal/failover/driver/driver_test.go
@@ -31,7 +31,8 @@
 				for _, domain := range []string{"d1", "d2"} {
 					o := &Observer{
 						Name: domain, Domain: domain, Group: "g0", Slot: slot, Connect: net.connect,
-						Report: r.driver.Report, Status: r.driver.Observe,
+						Report: r.driver.Report,
+						Status: func(group string, st endpoint.Status, _ time.Time) { r.driver.Observe(group, st) },
 					}
 					observers.Go(func() { o.Run(ctx) })
 				}
--- a/internal/failover/driver/standin_test.go
+++ b/internal/failover/driver/standin_test.go
@@ -155,7 +155,7 @@
 	c.events = append(c.events, e)
 }
 
-func (c *cluster) observe(group string, st endpoint.Status) {
+func (c *cluster) observe(group string, st endpoint.Status, _ time.Time) {
 	c.driver.Observe(group, st)
 	c.mu.Lock()
 	defer c.mu.Unlock()
