--- a/internal/configstate/machine_test.go
+++ b/internal/configstate/machine_test.go
@@ -278,3 +278,19 @@
 	assert.Equal(t, follower.revision, source.revision)
 	assert.Assert(t, proto.Equal(follower.current, source.current))
 }
+
+// FuzzApply shows that noise never stops the machine, and that a command with
+// effects makes exactly one revision.
+func FuzzApply(f *testing.F) {
+	f.Add(encode(f, "c1", "ann", 0, config(1, "g")))
+	f.Add([]byte("\x0a\x03\x0a\x01c"))
+	f.Fuzz(func(t *testing.T, cmd []byte) {
+		m := New()
+		got, err := DecodeResult(m.Apply(1, cmd), 0)
+		assert.Equal(t, err == nil, got != nil)
+		assert.Equal(t, m.Versions().Revision(), got.GetRevision())
+		state, err := m.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, New().Restore(state))
+	})
+}
--- a/internal/confspread/spread_test.go
+++ b/internal/confspread/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"sync"
@@ -492,3 +493,18 @@
 	assert.Equal(t, answer.Confirmed, true)
 	assert.Assert(t, answer.ConfirmedAgeUs <= answer.HeldUs+1)
 }
+
+// FuzzStore shows that a damaged file gives an error that names it.
+func FuzzStore(f *testing.F) {
+	store := NewStore(f.TempDir())
+	assert.NilError(f, store.Save(testConfigurationAt(1)))
+	good, err := os.ReadFile(store.path())
+	assert.NilError(f, err)
+	f.Add(good)
+	f.Add(good[:storeHeaderBytes])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cfg, err := store.decode(data)
+		var damaged *DamagedFileError
+		assert.Equal(t, cfg == nil, errors.As(err, &damaged), "%v", err)
+	})
+}
--- a/internal/servicefile/servicefile_test.go
+++ b/internal/servicefile/servicefile_test.go
@@ -206,3 +206,18 @@
 		})
 	}
 }
+
+// FuzzParse shows that no text is accepted without a service or a group, and
+// that each problem has its place and fix.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{serviceText, groupText, "", "{}", "[", `{"service": {"users": [null, {}]}}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file, problems := Parse("f", data)
+		assert.Equal(t, len(problems) == 0, (file.Service != nil) != (file.Group != nil))
+		for _, p := range problems {
+			assert.Assert(t, p.Line >= 1 && p.Detail != "" && p.Fix != "", "%v", p)
+		}
+	})
+}
