--- a/internal/e2e/proxy_test.go
+++ b/internal/e2e/proxy_test.go
@@ -34,21 +34,21 @@
 
 // proxy passes TCP connections on to a target.
 type proxy struct {
-	ln     net.Listener
-	target string
+	ln net.Listener
 
 	// mu guards the fields below.
-	mu   sync.Mutex
-	rule *rule
-	open map[net.Conn]struct{}
-	down bool
+	mu     sync.Mutex
+	target string
+	rule   *rule
+	open   map[net.Conn]func()
+	down   bool
 }
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := &proxy{ln: ln, target: target, open: map[net.Conn]struct{}{}}
+	p := &proxy{ln: ln, target: target, open: map[net.Conn]func(){}}
 	go p.accept()
 	t.Cleanup(func() {
 		_ = ln.Close()
@@ -59,6 +59,12 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
+func (p *proxy) setTarget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = addr
+}
+
 // arm sets the rule and returns the channel that is closed when it strikes.
 func (p *proxy) arm(r rule) <-chan struct{} {
 	p.mu.Lock()
@@ -86,6 +92,15 @@
 	}
 }
 
+// silenceAll makes the open connections silent; new ones work.
+func (p *proxy) silenceAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hush := range p.open {
+		hush()
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		client, err := p.ln.Accept()
@@ -98,7 +113,10 @@
 
 func (p *proxy) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil {
 		return
 	}
@@ -108,16 +126,17 @@
 		p.mu.Unlock()
 		return
 	}
-	p.open[client] = struct{}{}
+	silent := make(chan struct{})
+	var once sync.Once
+	hush := func() { once.Do(func() { close(silent) }) }
+	p.open[client] = hush
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		delete(p.open, client)
 		p.mu.Unlock()
 	}()
-	silent := make(chan struct{})
-	var once sync.Once
-	link := &pipe{p: p, client: client, server: server, silent: silent, hush: func() { once.Do(func() { close(silent) }) }}
+	link := &pipe{p: p, client: client, server: server, silent: silent, hush: hush}
 	done := make(chan struct{}, 2)
 	go func() { link.copy(server, client, true); done <- struct{}{} }()
 	go func() { link.copy(client, server, false); done <- struct{}{} }()
