--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -62,6 +62,7 @@
 	}
 	p.term = at.Term
 	c.leadTerm = at.Term
+	c.lostTicks = 0
 	c.waiting[at.Index] = p
 }
 
