--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -2,6 +2,8 @@
 package logging
 
 import (
+	"time"
+
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
 	"go.uber.org/zap"
@@ -9,7 +11,8 @@
 )
 
 // New returns a logger that writes JSON lines to standard error at the given
-// level: "error", "info" (the default) or "debug".
+// level: "error", "info" (the default) or "debug". Repeated lines are limited as
+// Limit says.
 func New(level string) (logr.Logger, error) {
 	cfg := zap.NewProductionConfig()
 	switch level {
@@ -18,9 +21,11 @@
 	case "debug":
 		cfg.Level = zap.NewAtomicLevelAt(zapcore.DebugLevel)
 	}
+	// Zap's own sampling leaves lines out without saying so.
+	cfg.Sampling = nil
 	z, err := cfg.Build()
 	if err != nil {
 		return logr.Discard(), err
 	}
-	return zapr.NewLogger(z), nil
+	return Limit(zapr.NewLogger(z), time.Now), nil
 }
