--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,241 @@
+// Package metrics holds the daemon's Prometheus collectors. Every label set is
+// bounded: services and slots come from the configuration in force, and names
+// beyond the bound are counted together.
+package metrics
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	namespace = "hemlockmast"
+	// maxNames bounds the values of one name label.
+	maxNames = 500
+	// otherName is the value that stands for names beyond the bound.
+	otherName = "other"
+)
+
+// Outcome is how a request ended.
+type Outcome uint8
+
+// Outcomes. Abandoned requests are counted by the outcome that the caller did
+// not wait for as well.
+const (
+	OutcomeDone Outcome = iota
+	OutcomeNotRun
+	OutcomeUnknown
+	OutcomeAbandoned
+)
+
+// String returns the label value.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not_run"
+	case OutcomeUnknown:
+		return "unknown"
+	}
+	return "abandoned"
+}
+
+// Target is where a read was served.
+type Target uint8
+
+// Targets of reads.
+const (
+	TargetReplica Target = iota
+	TargetPrimary
+)
+
+// String returns the label value.
+func (t Target) String() string {
+	if t == TargetReplica {
+		return "replica"
+	}
+	return "primary"
+}
+
+// Set is one daemon's metrics. It is safe for concurrent use.
+type Set struct {
+	registry *prometheus.Registry
+
+	requests    *prometheus.CounterVec
+	reads       *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	refused     *prometheus.CounterVec
+	queueTime   *prometheus.HistogramVec
+	latency     *prometheus.HistogramVec
+	failoverGap *prometheus.HistogramVec
+	connections *prometheus.GaugeVec
+	connLimit   *prometheus.GaugeVec
+	revision    prometheus.Gauge
+	current     prometheus.Gauge
+	floors      *prometheus.CounterVec
+
+	services, groups, slots names
+}
+
+// New returns the metrics of one daemon with a registry of their own.
+func New() *Set {
+	s := &Set{registry: prometheus.NewRegistry()}
+	s.addRequests()
+	s.addGroups()
+	s.revision = gauge("config_revision", "Revision of the configuration in force.")
+	s.current = gauge("config_current", "1 while the daemon has confirmed that its configuration is current.")
+	s.registry.MustRegister(
+		s.requests, s.reads, s.retries, s.refused, s.queueTime, s.latency, s.floors,
+		s.failoverGap, s.connections, s.connLimit, s.revision, s.current,
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return s
+}
+
+func (s *Set) addRequests() {
+	s.requests = counter("requests_total", "Requests by service and outcome.", "service", "outcome")
+	s.reads = counter("reads_total", "Reads outside transactions that write, by where they were served.", "service", "target")
+	s.retries = counter("retries_total", "Retries by the proxy, granted or beyond the budget.", "service", "granted")
+	s.refused = counter("refusals_total", "Refused requests by reason.", "service", "reason")
+	s.floors = counter("session_floors_total", "Session floors looked up, by what was found.", "found")
+	s.queueTime = histogram("queue_seconds", "Time from arrival to admission.",
+		prometheus.ExponentialBuckets(0.0001, 4, 9), "service")
+	s.latency = histogram("request_seconds", "Time from arrival to the answer's end.",
+		prometheus.ExponentialBuckets(0.0001, 4, 10), "service")
+}
+
+func (s *Set) addGroups() {
+	s.failoverGap = histogram("failover_gap_seconds",
+		"Time from the first suspicion of a primary to the first write acknowledged in the next term.",
+		[]float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30}, "group")
+	s.connections = gaugeVec("endpoint_connections", "Connections to a slot, by state.", "group", "slot", "state")
+	s.connLimit = gaugeVec("endpoint_connection_share", "Connections that this daemon may have to a slot.", "group", "slot")
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, labels)
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts a request that ended after elapsed.
+func (s *Set) Request(service string, outcome Outcome, elapsed time.Duration) {
+	service = s.services.bounded(service)
+	s.requests.WithLabelValues(service, outcome.String()).Inc()
+	s.latency.WithLabelValues(service).Observe(elapsed.Seconds())
+}
+
+// Read counts a read outside transactions that write.
+func (s *Set) Read(service string, target Target) {
+	s.reads.WithLabelValues(s.services.bounded(service), target.String()).Inc()
+}
+
+// Retry counts a retry that the budget granted or not.
+func (s *Set) Retry(service string, granted bool) {
+	label := "no"
+	if granted {
+		label = "yes"
+	}
+	s.retries.WithLabelValues(s.services.bounded(service), label).Inc()
+}
+
+// Refused counts a refusal. Reason must be the name of a constant, never text
+// from a caller.
+func (s *Set) Refused(service, reason string) {
+	s.refused.WithLabelValues(s.services.bounded(service), reason).Inc()
+}
+
+// Queued records how long a request waited for admission.
+func (s *Set) Queued(service string, waited time.Duration) {
+	s.queueTime.WithLabelValues(s.services.bounded(service)).Observe(waited.Seconds())
+}
+
+// Floor counts a look-up of a session's floor that found it, or not.
+func (s *Set) Floor(known bool) {
+	label := "unknown"
+	if known {
+		label = "known"
+	}
+	s.floors.WithLabelValues(label).Inc()
+}
+
+// FailoverGap records a finished failover.
+func (s *Set) FailoverGap(group string, gap time.Duration) {
+	s.failoverGap.WithLabelValues(s.groups.bounded(group)).Observe(gap.Seconds())
+}
+
+// Connections sets the connections of this daemon to a slot: how many work, how
+// many wait in the pool, how many are pinned to a caller, and how many the
+// daemon may have.
+func (s *Set) Connections(group, slot string, busy, idle, pinned, share int) {
+	group, slot = s.groups.bounded(group), s.slots.bounded(slot)
+	s.connections.WithLabelValues(group, slot, "busy").Set(float64(busy))
+	s.connections.WithLabelValues(group, slot, "idle").Set(float64(idle))
+	s.connections.WithLabelValues(group, slot, "pinned").Set(float64(pinned))
+	s.connLimit.WithLabelValues(group, slot).Set(float64(share))
+}
+
+// Revision sets the configuration revision in force and whether it is confirmed
+// as current.
+func (s *Set) Revision(revision uint64, current bool) {
+	s.revision.Set(float64(revision))
+	confirmed := 0.0
+	if current {
+		confirmed = 1
+	}
+	s.current.Set(confirmed)
+}
+
+// names is the set of values that a label has had. No other lock is taken while
+// mu is held.
+type names struct {
+	mu   sync.RWMutex
+	seen map[string]struct{}
+}
+
+// bounded returns name, or otherName when maxNames others came first.
+func (n *names) bounded(name string) string {
+	n.mu.RLock()
+	_, ok := n.seen[name]
+	n.mu.RUnlock()
+	if ok {
+		return name
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.seen[name]; ok {
+		return name
+	}
+	if len(n.seen) >= maxNames {
+		return otherName
+	}
+	if n.seen == nil {
+		n.seen = make(map[string]struct{})
+	}
+	n.seen[name] = struct{}{}
+	return name
+}
