Control plane in the daemon: agreement, group records, failover, time line

Cause: the parts stood side by side. A daemon with the role control runs its member of the group; the leader begins group records, allocates terms and drives promotions on reports of the holders' observers; every daemon follows the configuration and the records. Not yet driven by a test of the whole.

--- a/internal/acks/acks.go
+++ b/internal/acks/acks.go
@@ -28,6 +28,8 @@
 // Lock order: Tracker.mu before group.mu.
 type Tracker struct {
 	members Members
+	// firstOfTerm is told of the first commit that is confirmed in a term.
+	firstOfTerm func(group string, term uint64)
 
 	// mu guards groups.
 	mu     sync.Mutex
@@ -36,8 +38,9 @@
 
 // group tracks the commits of one database group.
 type group struct {
-	name    string
-	members Members
+	name        string
+	members     Members
+	firstOfTerm func(group string, term uint64)
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -46,8 +49,10 @@
 	nextID commitack.ID
 	wait   map[commitack.ID]*commit
 	// last is the newest status of each slot, replayed into a new state.
-	last    map[string]endpoint.Status
-	results []commitack.Result
+	last map[string]endpoint.Status
+	// confirmedTerm is the latest term in which a commit was confirmed.
+	confirmedTerm uint64
+	results       []commitack.Result
 }
 
 // commit is one commit that waits for its verdict.
@@ -60,9 +65,23 @@
 	placed bool
 }
 
-// New returns a Tracker that learns the members of groups from members.
-func New(members Members) *Tracker {
-	return &Tracker{members: members, groups: map[string]*group{}}
+// New returns a Tracker that learns the members of groups from members. It tells
+// firstOfTerm of the first commit confirmed in each term; nil tells nobody.
+func New(members Members, firstOfTerm func(group string, term uint64)) *Tracker {
+	return &Tracker{members: members, firstOfTerm: firstOfTerm, groups: map[string]*group{}}
+}
+
+// Refresh takes in that the members of groups may have changed.
+func (t *Tracker) Refresh() {
+	t.mu.Lock()
+	groups := make([]*group, 0, len(t.groups))
+	for _, g := range t.groups {
+		groups = append(groups, g)
+	}
+	t.mu.Unlock()
+	for _, g := range groups {
+		g.refresh()
+	}
 }
 
 // Await implements the holder package's Acknowledger.
@@ -101,7 +120,7 @@
 	g := t.groups[name]
 	if g == nil {
 		g = &group{
-			name: name, members: t.members,
+			name: name, members: t.members, firstOfTerm: t.firstOfTerm,
 			wait: map[commitack.ID]*commit{}, last: map[string]endpoint.Status{},
 		}
 		t.groups[name] = g
@@ -186,6 +205,7 @@
 // deliver wakes those whose verdict is known. The caller holds mu.
 func (g *group) deliver(results []commitack.Result) {
 	for _, res := range results {
+		g.noteConfirmed(res)
 		if c := g.wait[res.ID]; c != nil {
 			c.ready <- res
 			delete(g.wait, res.ID)
@@ -194,6 +214,28 @@
 	g.results = results[:0]
 }
 
+// noteConfirmed tells of the first commit confirmed in a term.
+func (g *group) noteConfirmed(res commitack.Result) {
+	if res.Outcome != commitack.Confirmed || g.acks.Term() <= g.confirmedTerm {
+		return
+	}
+	g.confirmedTerm = g.acks.Term()
+	if g.firstOfTerm != nil {
+		g.firstOfTerm(g.name, g.confirmedTerm)
+	}
+}
+
+// refresh renews the state if the members changed.
+func (g *group) refresh() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if term := g.latestWaiting(); term > 0 {
+		g.renew(term)
+	} else if g.acks != nil {
+		g.renew(g.acks.Term())
+	}
+}
+
 func (g *group) forget(id commitack.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/acks/acks_test.go
+++ b/internal/acks/acks_test.go
@@ -33,7 +33,7 @@
 	f.know(slots...)
 	f.t = New(func(_ string, term uint64) ([]quorum.Member, string, bool) {
 		return f.members, "s1", term == f.term
-	})
+	}, nil)
 	return f
 }
 
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -5,6 +5,7 @@
 	"net/http/pprof"
 
 	"hemlockmast/internal/session/directoryrpc"
+	"hemlockmast/internal/timeline/timelinerpc"
 )
 
 func (d *Daemon) adminHandler() http.Handler {
@@ -16,6 +17,8 @@
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	d.members.Register(mux)
+	d.control.register(mux)
+	mux.Handle(timelinerpc.PathPrefix, timelinerpc.Handler(d.journal))
 	mux.Handle(directoryrpc.PathPrefix, d.directoryServer.Handler())
 	return mux
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hemlockmast/api/service"
+	timelinepb "hemlockmast/api/timeline"
 	"hemlockmast/internal/acks"
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/entry"
@@ -32,6 +33,7 @@
 	"hemlockmast/internal/sessions"
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/timeline"
 	"hemlockmast/internal/watch"
 )
 
@@ -65,9 +67,13 @@
 	directory       *directoryrpc.Client
 	directoryServer *directoryrpc.Server
 	members         *runner.Runner
-	peers           *peerSet
-	ready           atomic.Bool
-	seq             atomic.Uint64
+	control         controlParts
+	journal         *timeline.Journal
+	// recorder takes the events of failovers.
+	recorder recorder
+	peers    *peerSet
+	ready    atomic.Bool
+	seq      atomic.Uint64
 
 	listeners listeners
 
@@ -111,7 +117,9 @@
 		return nil, err
 	}
 	d.members = members
-	d.acks = acks.New(d.ackMembers)
+	d.journal = newJournal(s.Name)
+	d.recorder = recorder{d.journal}
+	d.acks = acks.New(d.ackMembers, d.recordFirstWrite)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
@@ -138,6 +146,9 @@
 		MaxCallers:   s.MaxCallers,
 		DrainTimeout: s.DrainTimeout,
 	})
+	if err := d.setUpControl(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -181,6 +192,9 @@
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
 	g.Go(func() error { return d.members.Run(serving) })
 	g.Go(func() error { return d.followMembership(serving) })
+	g.Go(func() error { return d.followConfiguration(serving) })
+	d.control.run(serving, g)
+	d.recordDaemon(timelinepb.Kind_KIND_DAEMON_STARTED, "")
 	g.Go(func() error {
 		defer stopServing()
 		return d.serveUntilDrained(ctx)
@@ -198,6 +212,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		d.ready.Store(false)
+		d.recordDaemon(timelinepb.Kind_KIND_DRAIN_STARTED, "")
 		drain, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 		defer cancel()
 		d.link.Drain(drain)
@@ -276,8 +291,9 @@
 	return list
 }
 
-// ackMembers implements acks.Members. Without a control group the incarnations
-// are those that this daemon saw; it waits until it has seen a majority.
+// ackMembers implements acks.Members: the agreed records say which incarnations
+// count. Without a control group they are those that this daemon saw; it waits
+// until it has seen a majority.
 func (d *Daemon) ackMembers(group string, term uint64) ([]quorum.Member, string, bool) {
 	g, ok := d.view.Group(group)
 	if !ok {
@@ -295,6 +311,10 @@
 			primary = s.Name
 		}
 	}
+	if d.control.records != nil {
+		members, ok = d.control.records.Members(group)
+		return members, primary, ok && primary != ""
+	}
 	return members, primary, primary != "" && known >= quorum.Majority(len(members))
 }
 
--- a/internal/daemon/watchers.go
+++ b/internal/daemon/watchers.go
@@ -106,6 +106,7 @@
 
 // reportLevel takes what an observer of this daemon makes of its endpoint.
 func (d *Daemon) reportLevel(group string, r suspect.Report) {
+	d.sendReport(group, r)
 	if r.Level >= suspect.Unreachable {
 		d.publish(endpoint.Status{Group: group, Slot: r.Slot}, time.Now(), false)
 	}
