--- a/internal/failover/explore_test.go
+++ b/internal/failover/explore_test.go
@@ -388,6 +388,7 @@
 		{"three promotions", 1_100_000, rules{terms: []uint8{2, 3, 4}, maxWrites: 1}},
 		{"equal terms", 150_000, rules{terms: []uint8{2, 2, 3}, maxWrites: 1, lostReplies: true}},
 		{"one disk lost", 300_000, rules{terms: []uint8{2, 3}, maxWrites: 1, maxLosses: 1}},
+		{"one disk lost, lost answers, timeouts", 100_000, rules{terms: []uint8{2, 3}, maxWrites: 1, maxLosses: 1, lostReplies: true, timeouts: true}},
 		{"disks lost one after another", 200_000, rules{terms: []uint8{2, 3, 4}, maxWrites: 1, maxLosses: 2}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
