--- a/internal/failover/driver/driver.go
+++ b/internal/failover/driver/driver.go
@@ -39,15 +39,21 @@
 type Connect func(ctx context.Context, group, slot string) (endpoint.Controller, error)
 
 // Seen is an incarnation that the promoter saw in a slot.
-type Seen = quorum.Seen
+type Seen struct{ Slot, Incarnation string }
 
 // Allocation is a term and the members that count in it.
-type Allocation = quorum.Book
+type Allocation struct {
+	Term    uint64
+	Members []quorum.Member
+}
 
 // Terms allocates terms. It has to be durable and agreed: the rule on lost disks
 // rests on it.
 type Terms interface {
-	// Allocate returns the group's book after quorum.Book.Allocate.
+	// Allocate returns a term for group that is at least atLeast and higher than
+	// any it returned before, and the group's members. A seen incarnation that
+	// is not the recorded one is recorded with Since set to the new term. The
+	// record of a slot that was not seen stays. Package groupstate decides so.
 	Allocate(ctx context.Context, group string, atLeast uint64, seen []Seen) (Allocation, error)
 }
 
--- a/internal/failover/driver/fake_test.go
+++ b/internal/failover/driver/fake_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"hemlockmast/api/control"
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/failover"
+	"hemlockmast/internal/groupstate"
 	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/suspect"
@@ -173,14 +175,24 @@
 
 func (c *fakeController) Close() error { return nil }
 
-// fakeTerms allocates terms for all drivers of a test.
+// fakeTerms allocates terms for all drivers of a test, by the state machine of
+// the control group.
 type fakeTerms struct {
 	mu      sync.Mutex
-	books   map[string]quorum.Book
+	state   *groupstate.State
 	failing int // calls that fail first
 }
 
-func newTerms() *fakeTerms { return &fakeTerms{books: map[string]quorum.Book{}} }
+func newTerms() *fakeTerms { return &fakeTerms{state: groupstate.New()} }
+
+// begin records the members of a group whose primary has term 1.
+func (f *fakeTerms) begin(group string, members []quorum.Member) {
+	cmd := &control.GroupCommand{Group: group, AtLeast: 1}
+	for _, m := range members {
+		cmd.Seen = append(cmd.Seen, &control.SeenSlot{Slot: m.Slot, Incarnation: m.Incarnation})
+	}
+	f.state.Apply(1, cmd)
+}
 
 func (f *fakeTerms) Allocate(_ context.Context, group string, atLeast uint64, seen []Seen) (Allocation, error) {
 	f.mu.Lock()
@@ -189,12 +201,16 @@
 		f.failing--
 		return Allocation{}, downError{}
 	}
-	book, ok := f.books[group]
-	if !ok {
-		book = quorum.Book{Members: firstPrimary().Members}
+	f.begin(group, firstPrimary().Members)
+	cmd := &control.GroupCommand{Group: group, Allocate: true, AtLeast: atLeast}
+	for _, s := range seen {
+		cmd.Seen = append(cmd.Seen, &control.SeenSlot{Slot: s.Slot, Incarnation: s.Incarnation})
+	}
+	record, err := groupstate.DecodeResult(f.state.Apply(2, cmd))
+	if err != nil {
+		return Allocation{}, err
 	}
-	f.books[group] = book.Allocate(atLeast, seen)
-	return f.books[group], nil
+	return Allocation{Term: record.Term, Members: groupstate.Members(record)}, nil
 }
 
 // rig is a driver over a fakeNet with one observer in each of three failure
--- a/internal/failover/driver/standin_test.go
+++ b/internal/failover/driver/standin_test.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	terms := newTerms()
-	terms.books["g"] = quorum.Book{Term: 1, Members: current.Members}
+	terms.begin("g", current.Members)
 	timing := failover.DefaultTiming()
 	timing.Follow = 100 * time.Millisecond // what comes later is corrected
 	d, err := New(ctx, Config{
--- a/internal/failover/explore_test.go
+++ b/internal/failover/explore_test.go
@@ -13,8 +13,10 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"hemlockmast/api/control"
 	"hemlockmast/internal/commitack"
 	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/groupstate"
 	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/quorum"
 )
@@ -156,12 +158,7 @@
 	c.start(term)
 	yield(c)
 	c = w.clone(step{stepAttempt, term, 1})
-	var seen []quorum.Seen
-	for i := range c.nodes {
-		seen = append(seen, quorum.Seen{Slot: slotNames[i], Incarnation: incarnation(c.nodes[i].incarnation)})
-	}
-	book := quorum.Book{Members: w.members[:]}.Allocate(uint64(term), seen)
-	for i, m := range book.Members {
+	for i, m := range w.allocate(term) {
 		if m != w.members[i] {
 			m.Since = r.since(term, m.Since)
 		}
@@ -173,6 +170,23 @@
 	}
 }
 
+// allocate is control's answer to a promoter that has seen every incarnation.
+func (w *world) allocate(term uint8) []quorum.Member {
+	before := &control.GroupRecord{Group: "g"}
+	cmd := &control.GroupCommand{Group: "g", Allocate: true, AtLeast: uint64(term)}
+	for i, m := range w.members {
+		before.Members = append(before.Members, &control.Member{Slot: m.Slot, Incarnation: m.Incarnation, Since: m.Since})
+		cmd.Seen = append(cmd.Seen, &control.SeenSlot{Slot: m.Slot, Incarnation: incarnation(w.nodes[i].incarnation)})
+	}
+	state := groupstate.New()
+	state.Restore([]*control.GroupRecord{before})
+	record, err := groupstate.DecodeResult(state.Apply(1, cmd))
+	if err != nil {
+		panic(err)
+	}
+	return groupstate.Members(record)
+}
+
 // since returns the term from which a new incarnation counts.
 func (r *rules) since(term uint8, recorded uint64) uint64 {
 	switch {
