Failover in the whole system: no acknowledged write lost, no caller error

Cause: promotion ran in its own tests only. Found: a write that met a superseded primary got its 25006 as an answer; it is proven not run, and now waits for the next primary. The development cluster publishes through the control group (hemlockmast-dev has three control daemons).

--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -10,7 +10,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hemlockmast/internal/cli/publish"
 	"hemlockmast/internal/cli/query"
+	"hemlockmast/internal/cli/state"
+	"hemlockmast/internal/cli/timeline"
 	"hemlockmast/internal/version"
 )
 
@@ -33,6 +36,7 @@
 		Version:               version.Text,
 		EnableShellCompletion: true,
 		Description:           "Exit codes: 0 done, 1 failed, 2 wrong use.",
-		Commands:              []*cli.Command{query.Command()},
+		Commands: append(publish.Commands(),
+			query.Command(), state.Command(), timeline.Command()),
 	}
 }
--- a/cmd/hemlockmast-dev/main.go
+++ b/cmd/hemlockmast-dev/main.go
@@ -21,6 +21,8 @@
 	exitFailure = 1
 	// connectDelay is how long a new connection to a stand-in takes.
 	connectDelay = 10 * time.Millisecond
+	// controlDaemons is the size of the control group.
+	controlDaemons = 3
 	// drainTimeout bounds the stop.
 	drainTimeout = 5 * time.Second
 )
@@ -55,7 +57,14 @@
 	if err != nil {
 		return err
 	}
+	data, err := os.MkdirTemp("", "hemlockmast-dev-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(data) }()
 	c, err := devcluster.Start(ctx, devcluster.Config{
+		Control:          controlDaemons,
+		DataFolder:       data,
 		Folders:          cmd.StringSlice("config"),
 		DaemonsPerDomain: cmd.Int("daemons"),
 		ConnectDelay:     connectDelay,
@@ -89,5 +98,6 @@
 	} {
 		fmt.Printf("  go run ./cmd/hemlockctl query --url '%s' \"%s\"\n", url, sql)
 	}
+	fmt.Printf("  go run ./cmd/hemlockctl status --control %s\n", c.Daemons[0].AdminAddr())
 	fmt.Println("\nCtrl-C stops everything.")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -169,9 +169,16 @@
 // CallerAddr returns the address for callers.
 func (d *Daemon) CallerAddr() string { return d.listeners.callers.Addr().String() }
 
+// AdminAddr returns the address for operators and announcements.
+func (d *Daemon) AdminAddr() string { return d.listeners.admin.Addr().String() }
+
 // AdminURL returns the base URL for operators and announcements.
 func (d *Daemon) AdminURL() string { return "http://" + d.listeners.admin.Addr().String() }
 
+// Ready reports whether a configuration is in force and the daemon does not
+// stop.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
 // HolderUsage returns the use of the connections that this daemon holds.
 func (d *Daemon) HolderUsage() map[holder.SlotID]holder.Usage { return d.holder.Usage() }
 
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -5,11 +5,16 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"hemlockmast/api/configstate"
+	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
 	pb "hemlockmast/api/settings"
 	"hemlockmast/internal/daemon"
@@ -24,6 +29,11 @@
 	Folders []string
 	// DaemonsPerDomain is the number of daemons in each failure domain.
 	DaemonsPerDomain int
+	// Control is the number of control daemons, at most one in each failure
+	// domain; 0 lets the daemons read Folders themselves.
+	Control int
+	// DataFolder holds the control daemons' state.
+	DataFolder string
 	// ConnectDelay is how long a new endpoint connection takes.
 	ConnectDelay time.Duration
 	// ReplicationLag and ApplyLag delay the replicas.
@@ -107,6 +117,7 @@
 func (c *Cluster) startDaemons(ctx context.Context, cfg Config) error {
 	type plan struct {
 		name, domain string
+		roles        []string
 		addr         addresses
 	}
 	var plans []plan
@@ -117,25 +128,33 @@
 			if err != nil {
 				return err
 			}
-			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, addr})
+			roles := []string{settings.RoleEntry, settings.RoleHolder}
+			if i == 0 && len(plans)/cfg.DaemonsPerDomain < cfg.Control {
+				roles = append(roles, settings.RoleControl)
+			}
+			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, roles, addr})
 		}
 	}
 	for _, p := range plans {
 		s := &pb.Settings{
 			Name: p.name, FailureDomain: p.domain,
-			Roles: []string{settings.RoleEntry, settings.RoleHolder},
+			Roles: p.roles,
 			Listen: &pb.Listen{
 				Callers: p.addr.callers, Link: p.addr.link,
 				Admin: p.addr.admin, Heartbeat: p.addr.heartbeat,
 			},
-			ConfigurationFolders: cfg.Folders,
-			Limits:               &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+			Limits: &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+		}
+		if cfg.Control == 0 {
+			s.ConfigurationFolders = cfg.Folders
+		} else {
+			s.DataFolder = filepath.Join(cfg.DataFolder, p.name)
 		}
 		for _, q := range plans {
 			if q.name != p.name {
 				s.Peers = append(s.Peers, &pb.Peer{
 					Name: q.name, FailureDomain: q.domain, Link: q.addr.link,
-					Admin: q.addr.admin, Heartbeat: q.addr.heartbeat, Roles: s.Roles,
+					Admin: q.addr.admin, Heartbeat: q.addr.heartbeat, Roles: q.roles,
 				})
 			}
 		}
@@ -143,10 +162,58 @@
 			return err
 		}
 	}
+	if cfg.Control == 0 {
+		return nil
+	}
+	return c.publish(ctx)
+}
+
+// publish makes the folders' files the configuration in force and waits until
+// every daemon runs it.
+func (c *Cluster) publish(ctx context.Context) error {
+	client := confspread.NewControlProtobufClient(c.Daemons[0].AdminURL(), http.DefaultClient)
+	request := &confspread.PublishRequest{
+		Change:        &configstate.Change{Id: "first", Author: "devcluster"},
+		Configuration: c.Configuration,
+	}
+	for {
+		response, err := client.Publish(ctx, request)
+		if err == nil && response.GetAccepted() != nil {
+			break
+		}
+		if err := sleep(ctx, publishRetry); err != nil {
+			return err
+		}
+	}
+	for _, d := range c.Daemons {
+		for !d.Ready() {
+			if err := sleep(ctx, publishRetry); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// publishRetry is the wait after a publication that failed, as it does until
+// the control group has a leader.
+const publishRetry = 50 * time.Millisecond
+
 func (c *Cluster) startDaemon(ctx context.Context, s *pb.Settings, log logr.Logger) error {
+	if s.DataFolder != "" {
+		if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
+			return err
+		}
+	}
 	checked, err := settings.Check(s.Name, s)
 	if err != nil {
 		return err
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -37,13 +37,24 @@
 // startCluster runs one daemon in each of three failure domains and one group
 // with three endpoints.
 func startCluster(t *testing.T) *devcluster.Cluster {
+	t.Helper()
+	return startClusterWith(t, devcluster.Config{})
+}
+
+// startControlled runs the same with a control group of three.
+func startControlled(t *testing.T) *devcluster.Cluster {
+	t.Helper()
+	return startClusterWith(t, devcluster.Config{Control: 3, DataFolder: t.TempDir()})
+}
+
+func startClusterWith(t *testing.T, cfg devcluster.Config) *devcluster.Cluster {
 	t.Helper()
 	host, port := splitAddr(t, freeAddr(t))
 	nextPort.Add(clusterPorts)
-	c, err := devcluster.Start(context.Background(), devcluster.Config{
-		Folders: []string{writeFolder(t)}, DaemonsPerDomain: 1,
-		DrainTimeout: 5 * time.Second, Log: logr.Discard(), Host: host, FirstPort: port,
-	})
+	cfg.Folders, cfg.DaemonsPerDomain = []string{writeFolder(t)}, 1
+	cfg.DrainTimeout, cfg.Log = 5*time.Second, logr.Discard()
+	cfg.Host, cfg.FirstPort = host, port
+	c, err := devcluster.Start(context.Background(), cfg)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -164,6 +164,10 @@
 var errReadOnly = outcome.NotRunError(outcome.CodeReadOnlyTransaction, outcome.ReasonUnknownTarget,
 	"the segment writes", nil)
 
+// errSuperseded marks a segment that a superseded primary refused.
+var errSuperseded = outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonSuperseded,
+	"the primary was superseded", nil)
+
 // once sends the segment once.
 func (a *attempt) once(ctx context.Context) (exchange.Result, error) {
 	sess := a.sess
@@ -185,15 +189,30 @@
 		sess.dropExchange()
 		return res, err
 	}
-	if res.ReadOnlyRefusal && !a.inTx && !a.primary && a.access == accessUndeclared && !a.sink.started {
-		sess.dropExchange()
-		sess.srv.learned.add(sess.service.Name, a.seg.queries)
-		a.access = accessWrite
-		return res, errReadOnly
+	if res.ReadOnlyRefusal && !a.inTx && !a.sink.started {
+		return res, a.refusedAsWrite()
 	}
 	return res, nil
 }
 
+// refusedAsWrite decides about a segment that the endpoint refused to run
+// because it writes. At a replica that was tried first, it moves to the primary;
+// at a primary, which must have been superseded, it waits for the next one. A
+// segment that declared to read gets the endpoint's own answer.
+func (a *attempt) refusedAsWrite() error {
+	switch {
+	case a.access == accessUndeclared && !a.primary:
+		a.sess.srv.learned.add(a.sess.service.Name, a.seg.queries)
+		a.access = accessWrite
+		a.sess.dropExchange()
+		return errReadOnly
+	case a.access == accessWrite && a.primary:
+		a.sess.dropExchange()
+		return errSuperseded
+	}
+	return nil
+}
+
 // open routes the segment and opens an exchange for it.
 func (a *attempt) open(ctx context.Context) (*link.Open, error) {
 	sess := a.sess
--- a/internal/holder/marked.go
+++ b/internal/holder/marked.go
@@ -161,6 +161,9 @@
 	if reply.code != "" || reply.txStatus != 'I' {
 		return res, markerRefused(reply.code)
 	}
+	if res.ReadOnlyRefusal {
+		return res, markerRefused(res.ErrorCode)
+	}
 	res.TxStatus = 'I'
 	res.Commit = reply.commit
 	setReadyStatus(r.withheld, 'I')
