--- a/internal/route/read.go
+++ b/internal/route/read.go
@@ -32,8 +32,8 @@
 		return r.send(r.pick(ready)), nil
 	}
 	waiter, wait := r.soonest()
-	if waiter != nil && wait <= r.patience(waiter) {
-		return r.wait(waiter, wait), nil
+	if patience := r.patience(waiter); waiter != nil && wait <= patience {
+		return r.wait(waiter, patience), nil
 	}
 	if r.primary != nil {
 		return r.atPrimary(), nil
@@ -52,7 +52,7 @@
 }
 
 func (r *reader) wait(s *Slot, wait time.Duration) Decision {
-	return Decision{Action: ActionWait, Slot: s.Name, Wait: max(MinWait, wait), Floor: r.req.Floor.Pos}
+	return Decision{Action: ActionWait, Slot: s.Name, Wait: wait, Floor: r.req.Floor.Pos}
 }
 
 // atPrimary asks for a confirmation where a superseded primary could otherwise
@@ -92,7 +92,7 @@
 }
 
 // soonest returns the replica that is expected to meet the floor first, and
-// when.
+// when. Of equals the confirming replica is the surest.
 func (r *reader) soonest() (*Slot, time.Duration) {
 	var found *Slot
 	var least time.Duration
@@ -102,7 +102,8 @@
 			continue
 		}
 		wait := r.expectedWait(s)
-		if found == nil || wait < least {
+		surer := wait == least && s.Name == r.req.Floor.Slot
+		if found == nil || wait < least || surer {
 			found, least = s, wait
 		}
 	}
@@ -112,14 +113,19 @@
 // expectedWait is how long s needs to apply the floor. The replica that
 // confirmed the write holds it already and has only to apply it.
 func (r *reader) expectedWait(s *Slot) time.Duration {
+	wait := s.Delay - r.req.FloorAge
 	if s.Name == r.req.Floor.Slot || !s.Synced.Less(r.req.Floor.Pos) {
-		return max(MinWait, s.ApplyDelay)
+		wait = min(wait, s.ApplyDelay)
 	}
-	return max(MinWait, s.Delay-r.req.FloorAge)
+	return max(MinWait, wait)
 }
 
-// patience is how long a read may wait at s while there is a primary.
+// patience is how long a read may wait at s while there is a primary. It waits
+// once: an expectation that failed is no reason for another.
 func (r *reader) patience(s *Slot) time.Duration {
+	if s == nil || len(r.req.Tried) > 0 && r.primary != nil {
+		return 0
+	}
 	limit := min(r.policy.MaxWait, r.req.Remaining)
 	if r.policy.Preference == PreferLatency && r.primary != nil {
 		limit = min(limit, cost(r.primary)-cost(s))
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -104,8 +104,8 @@
 const (
 	// ActionSend sends the statement to Slot.
 	ActionSend Action = iota + 1
-	// ActionWait sends it to Slot, to run once the slot has applied the floor,
-	// within Wait.
+	// ActionWait sends it to Slot, to run once the slot has applied the floor. A
+	// slot that has not after Wait is to be put into Request.Tried.
 	ActionWait
 	// ActionAskFloor asks the primary Slot for a safe floor, then routes again.
 	ActionAskFloor
