Stand-in: a client that is gone ends its waiting statement

A dead holder's connection stayed counted while its statement waited for a lock or for WAIT's timeout, so that its share could not be reclaimed. The endpoint looks for the end of the input once a second while a statement runs (TestDeadClientLeavesItsPlace; with the look taken out it does not end).

--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/internal/standin"
@@ -114,6 +115,26 @@
 	assert.Assert(t, tryNew(t, e, "", true))
 }
 
+// TestDeadClientLeavesItsPlace cuts a client while its statement waits.
+func TestDeadClientLeavesItsPlace(t *testing.T) {
+	for _, text := range []string{"SELECT pg_sleep(3600)", "UPDATE t SET k = 2", "HEMLOCK WAIT 1/3 1/3 primary 1 3600000"} {
+		e := start(t, standin.Config{Primary: true})
+		c := connect(t, e, "")
+		exec(t, c, "CREATE TABLE t (k int PRIMARY KEY)")
+		exec(t, c, "INSERT INTO t VALUES (1)")
+		exec(t, c, "BEGIN")
+		exec(t, c, "UPDATE t SET k = 1")
+		dead := connect(t, e, "")
+		dead.PgConn().Frontend().SendQuery(&pgproto3.Query{String: text})
+		assert.NilError(t, dead.PgConn().Frontend().Flush())
+		assert.NilError(t, dead.PgConn().Conn().Close())
+		for e.Status().ConnsInUse > 1 {
+			time.Sleep(time.Millisecond)
+		}
+		exec(t, c, "COMMIT")
+	}
+}
+
 func TestFaultsByStatement(t *testing.T) {
 	e := start(t, standin.Config{Primary: true})
 	for _, row := range []struct {
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -7,10 +7,12 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/sockpeek"
 	"hemlockmast/internal/standin/exec"
 	"hemlockmast/internal/standin/sqltext"
 	"hemlockmast/internal/standin/store"
@@ -21,6 +23,9 @@
 	maxMessageBytes = 64 << 20
 	// flushBytes is how much of a result is collected before it is sent.
 	flushBytes = 16 << 10
+	// peerCheckInterval is between looks for a client that is gone while its
+	// statement runs.
+	peerCheckInterval = time.Second
 	// paramReplica is the start-up parameter by which a replica's connection
 	// names its slot; such a connection does not count towards the limit.
 	paramReplica = "hemlock.replica"
@@ -264,13 +269,27 @@
 	return resp
 }
 
-// statementContext gives a context that a cancel request ends.
+// statementContext gives a context that a cancel request ends, and so does a
+// client that is gone: a dead holder's waiting statements must not keep its
+// connections.
 func (s *session) statementContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.stmtMu.Lock()
+	defer s.stmtMu.Unlock()
 	s.stopStmt = cancel
-	s.stmtMu.Unlock()
+	var check *time.Timer
+	check = time.AfterFunc(peerCheckInterval, func() {
+		if sockpeek.HasInputOrEnd(s.conn) && !sockpeek.HasInput(s.conn) {
+			cancel()
+		}
+		s.stmtMu.Lock()
+		defer s.stmtMu.Unlock()
+		if ctx.Err() == nil {
+			check.Reset(peerCheckInterval)
+		}
+	})
 	return ctx, func() {
+		check.Stop()
 		s.stmtMu.Lock()
 		s.stopStmt = nil
 		s.stmtMu.Unlock()
