Admission, retry budget and metrics in the entry

Cause: every segment was admitted and nothing was counted. Segments now pass the admission gate of the service files (concurrency, queue, priority, deadline), a further try needs the retry budget unless it waits for a change of the group, and /metrics shows outcomes with abandoned callers, reads by target, refusals by reason, queue times and retries. SET of a session id or token was accepted and did nothing; it is refused now. A replica leaves when it is 30 s behind (was 5 s), as the read-share model asks.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -16,6 +16,7 @@
 	mux.HandleFunc("GET /readyz", d.handleReady)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /metrics", d.metrics.Handler())
 	d.members.Register(mux)
 	d.control.register(mux)
 	mux.Handle(timelinerpc.PathPrefix, timelinerpc.Handler(d.journal))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	hlink "hemlockmast/internal/link"
 	"hemlockmast/internal/membership/assign"
 	"hemlockmast/internal/membership/runner"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/routing"
 	"hemlockmast/internal/servicefile"
@@ -69,6 +70,8 @@
 	members         *runner.Runner
 	control         controlParts
 	journal         *timeline.Journal
+	metrics         *metrics.Set
+	admit           admitter
 	// recorder takes the events of failovers.
 	recorder recorder
 	peers    *peerSet
@@ -118,6 +121,8 @@
 	}
 	d.members = members
 	d.journal = newJournal(s.Name)
+	d.metrics = metrics.New()
+	d.admit = newAdmitter(d.metrics)
 	d.recorder = recorder{d.journal}
 	d.acks = acks.New(d.ackMembers, d.recordFirstWrite)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
@@ -140,8 +145,8 @@
 		Catalog:      d.catalog,
 		Router:       routing.New(d.view, d.openSlot),
 		Sessions:     sessions.NewOpener(keys, d.directory),
-		Admit:        openAdmission{},
-		Observer:     silentObserver{},
+		Admit:        d.admit,
+		Observer:     observer{d.metrics},
 		Log:          d.log,
 		MaxCallers:   s.MaxCallers,
 		DrainTimeout: s.DrainTimeout,
@@ -242,6 +247,7 @@
 
 // apply puts a configuration in force.
 func (d *Daemon) apply(cfg *service.Configuration) {
+	d.admit.configure(cfg)
 	d.catalog.set(cfg)
 	d.view.SetConfiguration(cfg)
 	d.members.SetSlots(slotIDs(cfg))
--- a/internal/e2e/sessions_test.go
+++ b/internal/e2e/sessions_test.go
@@ -118,5 +118,9 @@
 	t.Run("unknown parameter", func(t *testing.T) {
 		_, err := pgx.Connect(ctx, readerURL(c.Daemons[0], "hemlock.sesion_id=x"))
 		assert.Equal(t, sqlState(err), "22023")
+		for _, sql := range []string{"SET hemlock.session_id = 'x'", "SET hemlock.read_level = 'newest'", "SET hemlock.deadline = '5'"} {
+			_, err := setup.Exec(ctx, sql)
+			assert.Equal(t, sqlState(err), "22023", sql)
+		}
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,16 +117,24 @@
 	Route(ctx context.Context, need Need) (Target, error)
 }
 
-// Observer counts what callers got. Implementations must be quick and safe for
-// concurrent use.
+// Observer counts what callers got. It must be quick and safe for concurrent
+// use.
 type Observer interface {
-	// Segment reports a finished segment: where it ran, what is known of it and
-	// for how long the caller waited.
-	Segment(service string, write, primary bool, result Verdict, wait time.Duration)
-	// Retry reports that a segment that had not run was sent again.
-	Retry(service string, reason outcome.Reason)
-	// Pinned reports that session state keeps a connection.
-	Pinned(service string)
+	// Segment reports a segment that ended.
+	Segment(s Segment)
+}
+
+// Segment is a segment that ended.
+type Segment struct {
+	Service string
+	// Write states that it was sent to the primary as a write, InTransaction
+	// that it continued a transaction, Primary that it ended at the primary.
+	Write, InTransaction, Primary bool
+	Verdict                       Verdict
+	// Reason is why it was refused; empty otherwise.
+	Reason outcome.Reason
+	// Wait is how long the caller waited.
+	Wait time.Duration
 }
 
 // Verdict is what became of a segment.
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -58,6 +58,16 @@
 	return out
 }
 
+// setLater changes a parameter after the start-up. The session is chosen at
+// start-up and stays.
+func (sess *callerConn) setLater(name, value string) *outcome.Error {
+	if name == paramSession || name == paramToken {
+		return outcome.NotRunError(outcome.CodeInvalidParameter, outcome.ReasonProtocol,
+			name+" is a start-up parameter; connect again with it", nil)
+	}
+	return sess.setOwn(name, value)
+}
+
 // serveOwn answers a lone SET of one of the entry's own parameters.
 func (sess *callerConn) serveOwn(seg *segment) (handled bool, err error) {
 	if len(seg.ops) != 1 || seg.end != pgwire.MsgQuery {
@@ -68,7 +78,7 @@
 		return false, nil
 	}
 	var out []byte
-	if refusal := sess.setOwn(name, value); refusal != nil {
+	if refusal := sess.setLater(name, value); refusal != nil {
 		out = pgwire.AppendError(nil, refusal)
 	} else {
 		out = pgwire.AppendCommandComplete(nil, "SET")
--- a/internal/groupstate/groupstate.go
+++ b/internal/groupstate/groupstate.go
@@ -2,9 +2,8 @@
 // groups: the terms that were allocated to promoters and the incarnations of
 // endpoints that count towards majorities.
 //
-// Invariant: a term is allocated once, and terms of a group ascend. A member's
-// Since is the term allocated by the command that recorded its incarnation, so
-// that no promoter with a grant of a lost disk has a later term.
+// The rules are those of quorum.Book; this package keeps one book for each group
+// and gives its commands and its state a wire form.
 package groupstate
 
 import (
@@ -93,19 +92,19 @@
 	if len(s.records) >= maxGroups {
 		return nil, &RefusedError{Detail: fmt.Sprintf("there are %d groups already", maxGroups)}
 	}
-	record := &control.GroupRecord{Group: cmd.Group, Term: cmd.AtLeast}
+	var slots []string
 	for _, seen := range cmd.Seen {
-		if seen.Slot == "" || seen.Incarnation == "" || find(record, seen.Slot) != nil {
+		if seen.Slot == "" || seen.Incarnation == "" || slices.Contains(slots, seen.Slot) {
 			return nil, &RefusedError{Detail: "a new group needs the incarnation of each slot once"}
 		}
-		record.Members = append(record.Members, &control.Member{Slot: seen.Slot, Incarnation: seen.Incarnation})
+		slots = append(slots, seen.Slot)
 	}
-	if len(record.Members) == 0 {
+	if len(slots) == 0 {
 		return nil, &RefusedError{Detail: "a new group needs slots"}
 	}
-	slices.SortFunc(record.Members, func(a, b *control.Member) int { return cmp.Compare(a.Slot, b.Slot) })
-	s.store(index, record)
-	return record, nil
+	slices.Sort(slots)
+	book := quorum.Book{Term: cmd.AtLeast}.Configure(slots).Begin(seenSlots(cmd))
+	return s.store(index, cmd.Group, book), nil
 }
 
 // allocate gives out the next term and records the incarnations that are new.
@@ -114,33 +113,28 @@
 	if old == nil {
 		return nil, &RefusedError{Detail: "the group has no record yet"}
 	}
-	record := proto.CloneOf(old)
-	record.Term = max(old.Term+1, cmd.AtLeast)
-	for _, seen := range cmd.Seen {
-		member := find(record, seen.Slot)
-		if member == nil || seen.Incarnation == "" || member.Incarnation == seen.Incarnation {
-			continue
-		}
-		member.Incarnation = seen.Incarnation
-		member.Since = record.Term
-	}
-	s.store(index, record)
-	return record, nil
+	book := quorum.Book{Term: old.Term, Members: Members(old)}
+	return s.store(index, cmd.Group, book.Allocate(cmd.AtLeast, seenSlots(cmd))), nil
 }
 
-func (s *State) store(index uint64, record *control.GroupRecord) {
-	record.Version = index
-	s.records[record.Group] = record
-	s.version = index
+func seenSlots(cmd *control.GroupCommand) []quorum.Seen {
+	seen := make([]quorum.Seen, 0, len(cmd.Seen))
+	for _, s := range cmd.Seen {
+		seen = append(seen, quorum.Seen{Slot: s.Slot, Incarnation: s.Incarnation})
+	}
+	return seen
 }
 
-func find(record *control.GroupRecord, slot string) *control.Member {
-	for _, m := range record.Members {
-		if m.Slot == slot {
-			return m
-		}
+func (s *State) store(index uint64, group string, book quorum.Book) *control.GroupRecord {
+	record := &control.GroupRecord{Group: group, Term: book.Term, Version: index}
+	for _, m := range book.Members {
+		record.Members = append(record.Members, &control.Member{
+			Slot: m.Slot, Incarnation: m.Incarnation, Since: m.Since,
+		})
 	}
-	return nil
+	s.records[group] = record
+	s.version = index
+	return record
 }
 
 // Version is the index of the last command that changed a record.
--- a/internal/routing/group.go
+++ b/internal/routing/group.go
@@ -22,8 +22,8 @@
 	maxPendingAges = 64
 	// behindLeave and behindReturn bound the age at which a replica stops and
 	// starts again to take reads of services without an age of their own.
-	behindLeave  = 5 * time.Second
-	behindReturn = 2 * time.Second
+	behindLeave  = 30 * time.Second
+	behindReturn = 10 * time.Second
 	// behindHold is how long the age must stay low.
 	behindHold = time.Second
 )
