--- a/internal/failover/driver/observer.go
+++ b/internal/failover/driver/observer.go
@@ -80,7 +80,8 @@
 		return true // the interval has passed in the wait
 	}
 	o.detector.Broken()
-	return o.dial(ctx)
+	o.dial(ctx)
+	return false
 }
 
 // dial connects and reads a first status. An endpoint that refuses the
