--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	agreepb "hemlockmast/api/agree"
@@ -59,7 +60,8 @@
 // fullFS is the operating system's, with a disk that can be full.
 type fullFS struct {
 	agreelog.OS
-	full atomic.Bool
+	full    atomic.Bool
+	written atomic.Int64 // bytes
 }
 
 type fullFile struct {
@@ -85,6 +87,7 @@
 		n, _ := f.File.Write(p[:len(p)/2])
 		return n, syscall.ENOSPC
 	}
+	f.fs.written.Add(int64(len(p)))
 	return f.File.Write(p)
 }
 
@@ -101,6 +104,7 @@
 
 func (c *cuttable) Send(address string, request *agreepb.DeliverRequest) {
 	if c.open(address) {
+		c.group.sent.Add(int64(proto.Size(request)))
 		c.Transport.Send(address, request)
 	}
 }
@@ -126,10 +130,13 @@
 	t       testing.TB
 	members []*member
 	compact int64
+	tick    time.Duration
+	replace StateMachine // in place of a journal, when set
+	sent    atomic.Int64 // bytes of deliveries, before they are merged
 }
 
 func newGroup(t testing.TB, names ...string) *group {
-	g := &group{t: t}
+	g := &group{t: t, tick: testTick}
 	for _, name := range names {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
@@ -171,11 +178,15 @@
 	for _, p := range g.members {
 		peers = append(peers, Peer{Name: p.name, Address: p.address})
 	}
-	ticker := time.NewTicker(testTick)
+	ticker := time.NewTicker(g.tick)
 	m.machine = &journal{}
+	machine := StateMachine(m.machine)
+	if g.replace != nil {
+		machine = g.replace
+	}
 	c, err := Open(Config{
 		Name: m.name, Address: m.address, Peers: peers, FS: m.fs, Dir: m.dir,
-		Machine: m.machine, Transport: &cuttable{NewPeers(ctx, client, "http"), g, m.name},
+		Machine: machine, Transport: &cuttable{NewPeers(ctx, client, "http"), g, m.name},
 		Ticks: ticker.C, Rand: rand.IntN, NewNumber: rand.Uint64, Log: logr.Discard(),
 		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compact,
 	})
@@ -431,3 +442,39 @@
 	assert.Assert(t, errors.As(err, &noGroup), "%v", err)
 	assert.Assert(t, errors.As(alone.members[0].control.ReadBarrier(ctx), &noGroup))
 }
+
+// TestRefoundedGroup loses the majority for good: the survivor's log founds a
+// new group, which the others join with empty folders.
+func TestRefoundedGroup(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	g.startAll()
+	g.until("the group", g.formed)
+	for i := range 10 {
+		g.propose(fmt.Sprintf("c%d", i))
+	}
+	g.same(commands(0, 10))
+	old := g.members[2].control.Status().Group
+	for _, m := range g.members {
+		m.stop()
+	}
+	folder, err := agreelog.OpenFolder(agreelog.OS{}, g.members[2].dir)
+	assert.NilError(t, err)
+	content, err := folder.Read()
+	assert.NilError(t, err)
+	assert.NilError(t, folder.Close())
+	for _, m := range g.members {
+		m.dir = filepath.Join(t.TempDir(), "new")
+	}
+	survivor := g.members[2]
+	folder, err = agreelog.OpenFolder(agreelog.OS{}, survivor.dir)
+	assert.NilError(t, err)
+	self := agree.ID{Name: survivor.name, Incarnation: rand.Uint64() | 1}
+	identity := agreelog.Identity{Group: rand.Uint64() | 1, Self: self}
+	assert.NilError(t, folder.Format(identity, agreelog.Refound(content, self, survivor.address)))
+	assert.NilError(t, folder.Close())
+	g.startAll()
+	g.until("the new group", g.formed)
+	g.propose("c10")
+	g.same(commands(0, 11))
+	assert.Assert(t, survivor.control.Status().Group != old)
+}
