--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -5,6 +5,7 @@
 	"net/http/pprof"
 
 	"hemlockmast/internal/session/directoryrpc"
+	"hemlockmast/internal/timeline/timelinerpc"
 )
 
 func (d *Daemon) adminHandler() http.Handler {
@@ -15,7 +16,10 @@
 	mux.HandleFunc("GET /readyz", d.handleReady)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /metrics", d.metrics.Handler())
 	d.members.Register(mux)
+	d.control.register(mux)
+	mux.Handle(timelinerpc.PathPrefix, timelinerpc.Handler(d.journal))
 	mux.Handle(directoryrpc.PathPrefix, d.directoryServer.Handler())
 	return mux
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hemlockmast/api/service"
+	timelinepb "hemlockmast/api/timeline"
 	"hemlockmast/internal/acks"
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/entry"
@@ -23,6 +24,7 @@
 	hlink "hemlockmast/internal/link"
 	"hemlockmast/internal/membership/assign"
 	"hemlockmast/internal/membership/runner"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/routing"
 	"hemlockmast/internal/servicefile"
@@ -32,6 +34,7 @@
 	"hemlockmast/internal/sessions"
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/timeline"
 	"hemlockmast/internal/watch"
 )
 
@@ -65,9 +68,15 @@
 	directory       *directoryrpc.Client
 	directoryServer *directoryrpc.Server
 	members         *runner.Runner
-	peers           *peerSet
-	ready           atomic.Bool
-	seq             atomic.Uint64
+	control         controlParts
+	journal         *timeline.Journal
+	metrics         *metrics.Set
+	admit           admitter
+	// recorder takes the events of failovers.
+	recorder recorder
+	peers    *peerSet
+	ready    atomic.Bool
+	seq      atomic.Uint64
 
 	listeners listeners
 
@@ -111,7 +120,11 @@
 		return nil, err
 	}
 	d.members = members
-	d.acks = acks.New(d.ackMembers)
+	d.journal = newJournal(s.Name)
+	d.metrics = metrics.New()
+	d.admit = newAdmitter(d.metrics)
+	d.recorder = recorder{d.journal}
+	d.acks = acks.New(d.ackMembers, d.recordFirstWrite)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
@@ -132,12 +145,15 @@
 		Catalog:      d.catalog,
 		Router:       routing.New(d.view, d.openSlot),
 		Sessions:     sessions.NewOpener(keys, d.directory),
-		Admit:        openAdmission{},
-		Observer:     silentObserver{},
+		Admit:        d.admit,
+		Observer:     observer{d.metrics},
 		Log:          d.log,
 		MaxCallers:   s.MaxCallers,
 		DrainTimeout: s.DrainTimeout,
 	})
+	if err := d.setUpControl(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -158,9 +174,16 @@
 // CallerAddr returns the address for callers.
 func (d *Daemon) CallerAddr() string { return d.listeners.callers.Addr().String() }
 
+// AdminAddr returns the address for operators and announcements.
+func (d *Daemon) AdminAddr() string { return d.listeners.admin.Addr().String() }
+
 // AdminURL returns the base URL for operators and announcements.
 func (d *Daemon) AdminURL() string { return "http://" + d.listeners.admin.Addr().String() }
 
+// Ready reports whether a configuration is in force and the daemon does not
+// stop.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
 // HolderUsage returns the use of the connections that this daemon holds.
 func (d *Daemon) HolderUsage() map[holder.SlotID]holder.Usage { return d.holder.Usage() }
 
@@ -181,6 +204,9 @@
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
 	g.Go(func() error { return d.members.Run(serving) })
 	g.Go(func() error { return d.followMembership(serving) })
+	g.Go(func() error { return d.followConfiguration(serving) })
+	d.control.run(serving, g)
+	d.recordDaemon(timelinepb.Kind_KIND_DAEMON_STARTED, "")
 	g.Go(func() error {
 		defer stopServing()
 		return d.serveUntilDrained(ctx)
@@ -198,6 +224,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		d.ready.Store(false)
+		d.recordDaemon(timelinepb.Kind_KIND_DRAIN_STARTED, "")
 		drain, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 		defer cancel()
 		d.link.Drain(drain)
@@ -220,6 +247,7 @@
 
 // apply puts a configuration in force.
 func (d *Daemon) apply(cfg *service.Configuration) {
+	d.admit.configure(cfg)
 	d.catalog.set(cfg)
 	d.view.SetConfiguration(cfg)
 	d.members.SetSlots(slotIDs(cfg))
@@ -276,8 +304,9 @@
 	return list
 }
 
-// ackMembers implements acks.Members. Without a control group the incarnations
-// are those that this daemon saw; it waits until it has seen a majority.
+// ackMembers implements acks.Members: the agreed records say which incarnations
+// count. Without a control group they are those that this daemon saw; it waits
+// until it has seen a majority.
 func (d *Daemon) ackMembers(group string, term uint64) ([]quorum.Member, string, bool) {
 	g, ok := d.view.Group(group)
 	if !ok {
@@ -295,6 +324,10 @@
 			primary = s.Name
 		}
 	}
+	if d.control.records != nil {
+		members, ok = d.control.records.Members(group)
+		return members, primary, ok && primary != ""
+	}
 	return members, primary, primary != "" && known >= quorum.Majority(len(members))
 }
 
--- a/internal/failover/driver/driver_test.go
+++ b/internal/failover/driver/driver_test.go
@@ -21,7 +21,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		net, terms := newNet(1), newTerms()
-		terms.last["g0"] = 1
 		var rigs []*rig
 		var observers sync.WaitGroup
 		for i := range drivers {
@@ -31,7 +30,8 @@
 				for _, domain := range []string{"d1", "d2"} {
 					o := &Observer{
 						Name: domain, Domain: domain, Group: "g0", Slot: slot, Connect: net.connect,
-						Report: r.driver.Report, Status: r.driver.Observe,
+						Report: r.driver.Report,
+						Status: func(group string, st endpoint.Status, _ time.Time) { r.driver.Observe(group, st) },
 					}
 					observers.Go(func() { o.Run(ctx) })
 				}
@@ -105,6 +105,8 @@
 			set(net, "b", func(e *fakeEndpoint) { e.down = true })
 			time.Sleep(20 * time.Second)
 			assert.Equal(t, rigs[0].primary().Term, uint64(0))
+			assert.Equal(t, rigs[0].count(Reported), 4, "changes only")
+			assert.Assert(t, rigs[0].count(Unanswered) <= 2*rigs[0].count(PromotionBegun), "once an attempt and slot")
 			set(net, "b", func(e *fakeEndpoint) { e.down = false })
 			rigs[0].awaitPrimary(t, 3*time.Second)
 		}},
@@ -228,6 +230,32 @@
 	})
 }
 
+func TestRemovedGroupsGiveTheirTurnsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const groups, limit = 50, 4
+		ctx, cancel := context.WithCancel(t.Context())
+		net := newNet(groups)
+		r := newRig(t, ctx, net, newTerms(), "p", limit)
+		for g := range groups {
+			r.driver.Add(groupName(g), firstPrimary())
+			net.with(groupName(g), "a", func(e *fakeEndpoint) { e.down = true })
+			for _, d := range []string{"d1", "d2"} {
+				r.driver.Report(groupName(g), suspect.Report{Observer: d, Domain: d, Slot: "a", Level: suspect.Undialable})
+			}
+		}
+		for g := range groups - 1 {
+			time.Sleep(time.Duration(g%5) * time.Millisecond)
+			r.driver.Remove(groupName(g))
+		}
+		synctest.Wait()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(r.driver.turns), 0)
+		assert.Equal(t, r.primary().Term, uint64(2), "the group that stayed")
+		cancel()
+		assert.NilError(t, r.driver.Wait())
+	})
+}
+
 func TestConfigError(t *testing.T) {
 	_, err := New(t.Context(), Config{Promoter: "p"})
 	e, ok := err.(*ConfigError)
--- a/internal/failover/driver/group.go
+++ b/internal/failover/driver/group.go
@@ -17,8 +17,6 @@
 	heard    struct{ event suspect.Event }
 	observed struct{ status endpoint.Status }
 	known    struct{ current failover.Current }
-	// turn says that the group may run a promotion now.
-	turn struct{}
 	// allocated is the answer to the request for a term.
 	allocated struct {
 		Allocation
@@ -43,6 +41,9 @@
 	pausing
 )
 
+// reporter is an observer of a slot.
+type reporter struct{ observer, slot string }
+
 // group is the state of one group, owned by its goroutine.
 type group struct {
 	d      *Driver
@@ -50,6 +51,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  chan message
+	// turn hands the group a place among the running promotions. It is
+	// unbuffered, so that a place is either taken by run or given back.
+	turn chan struct{}
 
 	current failover.Current
 	judge   *suspect.Judge
@@ -57,8 +61,7 @@
 	machine *failover.Machine
 	attempt *attempt
 	retry   failover.RetryAt
-	// optional is set when the last attempt got too little to have stopped a
-	// primary that is well.
+	// optional is set while no attempt can have stopped a primary that is well.
 	optional bool
 	// suspected is the slot that a promotion avoids; empty when none is lost.
 	suspected string
@@ -66,6 +69,8 @@
 	allocation Allocation
 	// seen is the last incarnation of each slot.
 	seen map[string]string
+	// reported is the last level of each observer and slot.
+	reported map[reporter]suspect.Level
 	// corrected is when each slot was last corrected.
 	corrected map[string]time.Time
 	// apart is since when only a new term helps; zero if it is not so.
@@ -76,8 +81,10 @@
 	g := &group{
 		d: d, name: name, current: current,
 		queue:     make(chan message, queueLength),
+		turn:      make(chan struct{}),
 		judge:     suspect.NewJudge(current.Primary, d.cfg.Suspicion),
 		seen:      map[string]string{},
+		reported:  map[reporter]suspect.Level{},
 		corrected: map[string]time.Time{},
 		apart:     map[string]time.Time{},
 	}
@@ -101,6 +108,8 @@
 		select {
 		case m := <-g.queue:
 			m.handle(g)
+		case <-g.turn:
+			g.takeTurn()
 		case <-timer.C:
 			g.tick()
 		case <-g.ctx.Done():
@@ -151,9 +160,7 @@
 func (m heard) handle(g *group) {
 	switch e := m.event.(type) {
 	case suspect.Report:
-		if e.Level != suspect.Well {
-			g.record(Event{Kind: Reported, Slot: e.Slot, Observer: e.Observer, Domain: e.Domain, Level: e.Level})
-		}
+		g.recordReport(e)
 	case suspect.Confirmation:
 		g.record(Event{Kind: ConfirmationGiven, Slot: e.Slot, Domain: e.Domain, Level: e.Level})
 	}
@@ -169,7 +176,7 @@
 		case suspect.Cleared:
 			g.record(Event{Kind: SuspicionCleared, Slot: e.Slot})
 		case suspect.Promote:
-			g.retry, g.suspected = failover.RetryAt{}, e.Slot
+			g.retry, g.suspected, g.optional = failover.RetryAt{}, e.Slot, true
 			g.begin()
 		}
 	}
@@ -197,7 +204,7 @@
 		select {
 		case g.d.turns <- struct{}{}:
 			select {
-			case g.queue <- turn{}:
+			case g.turn <- struct{}{}:
 			case <-g.ctx.Done():
 				<-g.d.turns
 			}
@@ -207,7 +214,7 @@
 	})
 }
 
-func (turn) handle(g *group) {
+func (g *group) takeTurn() {
 	if g.stage != queued {
 		<-g.d.turns
 		return
@@ -245,7 +252,6 @@
 	now := g.d.cfg.Now()
 	if m.err != nil {
 		g.record(Event{Kind: NoTerm})
-		g.optional = true
 		g.pause(failover.RetryAt{At: now.Add(g.d.cfg.Promotion.BackoffCap), MinTerm: g.retry.MinTerm, Attempt: g.retry.Attempt})
 		return
 	}
@@ -276,7 +282,9 @@
 }
 
 func (m stepped) handle(g *group) {
-	g.recordAnswer(m.event)
+	if g.attempt != nil {
+		g.recordAnswer(m.event)
+	}
 	if g.machine != nil {
 		g.carryOut(g.machine.Step(g.d.cfg.Now(), m.event))
 	}
