Configuration over a real control group: leader killed, cut off, everything restarted

Three control processes with disks and HTTP on loopback, one log with the number of the machine before each command, four daemons in two failure domains. The first form of the test killed the founder before the others had a vote and so waited for a group that had no quorum; it waits for three voters now.

--- a/internal/confspread/fakes_test.go
+++ b/internal/confspread/fakes_test.go
@@ -221,8 +221,12 @@
 }
 
 func (c *cluster) start(member spreadstate.Member, store *Store) *Daemon {
+	return c.startWith(member, store, []string{controlAddr})
+}
+
+func (c *cluster) startWith(member spreadstate.Member, store *Store, control []string) *Daemon {
 	d := NewDaemon(Options{
-		Self: member, Control: []string{controlAddr}, Members: StaticMembers(c.members),
+		Self: member, Control: control, Members: StaticMembers(c.members),
 		Peers: netPeers{c.net, member.Name}, Store: store, Now: c.now, Log: logr.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/confspread/group_test.go
@@ -0,0 +1,279 @@
+package confspread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	agreepb "hemlockmast/api/agree"
+	"hemlockmast/api/confspread"
+	"hemlockmast/internal/agree"
+	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/control"
+	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/statemux"
+)
+
+const (
+	groupTick = 5 * time.Millisecond
+	// configurationID is the number of the configuration's state machine.
+	configurationID = 1
+)
+
+// member is a control VM: its address and folder outlive its process.
+type member struct {
+	name, agreeAddr, dir string
+	isolated             atomic.Bool
+	service              *Control
+	agreement            *control.Control
+	stop                 func()
+}
+
+// isolable loses all messages from and to isolated members.
+type isolable struct {
+	*control.Peers
+	group *group
+	from  *member
+}
+
+func (p isolable) Send(address string, request *agreepb.DeliverRequest) {
+	if !p.group.isCut(p.from, address) {
+		p.Peers.Send(address, request)
+	}
+}
+
+// group is a control group of three with disks, on loopback, and the daemons of
+// two failure domains.
+type group struct {
+	*cluster
+	members []*member
+}
+
+func newGroup(t *testing.T) *group {
+	g := &group{cluster: newCluster(t, 2, 2)}
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, listener.Close())
+		g.members = append(g.members, &member{
+			name: fmt.Sprint("c", i), agreeAddr: listener.Addr().String(),
+			dir: filepath.Join(t.TempDir(), "control"),
+		})
+	}
+	for _, m := range g.members {
+		g.startMember(m)
+	}
+	t.Cleanup(func() {
+		for _, m := range g.members {
+			m.stop()
+		}
+	})
+	g.wait("three voters", func() bool {
+		for _, m := range g.members {
+			if status := m.agreement.Status(); !status.Voter || len(agree.Voters(status.Membership)) != len(g.members) {
+				return false
+			}
+		}
+		return true
+	})
+	return g
+}
+
+func (g *group) isCut(from *member, address string) bool {
+	for _, m := range g.members {
+		if m.agreeAddr == address {
+			return from.isolated.Load() || m.isolated.Load()
+		}
+	}
+	return false
+}
+
+func (g *group) startMember(m *member) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &http.Client{Transport: &http.Transport{}}
+	var peers []control.Peer
+	for _, other := range g.members {
+		peers = append(peers, control.Peer{Name: other.name, Address: other.agreeAddr})
+	}
+	state := NewPublished()
+	mux, err := statemux.New(statemux.Part{ID: configurationID, Machine: state})
+	assert.NilError(g.t, err)
+	ticker := time.NewTicker(groupTick)
+	agreement, err := control.Open(control.Config{
+		Name: m.name, Address: m.agreeAddr, Peers: peers, FS: agreelog.OS{}, Dir: m.dir, Machine: mux,
+		Transport: isolable{control.NewPeers(ctx, client, "http"), g, m}, Ticks: ticker.C,
+		Rand: rand.IntN, NewNumber: rand.Uint64, Log: logr.Discard(),
+		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: 16 << 10,
+	})
+	assert.NilError(g.t, err)
+	m.agreement = agreement
+	m.service = NewControl(ControlOptions{
+		Agreement: statemux.For(configurationID, agreement), State: state,
+		Members: StaticMembers(g.cluster.members), Now: g.now, Log: logr.Discard(),
+	})
+	listener, err := net.Listen("tcp", m.agreeAddr)
+	assert.NilError(g.t, err)
+	server := &http.Server{Handler: control.Handler(agreement)}
+	done := make(chan error, 1)
+	go server.Serve(listener)
+	go func() { done <- agreement.Run(ctx) }()
+	g.net.mu.Lock()
+	g.net.control[m.name] = m.service
+	g.net.mu.Unlock()
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		assert.Check(g.t, <-done == nil)
+		server.Close()
+		client.CloseIdleConnections()
+		ticker.Stop()
+	})
+}
+
+// publishAnywhere sends a change to one member after the other, the same each
+// time, until one answers.
+func (g *group) publishAnywhere(id string, base uint64) *confspread.PublishResponse {
+	var answer *confspread.PublishResponse
+	i := 0
+	g.wait("answer to "+id, func() bool {
+		m := g.members[i%len(g.members)]
+		i++
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		answer, err = m.service.Publish(ctx, publishRequest(id, base))
+		assert.NilError(g.t, err)
+		return answer.GetUnavailable() == nil
+	})
+	return answer
+}
+
+// leader returns the member that leads the group.
+func (g *group) leader() *member {
+	var leader *member
+	g.wait("leader", func() bool {
+		for _, m := range g.members {
+			if m.agreement.ReadBarrier(context.Background()) == nil {
+				leader = m
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+// TestControlGroupFaults strikes the leader of a real control group between
+// two publications; all daemons must run the second one.
+func TestControlGroupFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		strike func(g *group, leader *member)
+		mend   func(g *group, leader *member)
+		// cut is a failure domain that cannot learn of the second one meanwhile.
+		cut string
+	}{
+		{"leader killed", func(_ *group, leader *member) { leader.stop() },
+			func(g *group, leader *member) { g.startMember(leader) }, ""},
+		{"leader cut off from the group, not from daemons",
+			func(_ *group, leader *member) { leader.isolated.Store(true) },
+			func(_ *group, leader *member) { leader.isolated.Store(false) }, ""},
+		{"leader killed and its failure domain cut off",
+			func(g *group, leader *member) { leader.stop(); g.cut("fd0", linkCut) },
+			func(g *group, leader *member) { g.startMember(leader); g.cut("fd0", linkUp) }, "fd0"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := newGroup(t)
+			leader := g.leader()
+			g.startGroupDaemons(nil, leader)
+			first := g.publishAnywhere("first", 0)
+			assert.Equal(t, first.GetAccepted().GetRevision(), uint64(1), "%v", first)
+			g.waitAll(1)
+			leader = g.leader()
+			tc.strike(g, leader)
+			second := g.publishAnywhere("second", 1)
+			assert.Equal(t, second.GetAccepted().GetRevision(), uint64(2), "%v", second)
+			again := g.publishAnywhere("second", 1)
+			assert.Equal(t, again.GetAccepted().GetRevision(), uint64(2), "%v", again)
+			late := g.publishAnywhere("late", 1)
+			assert.Equal(t, late.GetConflict().GetWinner().GetId(), "second", "%v", late)
+			g.waitOutside(tc.cut, false, 2)
+			tc.mend(g, leader)
+			g.waitAll(2)
+		})
+	}
+}
+
+// cut sets the links between the domain and everything outside of it.
+func (g *group) cut(domain string, state linkState) {
+	g.cluster.cut(domain, state)
+	for _, inside := range spreadstate.Rank(g.cluster.members, domain) {
+		for _, m := range g.members {
+			g.net.set(inside.Name, m.name, state)
+		}
+	}
+}
+
+// startGroupDaemons starts daemons that try the member first before the others.
+func (g *group) startGroupDaemons(stores map[string]*Store, first *member) {
+	addrs := []string{first.name}
+	for _, m := range g.members {
+		if m != first {
+			addrs = append(addrs, m.name)
+		}
+	}
+	for _, daemon := range g.cluster.members {
+		g.startWith(daemon, stores[daemon.Name], addrs)
+	}
+}
+
+// TestEverythingRestartsAfter500Changes stops all processes after 500 changes
+// and starts them again; all agree, and a resend gets its first answer.
+func TestEverythingRestartsAfter500Changes(t *testing.T) {
+	const changes = 500
+	g := newGroup(t)
+	stores := make(map[string]*Store)
+	for _, daemon := range g.cluster.members[:2] {
+		stores[daemon.Name] = NewStore(t.TempDir())
+	}
+	leader := g.leader()
+	g.startGroupDaemons(stores, leader)
+	for i := range uint64(changes) {
+		answer, err := leader.service.Publish(context.Background(), publishRequest(fmt.Sprint("c", i), i))
+		assert.NilError(t, err)
+		if answer.GetUnavailable() != nil {
+			answer = g.publishAnywhere(fmt.Sprint("c", i), i)
+			leader = g.leader()
+		}
+		assert.Equal(t, answer.GetAccepted().GetRevision(), i+1, "%v", answer)
+	}
+	g.waitAll(changes)
+	for _, daemon := range g.cluster.members {
+		g.cluster.stop(daemon.Name)
+	}
+	for _, m := range g.members {
+		m.stop()
+	}
+	for _, m := range g.members {
+		g.startMember(m)
+	}
+	g.startGroupDaemons(stores, g.members[0])
+	g.waitAll(changes)
+	again := g.publishAnywhere("c499", 499)
+	assert.Equal(t, again.GetAccepted().GetRevision(), uint64(changes), "%v", again)
+	want, _, _ := g.leader().service.opts.State.current()
+	for name, d := range g.daemons {
+		assert.Assert(t, proto.Equal(d.Configuration(), want), name)
+	}
+}
