--- a/internal/confspread/spread_test.go
+++ b/internal/confspread/spread_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/api/confspread"
-	"hemlockmast/api/service"
 	"hemlockmast/internal/spreadstate"
 )
 
@@ -259,72 +255,6 @@
 	}
 }
 
-// TestDamagedFile starts a daemon on a damaged file: it says so, serves nobody
-// until control confirms its revision, and stores that again.
-func TestDamagedFile(t *testing.T) {
-	damage := map[string]func(data []byte) []byte{
-		"cut header":  func(data []byte) []byte { return data[:10] },
-		"cut content": func(data []byte) []byte { return data[:len(data)-1] },
-		"empty":       func([]byte) []byte { return nil },
-		"magic":       func(data []byte) []byte { data[0]++; return data },
-		"length":      func(data []byte) []byte { data[11]++; return data },
-		"checksum":    func(data []byte) []byte { data[12]++; return data },
-		"content":     func(data []byte) []byte { data[len(data)-3]++; return data },
-		"appended":    func(data []byte) []byte { return append(data, 0) },
-	}
-	for name, change := range damage {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := newCluster(t, 1, 1)
-			store := NewStore(t.TempDir())
-			assert.NilError(t, store.Save(testConfigurationAt(1)))
-			data, err := os.ReadFile(store.path())
-			assert.NilError(t, err)
-			assert.NilError(t, os.WriteFile(store.path(), change(data), 0o600))
-			c.publish()
-			c.agreement.noQuorum.Store(true)
-			d := c.start(c.members[0], store)
-			damaged, ok := d.StoreError().(*DamagedFileError)
-			assert.Assert(t, ok, "%v", d.StoreError())
-			assert.Equal(t, damaged.File, store.path())
-			c.skew.Add(int64(spreadstate.StartupWait))
-			assert.Equal(t, d.State().Mode, confspread.Mode_MODE_STARTING)
-			c.agreement.noQuorum.Store(false)
-			c.waitAll(1)
-			_, err = store.Load()
-			assert.NilError(t, err)
-		})
-	}
-}
-
-// TestStoreFails makes the folder refuse a new file, and then the removal of
-// the old one too.
-func TestStoreFails(t *testing.T) {
-	block := func(store *Store, name string) {
-		assert.NilError(t, os.MkdirAll(filepath.Join(store.dir, name, "x"), 0o700))
-	}
-	t.Run("write", func(t *testing.T) {
-		store := NewStore(t.TempDir())
-		assert.NilError(t, store.Save(testConfigurationAt(1)))
-		block(store, storeFile+".tmp")
-		assert.NilError(t, store.Save(testConfigurationAt(2)))
-		stored, err := store.Load()
-		assert.NilError(t, err)
-		assert.Assert(t, stored == nil, "restart would go back")
-	})
-	t.Run("write and removal", func(t *testing.T) {
-		c := newCluster(t, 1, 1)
-		store := NewStore(t.TempDir())
-		block(store, storeFile)
-		d := c.start(c.members[0], store)
-		c.publish()
-		c.wait("confirmation", func() bool { return d.State().Mode == confspread.Mode_MODE_CONFIRMED })
-		assert.Equal(t, d.State().Revision, uint64(0))
-		assert.NilError(t, os.RemoveAll(store.path()))
-		c.waitAll(1)
-	})
-}
-
 // TestLostAnswer loses the answer to a publication and sends it again.
 func TestLostAnswer(t *testing.T) {
 	c := newCluster(t, 1, 1)
@@ -421,12 +351,6 @@
 	assert.Assert(t, c.net.controlPolls.Load() <= 14, "%d", c.net.controlPolls.Load())
 }
 
-func testConfigurationAt(revision uint64) *service.Configuration {
-	cfg := testConfiguration(0, "stored")
-	cfg.Revision = revision
-	return cfg
-}
-
 // TestCanceledPollEnds lets a caller go away while its poll is held.
 func TestCanceledPollEnds(t *testing.T) {
 	c := newCluster(t, 1, 1)
@@ -493,18 +417,3 @@
 	assert.Equal(t, answer.Confirmed, true)
 	assert.Assert(t, answer.ConfirmedAgeUs <= answer.HeldUs+1)
 }
-
-// FuzzStore shows that a damaged file gives an error that names it.
-func FuzzStore(f *testing.F) {
-	store := NewStore(f.TempDir())
-	assert.NilError(f, store.Save(testConfigurationAt(1)))
-	good, err := os.ReadFile(store.path())
-	assert.NilError(f, err)
-	f.Add(good)
-	f.Add(good[:storeHeaderBytes])
-	f.Fuzz(func(t *testing.T, data []byte) {
-		cfg, err := store.decode(data)
-		var damaged *DamagedFileError
-		assert.Equal(t, cfg == nil, errors.As(err, &damaged), "%v", err)
-	})
-}
