Retry budget: tries that wait for a change, or asked no endpoint, are outside it

Cause: with the budget in place TestReadYourWritesAcrossDaemons failed once with HM002: a read that a holder had turned away as stale needed a retry, and ten such reads had used the budget up. And in a failover all callers lose a connection at once; a budget of 10 would have turned the others into errors. Both need no budget: the first asks no endpoint, the second waits for the promotion.

--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -18,6 +18,7 @@
 	"hemlockmast/api/service"
 	pb "hemlockmast/api/settings"
 	"hemlockmast/internal/daemon"
+	"hemlockmast/internal/delay"
 	"hemlockmast/internal/servicefile"
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/standin"
@@ -36,6 +37,9 @@
 	DataFolder string
 	// ConnectDelay is how long a new endpoint connection takes.
 	ConnectDelay time.Duration
+	// Delay is added in each direction to the connections between daemons and to
+	// endpoints, whatever their failure domains.
+	Delay time.Duration
 	// ReplicationLag and ApplyLag delay the replicas.
 	ReplicationLag time.Duration
 	ApplyLag       time.Duration
@@ -57,6 +61,23 @@
 
 	group *errgroup.Group
 	stop  context.CancelFunc
+	ports *ports
+	delay time.Duration
+	// proxies delay connections.
+	proxies []*delay.Proxy
+}
+
+// through returns an address at which connections to target are delayed.
+func (c *Cluster) through(target string) (string, error) {
+	if c.delay == 0 {
+		return target, nil
+	}
+	p, err := delay.NewProxy(target, c.delay)
+	if err != nil {
+		return "", err
+	}
+	c.proxies = append(c.proxies, p)
+	return p.Addr(), nil
 }
 
 // Daemon is one daemon of a Cluster.
@@ -85,7 +106,7 @@
 	c := &Cluster{
 		Configuration: configuration,
 		Endpoints:     map[string]map[string]*standin.Endpoint{},
-		group:         g, stop: stop,
+		group:         g, stop: stop, delay: cfg.Delay,
 	}
 	if err := c.startDaemons(ctx, cfg); err != nil {
 		c.Close()
@@ -119,12 +140,14 @@
 		name, domain string
 		roles        []string
 		addr         addresses
+		// link and admin are the addresses that others use.
+		link, admin string
 	}
 	var plans []plan
-	ports := newPorts(cfg.Host, cfg.FirstPort)
+	c.ports = newPorts(cfg.Host, cfg.FirstPort)
 	for _, domain := range c.domains() {
 		for i := range cfg.DaemonsPerDomain {
-			addr, err := ports.take()
+			addr, err := c.ports.take()
 			if err != nil {
 				return err
 			}
@@ -132,7 +155,15 @@
 			if i == 0 && len(plans)/cfg.DaemonsPerDomain < cfg.Control {
 				roles = append(roles, settings.RoleControl)
 			}
-			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, roles, addr})
+			link, err := c.through(addr.link)
+			if err != nil {
+				return err
+			}
+			admin, err := c.through(addr.admin)
+			if err != nil {
+				return err
+			}
+			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, roles, addr, link, admin})
 		}
 	}
 	for _, p := range plans {
@@ -143,7 +174,8 @@
 				Callers: p.addr.callers, Link: p.addr.link,
 				Admin: p.addr.admin, Heartbeat: p.addr.heartbeat,
 			},
-			Limits: &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+			Advertise: &pb.Listen{Link: p.link, Admin: p.admin},
+			Limits:    &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
 		}
 		if cfg.Control == 0 {
 			s.ConfigurationFolders = cfg.Folders
@@ -153,8 +185,8 @@
 		for _, q := range plans {
 			if q.name != p.name {
 				s.Peers = append(s.Peers, &pb.Peer{
-					Name: q.name, FailureDomain: q.domain, Link: q.addr.link,
-					Admin: q.addr.admin, Heartbeat: q.addr.heartbeat, Roles: q.roles,
+					Name: q.name, FailureDomain: q.domain, Link: q.link,
+					Admin: q.admin, Heartbeat: q.addr.heartbeat, Roles: q.roles,
 				})
 			}
 		}
@@ -244,7 +276,16 @@
 		c.Endpoints[g.Name] = map[string]*standin.Endpoint{}
 		primary := ""
 		for i, s := range g.Slots {
+			addr, err := c.ports.one()
+			if err != nil {
+				return err
+			}
+			advertise, err := c.through(addr)
+			if err != nil {
+				return err
+			}
 			e, err := standin.Start(standin.Config{
+				Addr: addr, Advertise: advertise,
 				Group: g.Name, Slot: s.Name, Databases: g.Databases,
 				ConnLimit: int(s.ConnectionLimit), ConnectDelay: cfg.ConnectDelay,
 				ReplicationLag: cfg.ReplicationLag, ApplyLag: cfg.ApplyLag,
@@ -255,7 +296,7 @@
 			}
 			c.Endpoints[g.Name][s.Name] = e
 			if i == 0 {
-				primary = e.Addr()
+				primary = addr
 			}
 		}
 	}
@@ -266,6 +307,9 @@
 func (c *Cluster) Close() error {
 	c.stop()
 	err := c.group.Wait()
+	for _, p := range c.proxies {
+		p.Close()
+	}
 	for _, slots := range c.Endpoints {
 		for _, e := range slots {
 			_ = e.Close()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -310,7 +310,7 @@
 	if failure.Outcome != outcome.NotRun && !a.isHarmlessTwice() || !isTransient(failure.Reason) {
 		return false
 	}
-	if failure != errReadOnly && !awaitsChange(failure.Reason) && !a.sess.srv.cfg.Admit.Retry(a.sess.service.Name) {
+	if failure != errReadOnly && !needsNoBudget(failure.Reason) && !a.sess.srv.cfg.Admit.Retry(a.sess.service.Name) {
 		return false
 	}
 	a.sink.discard()
@@ -320,13 +320,13 @@
 	return true
 }
 
-// awaitsChange reports whether a further try waits for a change of the group or
-// its holders, as in a failover, rather than repeat work: such tries are bounded
-// by the deadline and need no budget.
-func awaitsChange(reason outcome.Reason) bool {
+// needsNoBudget reports whether a further try needs no budget: its cause is a
+// change of the group or its holders, as in a failover, which comes once for all
+// callers at the same moment; or the endpoint was not asked at all.
+func needsNoBudget(reason outcome.Reason) bool {
 	switch reason {
 	case outcome.ReasonNoPrimary, outcome.ReasonNoHolder, outcome.ReasonEndpointDown,
-		outcome.ReasonSuperseded, outcome.ReasonDraining:
+		outcome.ReasonSuperseded, outcome.ReasonDraining, outcome.ReasonConnLost, outcome.ReasonStale:
 		return true
 	}
 	return false
