--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -172,6 +172,11 @@
 var errSuperseded = outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonSuperseded,
 	"the primary was superseded", nil)
 
+// errNotServing marks a segment that an endpoint refused because it serves
+// nothing at the moment, as one that compares its log with a new primary's.
+var errNotServing = outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonEndpointDown,
+	"the endpoint serves nothing at the moment", nil)
+
 // once sends the segment once.
 func (a *attempt) once(ctx context.Context) (exchange.Result, error) {
 	sess := a.sess
@@ -193,9 +198,16 @@
 		sess.dropExchange()
 		return res, err
 	}
-	if res.ReadOnlyRefusal && !a.inTx && !a.sink.started {
+	if a.inTx || a.sink.started {
+		return res, nil
+	}
+	if res.ReadOnlyRefusal {
 		return res, a.refusedAsWrite()
 	}
+	if res.ErrorCode == outcome.CodeCannotConnectNow {
+		sess.dropExchange()
+		return res, errNotServing
+	}
 	return res, nil
 }
 
