--- a/internal/cli/publish/client.go
+++ b/internal/cli/publish/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/internal/configstate"
@@ -85,11 +87,20 @@
 
 func detail(addr string, err error) string {
 	if err != nil {
-		return addr + ": " + err.Error()
+		return addr + ": " + reason(err)
 	}
 	return addr + ": cannot tell whether it is current"
 }
 
+// reason says why a process gave no answer.
+func reason(err error) string {
+	var failure twirp.Error
+	if errors.As(err, &failure) && failure.Code() == twirp.BadRoute {
+		return "runs no control process"
+	}
+	return err.Error()
+}
+
 // usage returns what is in use, from the first control process that answers.
 func (c *client) usage(ctx context.Context) *confspread.UsageResponse {
 	for _, addr := range c.addrs {
@@ -193,7 +204,7 @@
 	var details []string
 	for i, addr := range addrs {
 		if errs[i] != nil {
-			out.Control = append(out.Control, ControlStatus{Addr: addr, Error: errs[i].Error()})
+			out.Control = append(out.Control, ControlStatus{Addr: addr, Error: reason(errs[i])})
 			details = append(details, detail(addr, errs[i]))
 			continue
 		}
--- a/internal/cli/publish/publish_test.go
+++ b/internal/cli/publish/publish_test.go
@@ -240,17 +240,21 @@
 }
 
 func TestWrongUse(t *testing.T) {
+	other := httptest.NewServer(http.NewServeMux())
+	t.Cleanup(other.Close)
 	cases := map[string][]string{
 		"no folder":      {"check"},
 		"absent folder":  {"check", "absent"},
 		"no control":     {"status"},
 		"wrong output":   {"check", "--output", "xml", examples},
 		"nobody listens": {"status", "--control", "127.0.0.1:1"},
+		"not control":    {"config", "show", "--control", other.Listener.Addr().String()},
 	}
 	for name, args := range cases {
 		t.Run(name, func(t *testing.T) {
 			text, code := run(args...)
 			assert.Assert(t, code != 0, text)
+			assert.Equal(t, strings.Contains(text, "runs no control process"), name == "not control", text)
 		})
 	}
 	text, code := run("check", "--output", "json", examples)
