A daemon is confirmed only once it runs what was confirmed

Cause: found on reading the code again. The mode followed the revision held, so between the answer and the end of its sync, or for good on a failing disk, a daemon that had just started counted as confirmed while it ran an older revision or none, and would have served callers with that. TestStoreFails had waited for that very mode; it is replaced by a stricter check: starting before, unconfirmed after a confirmed revision was in force. Both were seen to fail with the comparison, or the memory of it, taken out.

--- a/internal/confspread/daemon.go
+++ b/internal/confspread/daemon.go
@@ -65,6 +65,8 @@
 	chooser  *spreadstate.Chooser
 	board    *spreadstate.Board
 	changed  chan struct{}
+	// ranConfirmed is set once a confirmed revision was in force.
+	ranConfirmed bool
 	// upstream is the control process that answered last; empty when a daemon
 	// answered last.
 	upstream string
@@ -130,11 +132,31 @@
 	defer d.mu.Unlock()
 	return State{
 		Revision:    d.Configuration().GetRevision(),
-		Mode:        d.follower.Mode(d.opts.Now()),
+		Mode:        d.mode(),
 		ConfirmedAt: d.follower.ConfirmedAt(),
 	}
 }
 
+// mode says how sure the daemon is of what it runs. A confirmed revision that
+// is not in force yet, or cannot be stored, confirms nothing of what runs. mu
+// must be held.
+func (d *Daemon) mode() confspread.Mode {
+	mode := d.follower.Mode(d.opts.Now())
+	if mode != confspread.Mode_MODE_CONFIRMED || d.isUpToDate() {
+		return mode
+	}
+	if d.ranConfirmed {
+		return confspread.Mode_MODE_UNCONFIRMED
+	}
+	return confspread.Mode_MODE_STARTING
+}
+
+// isUpToDate reports whether the latest revision held is in force. mu must be
+// held.
+func (d *Daemon) isUpToDate() bool {
+	return d.Configuration().GetRevision() == d.follower.Versions().Revision()
+}
+
 // Changed returns a channel that is closed at the next change of the revision
 // or its confirmation.
 func (d *Daemon) Changed() <-chan struct{} {
@@ -277,7 +299,7 @@
 		},
 		Revision: d.follower.Versions().Revision(),
 		InForce:  d.Configuration().GetRevision(),
-		Mode:     d.follower.Mode(d.opts.Now()),
+		Mode:     d.mode(),
 	}
 }
 
@@ -318,6 +340,9 @@
 func (d *Daemon) notify() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.follower.IsConfirmedSinceStart() && d.isUpToDate() {
+		d.ranConfirmed = true
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/internal/confspread/store_test.go
+++ b/internal/confspread/store_test.go
@@ -72,10 +72,16 @@
 		block(store, storeFile)
 		d := c.start(c.members[0], store)
 		c.publish()
-		c.wait("confirmation", func() bool { return d.State().Mode == confspread.Mode_MODE_CONFIRMED })
+		c.wait("confirmation", func() bool { return !d.State().ConfirmedAt.IsZero() })
 		assert.Equal(t, d.State().Revision, uint64(0))
+		assert.Equal(t, d.State().Mode, confspread.Mode_MODE_STARTING)
 		assert.NilError(t, os.RemoveAll(store.path()))
 		c.waitAll(1)
+		assert.NilError(t, os.Remove(store.path()))
+		block(store, storeFile)
+		c.publish()
+		c.wait("unsure daemon", func() bool { return d.State().Mode == confspread.Mode_MODE_UNCONFIRMED })
+		assert.Equal(t, d.State().Revision, uint64(1))
 	})
 }
 
