A daemon's next configuration, only once it may serve callers

Cause: Configuration and Changed leave it to who uses them to look at the mode, and the end of the start-up wait closes no channel. Next holds the rule. With the mode passed over, TestRestartInCutOffDomain fails.

--- a/internal/confspread/daemon.go
+++ b/internal/confspread/daemon.go
@@ -25,6 +25,8 @@
 	maxBackoff   = time.Second
 	// probeInterval is the time between two probes of control.
 	probeInterval = time.Second
+	// startupCheck is the time between two looks at the end of StartupWait.
+	startupCheck = 50 * time.Millisecond
 	// reportInterval is the time between two reports without news.
 	reportInterval = 2 * time.Second
 	// reportDelay gathers the news of several daemons into one report.
@@ -122,7 +124,7 @@
 func (d *Daemon) StoreError() error { return d.storeErr }
 
 // Configuration returns the configuration in force. It is shared and must not
-// be changed.
+// be changed. Callers may be served with it once Next has returned.
 func (d *Daemon) Configuration() *service.Configuration { return d.inForce.Load() }
 
 // State returns what the daemon knows of its configuration. The daemon serves
@@ -165,6 +167,31 @@
 	return d.changed
 }
 
+// Next waits until a revision later than the given one is in force and the
+// daemon may serve callers with it, and returns it. It fails only with ctx.
+func (d *Daemon) Next(ctx context.Context, revision uint64) (*service.Configuration, error) {
+	for {
+		changed := d.Changed()
+		// The mode comes first: once serving, a later revision only makes it surer.
+		isServing := d.State().Mode != confspread.Mode_MODE_STARTING
+		cfg := d.Configuration()
+		if isServing && cfg.GetRevision() > revision {
+			return cfg, nil
+		}
+		var startup <-chan time.Time
+		if !isServing {
+			// The end of StartupWait closes no channel.
+			startup = time.After(startupCheck)
+		}
+		select {
+		case <-changed:
+		case <-startup:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // Register adds the service that other daemons poll to mux.
 func (d *Daemon) Register(mux *http.ServeMux) {
 	server := confspread.NewSpreadServer(d)
--- a/internal/confspread/spread_test.go
+++ b/internal/confspread/spread_test.go
@@ -177,17 +177,36 @@
 	c.stop(inside[2].Name)
 	withDisk, without := c.start(inside[1], store), c.start(inside[2], nil)
 	assert.Equal(t, withDisk.State().Mode, confspread.Mode_MODE_STARTING)
+	assert.Assert(t, !isServing(withDisk))
+	served := make(chan uint64, 1)
+	go func() {
+		cfg, _ := withDisk.Next(context.Background(), 0)
+		served <- cfg.GetRevision()
+	}()
 	c.skew.Add(int64(spreadstate.StartupWait))
+	assert.Equal(t, <-served, uint64(1))
 	assert.Equal(t, withDisk.State().Mode, confspread.Mode_MODE_UNCONFIRMED)
 	assert.Equal(t, withDisk.State().Revision, uint64(1))
 	c.wait("configuration from the relay", func() bool { return without.State().Revision == 1 })
 	c.skew.Add(int64(spreadstate.ConfirmTimeout))
 	assert.Equal(t, without.State().Mode, confspread.Mode_MODE_STARTING)
+	assert.Assert(t, !isServing(without))
 	c.publish()
 	c.cut("fd0", linkUp)
+	cfg, err := without.Next(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.GetRevision(), uint64(2))
 	c.waitAll(2)
 }
 
+// isServing reports whether d may serve callers now.
+func isServing(d *Daemon) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := d.Next(ctx, 0)
+	return err == nil
+}
+
 // TestControlWithoutQuorum lets control lose its quorum: it hands out what it
 // has, and confirms nothing.
 func TestControlWithoutQuorum(t *testing.T) {
