Daemon: serve with a configuration only once it may

A daemon that started beside a relay without control put the relay's revision in force at once and became ready, though it could not know whether it had run a later one before. It now waits for confspread's Next. internal/e2e passes (19.8 s).

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -147,7 +147,8 @@
 	}
 }
 
-// followConfiguration puts each new revision in force.
+// followConfiguration puts each new revision in force, once callers may be
+// served with it.
 func (d *Daemon) followConfiguration(ctx context.Context) error {
 	follower := d.control.follower
 	if follower == nil {
@@ -155,17 +156,13 @@
 	}
 	revision := uint64(0)
 	for {
-		changed := follower.Changed()
-		if cfg := follower.Configuration(); cfg != nil && cfg.Revision > revision {
-			revision = cfg.Revision
-			d.apply(cfg)
-			d.log.Info("configuration in force", "revision", revision)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		cfg, err := follower.Next(ctx, revision)
+		if err != nil {
 			return nil
 		}
+		revision = cfg.Revision
+		d.apply(cfg)
+		d.log.Info("configuration in force", "revision", revision)
 	}
 }
 
