--- a/internal/agree/leader.go
+++ b/internal/agree/leader.go
@@ -179,7 +179,7 @@
 		return
 	}
 	p := n.progress[IDOf(m.From)]
-	if n.role != Leader || m.Term < n.term || p == nil {
+	if n.role != Leader || m.Term < n.term || p == nil || m.LogIndex > n.log.last() {
 		return
 	}
 	p.silence = 0
--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -90,11 +90,11 @@
 	}
 }
 
-// Step takes one message in. Messages of another group, or for another
-// incarnation of this member, are dropped. The only error is *InvariantError,
+// Step takes one message in. Messages of another group, for another incarnation
+// of this member, or that no member could have sent are dropped. The only error is *InvariantError,
 // after which the node must not be used.
 func (n *Node) Step(m *agreepb.Message) error {
-	if m.Group != n.cfg.Group || IDOf(m.To) != n.cfg.Self {
+	if m.Group != n.cfg.Group || IDOf(m.To) != n.cfg.Self || !wellFormed(m) {
 		return nil
 	}
 	switch m.Kind {
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -13,8 +13,12 @@
 	"hemlockmast/internal/agree"
 )
 
-// joinTimeout bounds one question to a peer.
-const joinTimeout = 2 * time.Second
+const (
+	// joinTimeout bounds one question to a peer.
+	joinTimeout = 2 * time.Second
+	// maxNameBytes bounds a member's name and its address.
+	maxNameBytes = 255
+)
 
 // seeker looks for a group while the member is outside of one.
 type seeker struct {
@@ -175,9 +179,13 @@
 
 // Join implements the Agree service.
 func (c *Control) Join(ctx context.Context, request *agreepb.JoinRequest) (*agreepb.JoinReply, error) {
-	if request.Id.GetName() == "" || request.Id.GetIncarnation() == 0 || request.Address == "" {
+	name, address := request.Id.GetName(), request.Address
+	if name == "" || request.Id.GetIncarnation() == 0 || address == "" {
 		return nil, twirp.InvalidArgumentError("id", "name, incarnation and address are needed")
 	}
+	if len(name) > maxNameBytes || len(address) > maxNameBytes {
+		return nil, twirp.InvalidArgumentError("id", "name or address is too long")
+	}
 	j := &joinCall{request: request, reply: make(chan *agreepb.JoinReply, 1)}
 	select {
 	case c.joins <- j:
