--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,12 +15,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"hemlockmast/api/service"
+	timelinepb "hemlockmast/api/timeline"
 	"hemlockmast/internal/acks"
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/entry"
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/holder"
 	hlink "hemlockmast/internal/link"
+	"hemlockmast/internal/membership/assign"
+	"hemlockmast/internal/membership/runner"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/routing"
 	"hemlockmast/internal/servicefile"
@@ -29,6 +34,7 @@
 	"hemlockmast/internal/sessions"
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/timeline"
 	"hemlockmast/internal/watch"
 )
 
@@ -40,8 +46,6 @@
 	directoryTimeout = time.Second
 	// dialTimeout bounds a connection to an endpoint.
 	dialTimeout = 2 * time.Second
-	// peerRetry is the wait after a failed watch of a peer.
-	peerRetry = 100 * time.Millisecond
 	// shutdownTimeout bounds the end of the admin server.
 	shutdownTimeout = time.Second
 )
@@ -63,9 +67,16 @@
 	// daemon's part of it.
 	directory       *directoryrpc.Client
 	directoryServer *directoryrpc.Server
-	peers           map[string]*hlink.Peer
-	ready           atomic.Bool
-	seq             atomic.Uint64
+	members         *runner.Runner
+	control         controlParts
+	journal         *timeline.Journal
+	metrics         *metrics.Set
+	admit           admitter
+	// recorder takes the events of failovers.
+	recorder recorder
+	peers    *peerSet
+	ready    atomic.Bool
+	seq      atomic.Uint64
 
 	listeners listeners
 
@@ -98,22 +109,30 @@
 		view:        slotview.New(),
 		hub:         watch.NewHub(),
 		catalog:     newCatalog(),
-		peers:       map[string]*hlink.Peer{},
+		peers:       newPeerSet(s.Name),
 		watchers:    map[slotKey]*runningWatcher{},
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	for _, p := range s.Peers {
-		d.peers[p.Name] = hlink.NewPeer(s.Name, p.Link)
+	members, err := runner.New(runner.Config{Self: self(s), Seeds: seeds(s)})
+	if err != nil {
+		return nil, err
 	}
-	d.acks = acks.New(d.members)
+	d.members = members
+	d.journal = newJournal(s.Name)
+	d.metrics = metrics.New()
+	d.admit = newAdmitter(d.metrics)
+	d.recorder = recorder{d.journal}
+	d.acks = acks.New(d.ackMembers, d.recordFirstWrite)
 	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
 		Ack:    d.acks,
 		Floors: d.view,
-		Log:    d.log,
+
+		Activity: d,
+		Log:      d.log,
 	})
 	d.link = &hlink.Server{Opener: d.holder, Watcher: d.hub, Log: d.log}
 	keys, err := session.NewKeys(session.Key{ID: 1, Secret: s.TokenKey})
@@ -126,12 +145,15 @@
 		Catalog:      d.catalog,
 		Router:       routing.New(d.view, d.openSlot),
 		Sessions:     sessions.NewOpener(keys, d.directory),
-		Admit:        openAdmission{},
-		Observer:     silentObserver{},
+		Admit:        d.admit,
+		Observer:     observer{d.metrics},
 		Log:          d.log,
 		MaxCallers:   s.MaxCallers,
 		DrainTimeout: s.DrainTimeout,
 	})
+	if err := d.setUpControl(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -152,12 +174,25 @@
 // CallerAddr returns the address for callers.
 func (d *Daemon) CallerAddr() string { return d.listeners.callers.Addr().String() }
 
+// AdminAddr returns the address for operators and announcements.
+func (d *Daemon) AdminAddr() string { return d.listeners.admin.Addr().String() }
+
 // AdminURL returns the base URL for operators and announcements.
 func (d *Daemon) AdminURL() string { return "http://" + d.listeners.admin.Addr().String() }
 
+// Ready reports whether a configuration is in force and the daemon does not
+// stop.
+func (d *Daemon) Ready() bool { return d.ready.Load() }
+
+// HolderUsage returns the use of the connections that this daemon holds.
+func (d *Daemon) HolderUsage() map[holder.SlotID]holder.Usage { return d.holder.Usage() }
+
 // Run runs the daemon until ctx ends, then stops it gracefully: callers are
 // drained first, the rest serves them until the end.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.loadConfiguration(); err != nil {
+		return err
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	g, serving := errgroup.WithContext(serving)
@@ -166,15 +201,12 @@
 	g.Go(func() error { return d.serveLink(serving) })
 	g.Go(func() error { return d.serveAdmin(serving) })
 	g.Go(func() error { return d.manageWatchers(serving) })
-	for name, peer := range d.peers {
-		g.Go(func() error { return d.watchPeer(serving, name, peer) })
-	}
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
-	if err := d.loadConfiguration(); err != nil {
-		stopServing()
-		_ = g.Wait()
-		return err
-	}
+	g.Go(func() error { return d.members.Run(serving) })
+	g.Go(func() error { return d.followMembership(serving) })
+	g.Go(func() error { return d.followConfiguration(serving) })
+	d.control.run(serving, g)
+	d.recordDaemon(timelinepb.Kind_KIND_DAEMON_STARTED, "")
 	g.Go(func() error {
 		defer stopServing()
 		return d.serveUntilDrained(ctx)
@@ -192,6 +224,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		d.ready.Store(false)
+		d.recordDaemon(timelinepb.Kind_KIND_DRAIN_STARTED, "")
 		drain, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 		defer cancel()
 		d.link.Drain(drain)
@@ -214,8 +247,10 @@
 
 // apply puts a configuration in force.
 func (d *Daemon) apply(cfg *service.Configuration) {
+	d.admit.configure(cfg)
 	d.catalog.set(cfg)
 	d.view.SetConfiguration(cfg)
+	d.members.SetSlots(slotIDs(cfg))
 	shares := map[string]int{}
 	for _, s := range cfg.Services {
 		if s.Connections != nil {
@@ -229,12 +264,14 @@
 
 // reassign computes which slots this daemon holds.
 func (d *Daemon) reassign() {
-	members := d.holderMembers()
+	candidates := d.holderCandidates()
 	var mine []holder.Assignment
 	for _, g := range d.view.Groups() {
 		for i := range g.Slots {
 			slot := &g.Slots[i]
-			names := chooseHolders(slot, members, d.settings.HoldersPerSlot)
+			names := assign.Holders(assign.Slot{
+				Group: g.Name, Name: slot.Name, FailureDomain: slot.FailureDomain,
+			}, candidates, d.settings.HoldersPerSlot)
 			d.view.SetHolders(g.Name, slot.Name, names)
 			for index, name := range names {
 				if name == d.settings.Name && slot.Endpoint.Addr != "" {
@@ -251,37 +288,47 @@
 	d.setWatchers(mine)
 }
 
-func (d *Daemon) holderMembers() []member {
-	var members []member
+// holderCandidates returns the daemons that may hold connections. They come from
+// the settings, not from who is up: the share of a daemon that is cut off must
+// not be given to another while it may still use it.
+func (d *Daemon) holderCandidates() []assign.Candidate {
+	var list []assign.Candidate
 	if d.settings.Has(settings.RoleHolder) {
-		members = append(members, member{d.settings.Name, d.settings.FailureDomain})
+		list = append(list, assign.Candidate{Name: d.settings.Name, FailureDomain: d.settings.FailureDomain})
 	}
 	for _, p := range d.settings.Peers {
-		for _, role := range p.Roles {
-			if role == settings.RoleHolder {
-				members = append(members, member{p.Name, p.FailureDomain})
-			}
+		if slices.Contains(p.Roles, settings.RoleHolder) {
+			list = append(list, assign.Candidate{Name: p.Name, FailureDomain: p.FailureDomain})
 		}
 	}
-	return members
+	return list
 }
 
-// members implements acks.Members.
-func (d *Daemon) members(group string, term uint64) ([]quorum.Member, string, bool) {
+// ackMembers implements acks.Members: the agreed records say which incarnations
+// count. Without a control group they are those that this daemon saw; it waits
+// until it has seen a majority.
+func (d *Daemon) ackMembers(group string, term uint64) ([]quorum.Member, string, bool) {
 	g, ok := d.view.Group(group)
 	if !ok {
 		return nil, "", false
 	}
-	primary := ""
+	primary, known := "", 0
 	members := make([]quorum.Member, 0, len(g.Slots))
 	for i := range g.Slots {
 		s := &g.Slots[i]
 		members = append(members, quorum.Member{Slot: s.Name, Incarnation: s.Status.Incarnation})
+		if s.Known {
+			known++
+		}
 		if s.Known && s.Status.Role == endpoint.RolePrimary && s.Status.Synced.Term == term {
 			primary = s.Name
 		}
 	}
-	return members, primary, primary != ""
+	if d.control.records != nil {
+		members, ok = d.control.records.Members(group)
+		return members, primary, ok && primary != ""
+	}
+	return members, primary, primary != "" && known >= quorum.Majority(len(members))
 }
 
 // openSlot returns the opener of exchanges on a slot: this daemon's holder if it
@@ -292,7 +339,7 @@
 	}
 	var last exchange.Opener
 	for _, name := range slot.Holders {
-		peer, ok := d.peers[name]
+		peer, ok := d.peers.get(name)
 		if !ok {
 			continue
 		}
@@ -327,25 +374,6 @@
 	return d.link.Serve(ctx, d.listeners.link)
 }
 
-// watchPeer takes in the statuses that a peer observes.
-func (d *Daemon) watchPeer(ctx context.Context, name string, peer *hlink.Peer) error {
-	defer peer.Close()
-	for {
-		err := peer.Watch(ctx, func(o watch.Observation) {
-			d.view.Apply(o, time.Now())
-		})
-		if ctx.Err() != nil {
-			return nil
-		}
-		d.log.V(1).Info("watch of peer ended", "peer", name, "error", err.Error())
-		select {
-		case <-time.After(peerRetry):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 func (d *Daemon) feedOwnStatuses(ctx context.Context) error {
 	_ = d.hub.Watch(ctx, func(o watch.Observation) error {
 		d.view.Apply(o, time.Now())
--- a/internal/daemon/watchers.go
+++ b/internal/daemon/watchers.go
@@ -2,19 +2,53 @@
 
 import (
 	"context"
+	"time"
 
 	"hemlockmast/internal/endpoint"
 	"hemlockmast/internal/endpoint/pgcontrol"
+	"hemlockmast/internal/failover/driver"
 	"hemlockmast/internal/holder"
+	"hemlockmast/internal/suspect"
 	"hemlockmast/internal/watch"
 )
 
 // runningWatcher is a watcher that waits to be started or runs.
 type runningWatcher struct {
-	addr   string
-	cancel context.CancelFunc
+	addr      string
+	cancel    context.CancelFunc
+	questions chan watch.Question
 }
 
+// questionQueue bounds the questions that wait for one watch connection.
+const questionQueue = 64
+
+// Active implements holder.Activity.
+func (d *Daemon) Active(ctx context.Context, group, slot string, pid uint32) (active, ok bool) {
+	d.mu.Lock()
+	w := d.watchers[slotKey{group, slot}]
+	d.mu.Unlock()
+	if w == nil {
+		return false, false
+	}
+	answer := make(chan bool, 1)
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	select {
+	case w.questions <- watch.Question{PID: pid, Answer: answer}:
+	case <-ctx.Done():
+		return false, false
+	}
+	select {
+	case active = <-answer:
+		return active, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
+
+// questionTimeout bounds the wait for an answer on a watch connection.
+const questionTimeout = time.Second
+
 // setWatchers makes the watched slots those of assignments.
 func (d *Daemon) setWatchers(assignments []holder.Assignment) {
 	d.mu.Lock()
@@ -37,17 +71,45 @@
 	}
 }
 
-// startWatcher runs a watcher until it is canceled. The caller holds mu.
+// startWatcher observes an endpoint until it is canceled. The caller holds mu.
 func (d *Daemon) startWatcher(key slotKey, addr string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.watchers[key] = &runningWatcher{addr: addr, cancel: cancel}
-	w := &watch.Watcher{
-		Group: key.group, Slot: key.slot, Addr: addr,
-		Observer: d.settings.Name + "/" + d.incarnation,
-		Connect:  d.connect, Publish: d.hub.Publish,
-		Sequence: func() uint64 { return d.seq.Add(1) },
+	running := &runningWatcher{addr: addr, cancel: cancel, questions: make(chan watch.Question, questionQueue)}
+	d.watchers[key] = running
+	observer := &driver.Observer{
+		Name: d.settings.Name, Domain: d.settings.FailureDomain,
+		Group: key.group, Slot: key.slot,
+		Connect: func(ctx context.Context, group, _ string) (endpoint.Controller, error) {
+			return d.connect(ctx, group, addr)
+		},
+		Report: d.reportLevel,
+		Status: func(_ string, st endpoint.Status, asked time.Time) {
+			if st.Group == key.group && st.Slot == key.slot {
+				d.publish(st, asked, true)
+			}
+		},
+		Between: func(ctx context.Context, ctl endpoint.Controller) error {
+			return watch.Answer(ctx, ctl, running.questions)
+		},
+	}
+	go observer.Run(ctx)
+}
+
+// publish passes an observation on to those who watch.
+func (d *Daemon) publish(st endpoint.Status, asked time.Time, reachable bool) {
+	wire := watch.StatusToWire(st)
+	wire.Observer = d.settings.Name + "/" + d.incarnation
+	wire.Reachable = reachable
+	wire.Sequence = d.seq.Add(1)
+	d.hub.Publish(watch.Observation{Status: wire, AskedAt: asked})
+}
+
+// reportLevel takes what an observer of this daemon makes of its endpoint.
+func (d *Daemon) reportLevel(group string, r suspect.Report) {
+	d.sendReport(group, r)
+	if r.Level >= suspect.Unreachable {
+		d.publish(endpoint.Status{Group: group, Slot: r.Slot}, time.Now(), false)
 	}
-	go w.Run(ctx)
 }
 
 // manageWatchers stops all watchers when ctx ends.
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -3,19 +3,22 @@
 package devcluster
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"hemlockmast/api/configstate"
+	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
 	pb "hemlockmast/api/settings"
 	"hemlockmast/internal/daemon"
+	"hemlockmast/internal/delay"
 	"hemlockmast/internal/servicefile"
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/standin"
@@ -27,8 +30,16 @@
 	Folders []string
 	// DaemonsPerDomain is the number of daemons in each failure domain.
 	DaemonsPerDomain int
+	// Control is the number of control daemons, at most one in each failure
+	// domain; 0 lets the daemons read Folders themselves.
+	Control int
+	// DataFolder holds the control daemons' state.
+	DataFolder string
 	// ConnectDelay is how long a new endpoint connection takes.
 	ConnectDelay time.Duration
+	// Delay is added in each direction to the connections between daemons and to
+	// endpoints, whatever their failure domains.
+	Delay time.Duration
 	// ReplicationLag and ApplyLag delay the replicas.
 	ReplicationLag time.Duration
 	ApplyLag       time.Duration
@@ -50,6 +61,23 @@
 
 	group *errgroup.Group
 	stop  context.CancelFunc
+	ports *ports
+	delay time.Duration
+	// proxies delay connections.
+	proxies []*delay.Proxy
+}
+
+// through returns an address at which connections to target are delayed.
+func (c *Cluster) through(target string) (string, error) {
+	if c.delay == 0 {
+		return target, nil
+	}
+	p, err := delay.NewProxy(target, c.delay)
+	if err != nil {
+		return "", err
+	}
+	c.proxies = append(c.proxies, p)
+	return p.Addr(), nil
 }
 
 // Daemon is one daemon of a Cluster.
@@ -78,7 +106,7 @@
 	c := &Cluster{
 		Configuration: configuration,
 		Endpoints:     map[string]map[string]*standin.Endpoint{},
-		group:         g, stop: stop,
+		group:         g, stop: stop, delay: cfg.Delay,
 	}
 	if err := c.startDaemons(ctx, cfg); err != nil {
 		c.Close()
@@ -110,35 +138,55 @@
 func (c *Cluster) startDaemons(ctx context.Context, cfg Config) error {
 	type plan struct {
 		name, domain string
+		roles        []string
 		addr         addresses
+		// link and admin are the addresses that others use.
+		link, admin string
 	}
 	var plans []plan
-	ports := newPorts(cfg.Host, cfg.FirstPort)
+	c.ports = newPorts(cfg.Host, cfg.FirstPort)
 	for _, domain := range c.domains() {
 		for i := range cfg.DaemonsPerDomain {
-			addr, err := ports.take()
+			addr, err := c.ports.take()
 			if err != nil {
 				return err
 			}
-			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, addr})
+			roles := []string{settings.RoleEntry, settings.RoleHolder}
+			if i == 0 && len(plans)/cfg.DaemonsPerDomain < cfg.Control {
+				roles = append(roles, settings.RoleControl)
+			}
+			link, err := c.through(addr.link)
+			if err != nil {
+				return err
+			}
+			admin, err := c.through(addr.admin)
+			if err != nil {
+				return err
+			}
+			plans = append(plans, plan{fmt.Sprintf("%s-%d", domain, i+1), domain, roles, addr, link, admin})
 		}
 	}
 	for _, p := range plans {
 		s := &pb.Settings{
 			Name: p.name, FailureDomain: p.domain,
-			Roles: []string{settings.RoleEntry, settings.RoleHolder},
+			Roles: p.roles,
 			Listen: &pb.Listen{
 				Callers: p.addr.callers, Link: p.addr.link,
 				Admin: p.addr.admin, Heartbeat: p.addr.heartbeat,
 			},
-			ConfigurationFolders: cfg.Folders,
-			Limits:               &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+			Advertise: &pb.Listen{Link: p.link, Admin: p.admin},
+			Limits:    &pb.Limits{DrainTimeout: cfg.DrainTimeout.String()},
+		}
+		if cfg.Control == 0 {
+			s.ConfigurationFolders = cfg.Folders
+		} else {
+			s.DataFolder = filepath.Join(cfg.DataFolder, p.name)
 		}
 		for _, q := range plans {
 			if q.name != p.name {
 				s.Peers = append(s.Peers, &pb.Peer{
-					Name: q.name, FailureDomain: q.domain, Link: q.addr.link,
-					Admin: q.addr.admin, Heartbeat: q.addr.heartbeat, Roles: s.Roles,
+					Name: q.name, FailureDomain: q.domain, Link: q.link,
+					Admin: q.admin, Heartbeat: q.addr.heartbeat, Roles: q.roles,
 				})
 			}
 		}
@@ -146,10 +194,58 @@
 			return err
 		}
 	}
+	if cfg.Control == 0 {
+		return nil
+	}
+	return c.publish(ctx)
+}
+
+// publish makes the folders' files the configuration in force and waits until
+// every daemon runs it.
+func (c *Cluster) publish(ctx context.Context) error {
+	client := confspread.NewControlProtobufClient(c.Daemons[0].AdminURL(), http.DefaultClient)
+	request := &confspread.PublishRequest{
+		Change:        &configstate.Change{Id: "first", Author: "devcluster"},
+		Configuration: c.Configuration,
+	}
+	for {
+		response, err := client.Publish(ctx, request)
+		if err == nil && response.GetAccepted() != nil {
+			break
+		}
+		if err := sleep(ctx, publishRetry); err != nil {
+			return err
+		}
+	}
+	for _, d := range c.Daemons {
+		for !d.Ready() {
+			if err := sleep(ctx, publishRetry); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// publishRetry is the wait after a publication that failed, as it does until
+// the control group has a leader.
+const publishRetry = 50 * time.Millisecond
+
 func (c *Cluster) startDaemon(ctx context.Context, s *pb.Settings, log logr.Logger) error {
+	if s.DataFolder != "" {
+		if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
+			return err
+		}
+	}
 	checked, err := settings.Check(s.Name, s)
 	if err != nil {
 		return err
@@ -180,7 +276,16 @@
 		c.Endpoints[g.Name] = map[string]*standin.Endpoint{}
 		primary := ""
 		for i, s := range g.Slots {
+			addr, err := c.ports.one()
+			if err != nil {
+				return err
+			}
+			advertise, err := c.through(addr)
+			if err != nil {
+				return err
+			}
 			e, err := standin.Start(standin.Config{
+				Addr: addr, Advertise: advertise,
 				Group: g.Name, Slot: s.Name, Databases: g.Databases,
 				ConnLimit: int(s.ConnectionLimit), ConnectDelay: cfg.ConnectDelay,
 				ReplicationLag: cfg.ReplicationLag, ApplyLag: cfg.ApplyLag,
@@ -190,11 +295,8 @@
 				return err
 			}
 			c.Endpoints[g.Name][s.Name] = e
-			if err := announce(urls, g.Name, s.Name, e.Addr()); err != nil {
-				return err
-			}
 			if i == 0 {
-				primary = e.Addr()
+				primary = addr
 			}
 		}
 	}
@@ -205,6 +307,9 @@
 func (c *Cluster) Close() error {
 	c.stop()
 	err := c.group.Wait()
+	for _, p := range c.proxies {
+		p.Close()
+	}
 	for _, slots := range c.Endpoints {
 		for _, e := range slots {
 			_ = e.Close()
@@ -212,19 +317,3 @@
 	}
 	return err
 }
-
-// announce tells the daemons where an endpoint is.
-func announce(urls []string, group, slot, addr string) error {
-	body, err := json.Marshal(map[string]string{"group": group, "slot": slot, "address": addr})
-	if err != nil {
-		return err
-	}
-	for _, url := range urls {
-		resp, err := http.Post(url+"/v1/announce", "application/json", bytes.NewReader(body))
-		if err != nil {
-			return err
-		}
-		_ = resp.Body.Close()
-	}
-	return nil
-}
