--- a/internal/agree/faults_test.go
+++ b/internal/agree/faults_test.go
@@ -64,6 +64,7 @@
 		{"restart between two candidates of a term", []string{"a", "b", "c"}, votesOnce},
 		{"entry of a former term on a majority", []string{"a", "b", "c"}, formerTerm},
 		{"removal of the leader", []string{"a", "b", "c", "d", "e"}, removedLeader},
+		{"voter being removed has the newest log", []string{"a", "b"}, newestIsRemoved},
 		{"changes that must be refused", []string{"a", "b", "c"}, refusedChanges},
 		{"member lost its log under the same incarnation", []string{"a", "b", "c"}, forgetful},
 	} {
@@ -320,6 +321,20 @@
 	s.rest(t)
 }
 
+func newestIsRemoved(t *testing.T, s *sim) {
+	old := s.leader()
+	name := old.cfg.Self.Name
+	assert.NilError(t, old.Remove(name))
+	s.work(s.procs[name], 0)
+	s.net = nil // saved, and lost on the way
+	s.crash(name)
+	s.start(name)
+	assert.Assert(t, s.settle(200, func() bool {
+		l := s.leader()
+		return l != nil && l.cfg.Self.Name != name && len(l.voters()) == 1
+	}), "%s", s)
+}
+
 func refusedChanges(t *testing.T, s *sim) {
 	l := s.leader()
 	reason := func(err error) ChangeReason {
