Durable log: every folder made is synced into the one above; state check leaves a wrong folder alone

Cause: a data folder made together with the folder above it was durable in that one only by chance, and a check of a wrong folder left a lock file in it. The sync of upper folders has no test that fails without it: the fake has no folders.

--- a/internal/agreelog/fs.go
+++ b/internal/agreelog/fs.go
@@ -3,12 +3,14 @@
 import (
 	"io"
 	"os"
+	"path/filepath"
 	"syscall"
 )
 
 // FS is the part of a file system that the log needs. Errors are the operating
 // system's.
 type FS interface {
+	// MkdirAll makes dir and what is missing above it.
 	MkdirAll(dir string) error
 	// Lock takes an exclusive lock that ends with the process or Close. A lock
 	// held elsewhere gives *LockedError.
@@ -40,8 +42,22 @@
 	fileMode = 0o640
 )
 
-// MkdirAll implements FS.
-func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+// MkdirAll implements FS. Each folder made is durable in the one above it.
+func (fs OS) MkdirAll(dir string) error {
+	if info, err := os.Stat(dir); err == nil && info.IsDir() {
+		return nil
+	}
+	parent := filepath.Dir(dir)
+	if parent != dir {
+		if err := fs.MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return fs.SyncDir(parent)
+}
 
 // Lock implements FS by flock.
 func (OS) Lock(path string) (io.Closer, error) {
--- a/internal/agreelog/log.go
+++ b/internal/agreelog/log.go
@@ -55,6 +55,12 @@
 	return &Folder{fs: fs, dir: dir, lock: lock}, nil
 }
 
+// Formatted reports whether dir holds a log, without touching it.
+func Formatted(fs FS, dir string) bool {
+	generation, _, err := (&Folder{fs: fs, dir: dir}).newest()
+	return err == nil && generation > 0
+}
+
 // Close releases the lock.
 func (f *Folder) Close() error {
 	return wrap(OpLock, filepath.Join(f.dir, lockName), 0, f.lock.Close())
--- a/internal/agreelog/log_test.go
+++ b/internal/agreelog/log_test.go
@@ -270,7 +270,7 @@
 // TestRealFolder runs the workload on the operating system's files: a second
 // opener is refused, a formatted folder is not formatted again.
 func TestRealFolder(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "data")
+	path := filepath.Join(t.TempDir(), "above", "data")
 	f, err := OpenFolder(OS{}, path)
 	assert.NilError(t, err)
 	var locked *LockedError
@@ -292,5 +292,8 @@
 	_, c, err := f.Load()
 	assert.NilError(t, err)
 	assert.Equal(t, c.LastIndex(), uint64(5))
+	var io *IOError
+	_, err = OpenFolder(OS{}, filepath.Join(path, lockName)) // a file is in the way
+	assert.Assert(t, errors.As(err, &io), "%v", err)
 	assert.Equal(t, c.Identity, testID)
 }
--- a/internal/cli/state/state.go
+++ b/internal/cli/state/state.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -34,7 +33,7 @@
 }
 
 func dataFlag() cli.Flag {
-	return &cli.StringFlag{Name: "data", Required: true, Usage: "data folder of the control VM"}
+	return &cli.StringFlag{Name: "data", Required: true, Usage: "folder that holds agree-*.log"}
 }
 
 func outputFlag() cli.Flag {
@@ -46,7 +45,7 @@
 		Name:  "check",
 		Usage: "read a data folder or a backup whole and say what it holds",
 		Description: `Changes nothing. Exit code 1 when it is damaged, locked or not there.
-Examples: hemlockctl state check --data /var/lib/hemlockmast
+Examples: hemlockctl state check --data /var/lib/hemlockmast/control
           hemlockctl state check --file control-a.backup`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "data", Usage: "data folder"},
@@ -71,7 +70,7 @@
 	return &cli.Command{
 		Name:        "backup",
 		Usage:       "write a checked copy of a data folder to one file",
-		Description: `Example: hemlockctl state backup --data /var/lib/hemlockmast --to control-a.backup`,
+		Description: `Example: hemlockctl state backup --data /var/lib/hemlockmast/control --to control-a.backup`,
 		Flags: []cli.Flag{
 			dataFlag(),
 			&cli.StringFlag{Name: "to", Required: true, Usage: "file to write; must not be there yet"},
@@ -104,7 +103,7 @@
 of a new group. Of several backups take the one with the highest last entry (term,
 then index). Start the other control VMs with empty folders; they join by themselves.
 Never start a member of the old group again.
-Example: hemlockctl state restore --from control-a.backup --data /var/lib/hemlockmast \
+Example: hemlockctl state restore --from control-a.backup --data /var/lib/hemlockmast/control \
            --name control-a --address 10.0.0.1:7001`,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "from", Required: true, Usage: "backup"},
@@ -145,7 +144,8 @@
 	if data == "" {
 		return agreelog.ReadBackup(agreelog.OS{}, file)
 	}
-	if _, err := os.Stat(data); err != nil {
+	// A wrong folder must not get a lock file.
+	if !agreelog.Formatted(agreelog.OS{}, data) {
 		return agreelog.Content{}, &agreelog.NotFormattedError{Dir: data}
 	}
 	folder, err := agreelog.OpenFolder(agreelog.OS{}, data)
--- a/internal/cli/state/state_test.go
+++ b/internal/cli/state/state_test.go
@@ -150,8 +150,14 @@
 	_, err = run("restore", "--from", file, "--data", dir, "--name", "b", "--address", "b:1")
 	assert.Assert(t, errors.As(err, &notEmpty), "%v", err)
 	var none *agreelog.NotFormattedError
-	_, err = run("check", "--data", filepath.Join(dir, "nowhere"))
-	assert.Assert(t, errors.As(err, &none), "%v", err)
+	wrong := t.TempDir()
+	for _, path := range []string{wrong, filepath.Join(wrong, "nowhere")} {
+		_, err = run("check", "--data", path)
+		assert.Assert(t, errors.As(err, &none), "%v", err)
+	}
+	left, err := os.ReadDir(wrong)
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0)
 	var usage cli.ExitCoder
 	_, err = run("check", "--data", dir, "--file", file)
 	assert.Assert(t, errors.As(err, &usage) && usage.ExitCode() == exitUsage, "%v", err)
