Control: test of a member at another address

Seen to fail with the vote dropped on the move, the address not compared and the address not recorded (go test -run Moved ./internal/control).

--- a/internal/control/steps_test.go
+++ b/internal/control/steps_test.go
@@ -108,3 +108,25 @@
 	assert.NilError(t, c.sought(seekResult{allWithout: true}))
 	assert.Assert(t, c.node == nil)
 }
+
+// TestMovedMember: a member at another address asks to be recorded there, and
+// keeps its vote.
+func TestMovedMember(t *testing.T) {
+	c, _, _ := byHand(t)
+	assert.Assert(t, c.isMember())
+	c.cfg.Address = "a:2"
+	assert.Assert(t, !c.isMember())
+	for _, want := range []agreepb.JoinState{
+		agreepb.JoinState_JOIN_STATE_ACCEPTED, agreepb.JoinState_JOIN_STATE_ACCEPTED, // and again
+	} {
+		j := &joinCall{
+			request: &agreepb.JoinRequest{Id: c.id.Proto(), Address: "a:2"},
+			reply:   make(chan *agreepb.JoinReply, 1),
+		}
+		c.answerJoin(j)
+		assert.Equal(t, (<-j.reply).State, want)
+		step(t, c)
+	}
+	assert.Assert(t, c.isMember() && c.node.Status().Voter)
+	assert.Equal(t, len(c.node.Status().Membership.Members), 1)
+}
