A superseded primary's connections are interrupted at once

Ruled out: the promotion itself (time line) and the routing. A holder that hears of a later primary now closes the connections in use at the old one, ends dials and turns waiting exchanges away.

--- a/internal/controlplane/member.go
+++ b/internal/controlplane/member.go
@@ -87,7 +87,7 @@
 		Name: cfg.Name, Address: cfg.Address, Peers: cfg.Peers,
 		FS: agreelog.OS{}, Dir: filepath.Join(cfg.DataFolder, folderName),
 		Machine:   machine,
-		Transport: control.NewPeers(ctx, &http.Client{Timeout: callTimeout}, "http"),
+		Transport: control.NewPeers(ctx, &http.Client{}, "http"),
 		Ticks:     m.ticker.C,
 		Rand:      mathrand.IntN,
 		NewNumber: newNumber,
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -23,7 +23,7 @@
 	// reportTimeout bounds one report to a control daemon.
 	reportTimeout = 500 * time.Millisecond
 	// confirmTimeout bounds the check of an endpoint for another daemon.
-	confirmTimeout = 400 * time.Millisecond
+	confirmTimeout = 250 * time.Millisecond
 )
 
 // controlParts are the parts of a daemon that follow or form the control group.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,9 @@
 	control         controlParts
 	journal         *timeline.Journal
 	metrics         *metrics.Set
-	admit           admitter
+	// primaries tells when a primary is superseded.
+	primaries *primaries
+	admit     admitter
 	// recorder takes the events of failovers.
 	recorder recorder
 	peers    *peerSet
@@ -122,10 +124,14 @@
 	d.members = members
 	d.journal = newJournal(s.Name)
 	d.metrics = metrics.New()
+	d.primaries = newPrimaries()
 	d.admit = newAdmitter(d.metrics)
 	d.recorder = recorder{d.journal}
 	d.acks = acks.New(d.ackMembers, d.recordFirstWrite)
-	d.view.Listen(func(st endpoint.Status, _ time.Time) { d.acks.Observe(st) })
+	d.view.Listen(func(st endpoint.Status, _ time.Time) {
+		d.acks.Observe(st)
+		d.noteSuperseded(st)
+	})
 	d.holder = holder.New(holder.Config{
 		Dialer: &holder.PGDialer{Holder: s.Name + "/" + d.incarnation, Timeout: dialTimeout},
 		Ack:    d.acks,
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -152,6 +152,18 @@
 	h.slots = next
 }
 
+// Interrupt cuts the connections that exchanges use at a slot whose endpoint was
+// superseded as primary. What they wait for cannot be confirmed any more, so that
+// their callers need not wait for the deadline.
+func (h *Holder) Interrupt(id SlotID) {
+	h.mu.RLock()
+	s := h.slots[id]
+	h.mu.RUnlock()
+	if s != nil {
+		s.pool.interrupt()
+	}
+}
+
 // SetShares bounds the connections per slot that each service may use.
 func (h *Holder) SetShares(shares map[string]int) {
 	h.mu.Lock()
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -46,6 +46,8 @@
 	// endpoint is replaced.
 	inUse   map[*conn]struct{}
 	waiters waitQueue
+	// dials ends the dials in progress.
+	dials map[*waiter]context.CancelFunc
 	// services counts connections in use by service.
 	services map[string]int
 	closed   bool
@@ -74,6 +76,7 @@
 		addr:     addr,
 		limit:    limit,
 		inUse:    map[*conn]struct{}{},
+		dials:    map[*waiter]context.CancelFunc{},
 		services: map[string]int{},
 		waiters:  newWaitQueue(),
 	}
@@ -139,9 +142,11 @@
 	if g.conn != nil {
 		return g.conn, nil
 	}
-	c, err := p.dialer.Dial(ctx, g.addr, w.key)
+	c, err := p.dialer.Dial(p.startDial(ctx, w), g.addr, w.key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dials[w]()
+	delete(p.dials, w)
 	if err != nil {
 		p.open--
 		p.discharge(w.service)
@@ -329,18 +334,47 @@
 	}
 }
 
-// close cuts all connections and refuses all waiters.
-func (p *pool) close() {
+// interrupt closes the connections in use, whose owners then release them as
+// broken, ends dials in progress and refuses those who wait.
+func (p *pool) interrupt() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
-	p.cutAll()
+	for c := range p.inUse {
+		_ = c.raw.Close()
+	}
+	for _, cancel := range p.dials {
+		cancel()
+	}
+	p.refuseWaiters()
+}
+
+// refuseWaiters tells all who wait that the endpoint is gone. The caller holds
+// mu.
+func (p *pool) refuseWaiters() {
 	for w := p.waiters.next(nil); w != nil; w = p.waiters.next(nil) {
 		p.waiters.remove(w)
 		w.ready <- grant{err: endpointGone()}
 	}
 }
 
+// startDial returns a context for one dial that interrupt ends.
+func (p *pool) startDial(ctx context.Context, w *waiter) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials[w] = cancel
+	return ctx
+}
+
+// close cuts all connections and refuses all waiters.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.cutAll()
+	p.refuseWaiters()
+}
+
 // checkIdle pings connections that were idle for long and closes those that do
 // not answer in time. It returns the number closed.
 func (p *pool) checkIdle(now time.Time) int {
--- a/internal/holder/pool_test.go
+++ b/internal/holder/pool_test.go
@@ -216,6 +216,29 @@
 		p.close()
 		assert.Equal(t, asError(t, <-done).Outcome, outcome.NotRun)
 	})
+	t.Run("an interrupt ends uses, dials and waits", func(t *testing.T) {
+		p := newPool(&fakeDialer{}, "a", 2)
+		used := hold(t, p, "s")
+		p.dialer = &fakeDialer{delay: time.Minute}
+		done := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := p.acquire(within(t, time.Minute), request{key: appKey})
+				done <- err
+			}()
+		}
+		for p.usage().Waiting == 0 || p.usage().Open < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		p.interrupt()
+		for range 2 {
+			failure := asError(t, <-done)
+			assert.Equal(t, failure.Outcome, outcome.NotRun)
+			assert.Equal(t, failure.Reason, outcome.ReasonEndpointDown)
+		}
+		_, err := used.raw.Write([]byte{0})
+		assert.Assert(t, err != nil)
+	})
 	t.Run("a silent idle connection is closed", func(t *testing.T) {
 		p := newPool(&fakeDialer{}, "a", 1)
 		c := hold(t, p, "s")
--- a/internal/measure/failover.go
+++ b/internal/measure/failover.go
@@ -23,7 +23,7 @@
 	callerDeadline = 2 * time.Second
 	// beforeFault and afterFault bound the time in which callers write.
 	beforeFault = 300 * time.Millisecond
-	afterFault  = 1500 * time.Millisecond
+	afterFault  = 4 * time.Second
 	// callersPerDaemon write during a failover.
 	callersPerDaemon = 4
 )
@@ -240,6 +240,9 @@
 		w.done = append(w.done, k)
 		time.Sleep(writePause)
 	}
+	if !last.IsZero() {
+		w.gap = max(w.gap, time.Since(last))
+	}
 }
 
 func (w *writeCaller) write(ctx context.Context, k string) error {
