Confirmation within its time; reads measured against perfect knowledge

Cause: with the primary frozen the confirmation of another failure domain came after the 250 ms that the judge waits, so that each failover waited the 600 ms for acting alone. The check of an endpoint now ends after 130 ms. The reads measurement also counts the reads for which a replica showed the session's writes at that moment.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -22,8 +22,9 @@
 const (
 	// reportTimeout bounds one report to a control daemon.
 	reportTimeout = 500 * time.Millisecond
-	// confirmTimeout bounds the check of an endpoint for another daemon.
-	confirmTimeout = 250 * time.Millisecond
+	// confirmTimeout bounds the check of an endpoint for another daemon. With the
+	// way there and back it must end within suspect.Timing.Confirm.
+	confirmTimeout = 130 * time.Millisecond
 )
 
 // controlParts are the parts of a daemon that follow or form the control group.
--- a/internal/measure/reads.go
+++ b/internal/measure/reads.go
@@ -16,6 +16,9 @@
 	"github.com/jackc/pgx/v5"
 
 	"hemlockmast/internal/devcluster"
+	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/standin"
 )
 
 const (
@@ -42,11 +45,14 @@
 
 // ReadsResult is the share of reads at replicas outside transactions.
 type ReadsResult struct {
-	Reads    int     `json:"reads"`
-	Replica  int     `json:"replica"`
-	Percent  float64 `json:"replica_percent"`
-	Stale    int     `json:"stale"`
-	Errors   int     `json:"errors"`
+	Reads   int     `json:"reads"`
+	Replica int     `json:"replica"`
+	Percent float64 `json:"replica_percent"`
+	Stale   int     `json:"stale"`
+	Errors  int     `json:"errors"`
+	// Possible counts reads for which a replica showed the session's writes at
+	// the moment of the read.
+	Possible int     `json:"possible"`
 	ReadP50  float64 `json:"read_p50_ms"`
 	ReadP99  float64 `json:"read_p99_ms"`
 	WriteP50 float64 `json:"write_p50_ms"`
@@ -55,16 +61,21 @@
 
 // String returns the result as one line.
 func (r ReadsResult) String() string {
-	return fmt.Sprintf("%d reads, %.2f %% at replicas, %d stale, %d errors; read p50 %.2f ms p99 %.2f ms, write p50 %.2f ms p99 %.2f ms",
-		r.Reads, r.Percent, r.Stale, r.Errors, r.ReadP50, r.ReadP99, r.WriteP50, r.WriteP99)
+	return fmt.Sprintf("%d reads, %.2f %% at replicas, %.2f %% possible at once, %d stale, %d errors; read p50 %.2f ms p99 %.2f ms, write p50 %.2f ms p99 %.2f ms",
+		r.Reads, r.Percent, 100*float64(r.Possible)/float64(max(1, r.Reads)), r.Stale, r.Errors, r.ReadP50, r.ReadP99, r.WriteP50, r.WriteP99)
 }
 
 // roamer is one session.
 type roamer struct {
 	conns         []*pgx.Conn
 	key           string
+	slots         map[string]*standin.Endpoint
 	written       int
 	stale, errors int
+	// floor is the primary's position when the last write was acknowledged.
+	floor logpos.Pos
+	// possible counts reads for which some replica showed the floor at once.
+	possible      int
 	reads, writes []time.Duration
 }
 
@@ -120,7 +131,7 @@
 	}
 	roamers := make([]*roamer, cfg.Sessions)
 	for i := range roamers {
-		r := &roamer{key: fmt.Sprintf("session-%d", i)}
+		r := &roamer{key: fmt.Sprintf("session-%d", i), slots: c.Endpoints[s.Group]}
 		roamers[i] = r
 		daemons := c.Daemons[i%len(c.Daemons) : i%len(c.Daemons)+1]
 		params := ""
@@ -172,9 +183,13 @@
 			return
 		}
 		r.written++
+		r.floor = r.primaryPosition()
 		r.writes = append(r.writes, time.Since(began))
 		return
 	}
+	if r.canRead() {
+		r.possible++
+	}
 	var v int
 	sql := fmt.Sprintf("/*hemlock access=read*/ SELECT v FROM measured WHERE k = '%s'", r.key)
 	if err := conn.QueryRow(ctx, sql).Scan(&v); err != nil {
@@ -187,6 +202,30 @@
 	r.reads = append(r.reads, time.Since(began))
 }
 
+// primaryPosition returns the end of the primary's log, which is at or past the
+// session's last write.
+func (r *roamer) primaryPosition() logpos.Pos {
+	var pos logpos.Pos
+	for _, e := range r.slots {
+		if st := e.Status(); st.Role == endpoint.RolePrimary {
+			pos = logpos.Max(pos, st.Synced)
+		}
+	}
+	return pos
+}
+
+// canRead reports whether a router with perfect knowledge would find a replica
+// that shows the session's writes now.
+func (r *roamer) canRead() bool {
+	for _, e := range r.slots {
+		st := e.Status()
+		if st.Role == endpoint.RoleReplica && !st.Applied.Less(r.floor) {
+			return true
+		}
+	}
+	return false
+}
+
 func sumUp(roamers []*roamer, replica, primary int) ReadsResult {
 	result := ReadsResult{Reads: replica + primary, Replica: replica}
 	if result.Reads > 0 {
@@ -196,6 +235,7 @@
 	for _, r := range roamers {
 		result.Stale += r.stale
 		result.Errors += r.errors
+		result.Possible += r.possible
 		reads = append(reads, r.reads...)
 		writes = append(writes, r.writes...)
 	}
