--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -126,6 +126,8 @@
 	t       testing.TB
 	members []*member
 	compact int64
+	// wrap, unless nil, goes around each member's transport.
+	wrap func(Transport) Transport
 }
 
 func newGroup(t testing.TB, names ...string) *group {
@@ -173,9 +175,13 @@
 	}
 	ticker := time.NewTicker(testTick)
 	m.machine = &journal{}
+	var transport Transport = &cuttable{NewPeers(ctx, client, "http"), g, m.name}
+	if g.wrap != nil {
+		transport = g.wrap(transport)
+	}
 	c, err := Open(Config{
 		Name: m.name, Address: m.address, Peers: peers, FS: m.fs, Dir: m.dir,
-		Machine: m.machine, Transport: &cuttable{NewPeers(ctx, client, "http"), g, m.name},
+		Machine: m.machine, Transport: transport,
 		Ticks: ticker.C, Rand: rand.IntN, NewNumber: rand.Uint64, Log: logr.Discard(),
 		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compact,
 	})
