--- /dev/null
+++ b/internal/devcluster/bench_test.go
@@ -0,0 +1,85 @@
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// settlePeriod is left to the start; idlePeriod is measured.
+	settlePeriod = 3 * time.Second
+	idlePeriod   = 4 * time.Second
+	readyLimit   = 60 * time.Second
+	benchHost    = "127.77.7.1"
+)
+
+// BenchmarkIdle measures whole daemons without callers in one process, with a
+// control group of three and stand-in endpoints: processor time and memory of a
+// daemon, its part of the endpoints included, by daemons and groups of three
+// slots.
+//
+//	go test -run '^$' -bench Idle -benchtime 1x ./internal/devcluster
+func BenchmarkIdle(b *testing.B) {
+	for _, size := range []struct{ perDomain, groups int }{{1, 3}, {2, 3}, {4, 3}, {8, 3}, {2, 12}, {2, 24}, {2, 48}} {
+		b.Run(fmt.Sprintf("daemons=%d/groups=%d", size.perDomain*4, size.groups), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, size.perDomain, size.groups)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, perDomain, groups int) {
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	c, err := Start(ctx, Config{
+		Folders: []string{writeGroups(b, groups)}, DaemonsPerDomain: perDomain, Control: 3,
+		DataFolder: b.TempDir(), DrainTimeout: time.Second, Log: logr.Discard(), Host: benchHost,
+	})
+	assert.NilError(b, err)
+	defer func() { _ = c.Close() }()
+	time.Sleep(settlePeriod)
+	used, began := processorTime(), time.Now()
+	time.Sleep(idlePeriod)
+	perDaemon := time.Since(began).Seconds() * float64(len(c.Daemons))
+	b.ReportMetric(100*(processorTime()-used).Seconds()/perDaemon, "%core/daemon")
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	inUse := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+	b.ReportMetric(float64(inUse)/1024/float64(len(c.Daemons)), "KB/daemon")
+}
+
+// writeGroups writes groups over four failure domains.
+func writeGroups(b *testing.B, groups int) string {
+	dir := b.TempDir()
+	for g := range groups {
+		var slots []string
+		for s := range 3 {
+			slots = append(slots, fmt.Sprintf(`{"name":"s%d","failure_domain":"fd%d","connection_limit":45}`, s, (g+s)%4))
+		}
+		text := fmt.Sprintf(`{"group":{"name":"g%d","databases":["db%d"],"slots":[%s]}}`, g, g, strings.Join(slots, ","))
+		assert.NilError(b, os.WriteFile(filepath.Join(dir, fmt.Sprintf("g%d.hemlock.json", g)), []byte(text), 0o600))
+	}
+	return dir
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
