--- a/internal/devcluster/bench_test.go
+++ b/internal/devcluster/bench_test.go
@@ -73,6 +73,9 @@
 		text := fmt.Sprintf(`{"group":{"name":"g%d","databases":["db%d"],"slots":[%s]}}`, g, g, strings.Join(slots, ","))
 		assert.NilError(b, os.WriteFile(filepath.Join(dir, fmt.Sprintf("g%d.hemlock.json", g)), []byte(text), 0o600))
 	}
+	service := `{"service":{"name":"svc","group":"g0","databases":["db0"],"users":["app"],"deadline":"5s",
+		"concurrency":10,"queue_length":10,"repeatable":false,"connections":{"min":1,"max":20}}}`
+	assert.NilError(b, os.WriteFile(filepath.Join(dir, "svc.hemlock.json"), []byte(service), 0o600))
 	return dir
 }
 
--- a/internal/session/directoryrpc/bench_test.go
+++ b/internal/session/directoryrpc/bench_test.go
@@ -1,8 +1,12 @@
 package directoryrpc
 
 import (
+	"context"
 	"fmt"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -34,3 +38,57 @@
 		})
 	}
 }
+
+// BenchmarkRecordCost reports the processor time of a record at both copies, the
+// client's included, by records at once.
+//
+//	go test -run '^$' -bench RecordCost -benchtime 5000x ./internal/session/directoryrpc
+func BenchmarkRecordCost(b *testing.B) {
+	for _, parallel := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
+			fx := start(b, 2)
+			floors := written(b, "group-0001", 1_000_000)
+			ids := make(chan session.ID)
+			var running sync.WaitGroup
+			for range parallel {
+				running.Go(func() {
+					for id := range ids {
+						if err := fx.client.Record(context.Background(), id, floors); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			used := processorTime()
+			for i := range b.N {
+				ids <- session.ID(fmt.Sprint("session-", i))
+			}
+			close(ids)
+			running.Wait()
+			b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/record")
+			for _, m := range fx.members {
+				awaitEntries(b, m, b.N)
+			}
+		})
+	}
+}
+
+// awaitEntries waits until the copy holds count entries: the copy that a record
+// does not wait for may be late.
+func awaitEntries(b *testing.B, m *fakeMember, count int) {
+	limit := time.Now().Add(time.Minute)
+	for m.inner.Load().Stats().Entries != count {
+		if time.Now().After(limit) {
+			b.Fatalf("%d entries of %d", m.inner.Load().Stats().Entries, count)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
