--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -131,8 +131,9 @@
 	members []*member
 	compact int64
 	tick    time.Duration
-	replace StateMachine // in place of a journal, when set
-	sent    atomic.Int64 // bytes of deliveries, before they are merged
+	replace StateMachine              // in place of a journal, when set
+	sent    atomic.Int64              // bytes of deliveries, before they are merged
+	wrap    func(Transport) Transport // around each member's transport, when set
 }
 
 func newGroup(t testing.TB, names ...string) *group {
@@ -184,9 +185,13 @@
 	if g.replace != nil {
 		machine = g.replace
 	}
+	var transport Transport = &cuttable{NewPeers(ctx, client, "http"), g, m.name}
+	if g.wrap != nil {
+		transport = g.wrap(transport)
+	}
 	c, err := Open(Config{
 		Name: m.name, Address: m.address, Peers: peers, FS: m.fs, Dir: m.dir,
-		Machine: machine, Transport: &cuttable{NewPeers(ctx, client, "http"), g, m.name},
+		Machine: machine, Transport: transport,
 		Ticks: ticker.C, Rand: rand.IntN, NewNumber: rand.Uint64, Log: logr.Discard(),
 		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compact,
 	})
