--- a/internal/e2e/sessions_test.go
+++ b/internal/e2e/sessions_test.go
@@ -124,3 +124,39 @@
 		}
 	})
 }
+
+// TestSessionOutlivesItsDaemons stops the daemon that served a session's write,
+// which also kept a copy of its floor or held connections, then each other one
+// in turn but the reader's: the next read still sees the write, or is refused.
+func TestSessionOutlivesItsDaemons(t *testing.T) {
+	for _, stopped := range []int{0, 1} {
+		t.Run(fmt.Sprintf("daemon %d stops", stopped), func(t *testing.T) {
+			c := startControlled(t)
+			ctx := testContext(t)
+			writer := connect(t, ctx, url(c.Daemons[0])+"?hemlock.session_id=s7")
+			mustExec(t, ctx, writer, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+			setApplyLag(c, 300*time.Millisecond)
+			for i := range 5 {
+				mustExec(t, ctx, writer, fmt.Sprintf("INSERT INTO t (k, v) VALUES ('k%d', 1)", i))
+			}
+			mustExec(t, ctx, writer, "INSERT INTO t (k, v) VALUES ('last', 1)")
+			c.Daemons[stopped].Stop()
+			seen := 0
+			for seen < 5 {
+				assert.NilError(t, ctx.Err())
+				reader, err := pgx.Connect(ctx, readerURL(c.Daemons[2], "hemlock.session_id=s7"))
+				if err != nil {
+					continue
+				}
+				n, err := countRow(ctx, reader, "last")
+				_ = reader.Close(ctx)
+				if err != nil {
+					assert.Equal(t, told(err), toldNotRun, err.Error())
+					continue
+				}
+				assert.Equal(t, n, 1)
+				seen++
+			}
+		})
+	}
+}
