--- a/tools/measure-statements.sh
+++ b/tools/measure-statements.sh
@@ -67,6 +67,12 @@
 direct=postgres://app@127.0.0.1:17501/db
 through=postgres://app@127.0.0.1:17000/db
 load() { "$dir/hemlockmast-measure" load --duration "${seconds}s" "$@"; }
+echo "daemon with no callers: $(grep VmRSS /proc/$entry/status)"
+load --url $through --open 10000 --active 1 --warmup 3s > /dev/null &
+pid=$!
+sleep 4
+echo "daemon with 10000 idle: $(grep VmRSS /proc/$entry/status)"
+wait "$pid"
 for round in 1 2 3; do
   echo "round $round"
   echo "  1 caller, direct:         $(load --url $direct)"
@@ -74,9 +80,3 @@
   echo "  64 callers, through:      $(load --url $through --open 64 --active 64)"
   echo "  10000 open, 128 active:   $(load --url $through --open 10000 --active 128 --warmup 2s)"
 done
-echo "daemon with no callers: $(grep VmRSS /proc/$entry/status)"
-load --url $through --open 10000 --active 1 --warmup 3s > /dev/null &
-pid=$!
-sleep 4
-echo "daemon with 10000 idle: $(grep VmRSS /proc/$entry/status)"
-wait $pid
