--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -28,6 +28,10 @@
 
 // Run implements exchange.Exchange.
 func (l *local) Run(ctx context.Context, seg *link.Segment, sink io.Writer) (exchange.Result, error) {
+	if err := checkSegment(seg); err != nil {
+		l.Close()
+		return exchange.Result{}, err
+	}
 	if l.conn == nil {
 		if err := l.attach(ctx, seg); err != nil {
 			return exchange.Result{}, err
@@ -54,6 +58,25 @@
 	return l.finish(ctx, r, res)
 }
 
+// checkSegment refuses what no entry sends: an operation without its message or
+// its statement.
+func checkSegment(seg *link.Segment) error {
+	for _, op := range seg.Ops {
+		whole := len(op.Data) >= minMessageBytes
+		if op.Kind == link.OpKind_OP_PARSE {
+			whole = op.Statement != nil
+		}
+		if !whole {
+			return outcome.NotRunError(outcome.CodeProtocolViolation, outcome.ReasonProtocol,
+				"a segment holds an operation without its message", nil)
+		}
+	}
+	return nil
+}
+
+// minMessageBytes is the least length of a protocol message.
+const minMessageBytes = 5
+
 // attach takes a connection from the pool of the slot that the segment names.
 func (l *local) attach(ctx context.Context, seg *link.Segment) error {
 	open := seg.Open
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -13,6 +13,8 @@
 const (
 	// headerLen is the type byte and the 4-byte length.
 	headerLen = 5
+	// readyLength is the length of ReadyForQuery, whose one byte callers rely on.
+	readyLength = 5
 	// keepBytes is the largest message buffer that a Reader keeps for reuse.
 	keepBytes = 64 << 10
 )
@@ -63,7 +65,7 @@
 		return nil, err
 	}
 	n := int(int32(binary.BigEndian.Uint32(head[1:])))
-	if n < 4 || n > r.max {
+	if n < 4 || n > r.max || head[0] == MsgReadyForQuery && n != readyLength {
 		return nil, &LengthError{Type: head[0], Length: n, Limit: r.max}
 	}
 	return r.take(n + 1)
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -20,5 +20,5 @@
   fi
 done
 protoc --go-vtproto_out=. \
-  --go-vtproto_opt=paths=source_relative,features=marshal+unmarshal+size+clone \
+  --go-vtproto_opt=paths=source_relative,features=marshal+unmarshal+size+clone+equal \
   api/link/*.proto
