A holder stops writing to a stream that its peer closed

An answer that was blocked on the stream's window stayed blocked after the entry had closed its end, since a half-closed stream still takes writes, and held its endpoint connection. Ruled out: the caller's write deadline, which had ended the entry's part. The end of the stream now ends its writes too. TestHolderStopsWritingToAStreamThatItsPeerClosed fails without it.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -133,6 +133,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// A peer that closed its end reads no more; a reply that waits for its window
+	// must not wait for ever.
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	switch hello.Purpose.(type) {
 	case *link.Hello_Exchange:
 		s.serveExchanges(ctx, cancel, r, w)
