--- a/internal/acks/acks.go
+++ b/internal/acks/acks.go
@@ -73,13 +73,7 @@
 
 // Refresh takes in that the members of groups may have changed.
 func (t *Tracker) Refresh() {
-	t.mu.Lock()
-	groups := make([]*group, 0, len(t.groups))
-	for _, g := range t.groups {
-		groups = append(groups, g)
-	}
-	t.mu.Unlock()
-	for _, g := range groups {
+	for _, g := range t.all() {
 		g.refresh()
 	}
 }
@@ -114,6 +108,17 @@
 		"the commit was not confirmed by a majority of the group's slots", nil)
 }
 
+// all returns the groups that are tracked.
+func (t *Tracker) all() []*group {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	groups := make([]*group, 0, len(t.groups))
+	for _, g := range t.groups {
+		groups = append(groups, g)
+	}
+	return groups
+}
+
 func (t *Tracker) group(name string) *group {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -274,13 +279,7 @@
 }
 
 func (t *Tracker) expire(now time.Time) {
-	t.mu.Lock()
-	groups := make([]*group, 0, len(t.groups))
-	for _, g := range t.groups {
-		groups = append(groups, g)
-	}
-	t.mu.Unlock()
-	for _, g := range groups {
+	for _, g := range t.all() {
 		g.mu.Lock()
 		if g.acks != nil {
 			g.deliver(g.acks.Expire(g.results[:0], now))
--- a/internal/holder/errors.go
+++ b/internal/holder/errors.go
@@ -4,10 +4,6 @@
 	"fmt"
 	"net"
 	"strconv"
-
-	"github.com/go-faster/errors"
-
-	"hemlockmast/internal/outcome"
 )
 
 // EndpointError reports an ErrorResponse to a statement of the holder's own.
@@ -59,5 +55,3 @@
 func (e *WithheldError) Error() string {
 	return fmt.Sprintf("replies after a write exceed %d bytes before its commit is confirmed", e.Limit)
 }
-
-func asOutcome(err error, target **outcome.Error) bool { return errors.As(err, target) }
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -99,7 +99,6 @@
 		priority: open.Priority,
 	})
 	if err != nil {
-		s.observeDial(err)
 		return err
 	}
 	l.slot, l.conn, l.service, l.group = s, c, open.Service, open.Group
@@ -146,8 +145,6 @@
 	}
 	if ctx.Err() != nil {
 		l.h.cancelAtEndpoint(l.slot, l.conn)
-	} else if r.lostConnection {
-		l.slot.observeLost()
 	}
 	return res, r.failure(ctx, err)
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,15 +40,6 @@
 	Await(ctx context.Context, group string, pos logpos.Pos) (slot string, err error)
 }
 
-// Alarm hears of failures on the data path, the first sign of a failed
-// endpoint.
-type Alarm interface {
-	// ConnectionLost reports that an established connection broke.
-	ConnectionLost(group, slot string)
-	// DialFailed reports that no connection could be made.
-	DialFailed(group, slot string)
-}
-
 // Floors knows what the endpoints of the holder's slots have applied.
 type Floors interface {
 	// AwaitApplied returns once the slot has applied pos, with the incarnation of
@@ -77,9 +68,7 @@
 	// Activity may be nil; then silent connections in use are found by their
 	// deadlines only.
 	Activity Activity
-	// Alarm may be nil.
-	Alarm Alarm
-	Log   logr.Logger
+	Log      logr.Logger
 }
 
 // Holder serves the slots given to it by Assign.
@@ -90,7 +79,6 @@
 	ack    Acknowledger
 	floors Floors
 	active Activity
-	alarm  Alarm
 	log    logr.Logger
 
 	// mu guards the fields below.
@@ -101,9 +89,8 @@
 
 // slot is one slot that the holder serves.
 type slot struct {
-	id    SlotID
-	pool  *pool
-	alarm Alarm
+	id   SlotID
+	pool *pool
 }
 
 // New returns a Holder that serves no slot yet.
@@ -113,7 +100,6 @@
 		ack:    cfg.Ack,
 		floors: cfg.Floors,
 		active: cfg.Activity,
-		alarm:  cfg.Alarm,
 		log:    cfg.Log,
 		slots:  map[SlotID]*slot{},
 		shares: map[string]int{},
@@ -138,7 +124,7 @@
 	for _, a := range assignments {
 		s := h.slots[a.ID]
 		if s == nil {
-			s = &slot{id: a.ID, pool: newPool(h.dialer, a.Addr, a.Limit), alarm: h.alarm}
+			s = &slot{id: a.ID, pool: newPool(h.dialer, a.Addr, a.Limit)}
 		}
 		s.pool.setAddr(a.Addr)
 		s.pool.setLimit(a.Limit)
@@ -282,18 +268,3 @@
 		_, _ = raw.Write(out)
 	}()
 }
-
-func (s *slot) observeLost() {
-	if s.alarm != nil {
-		s.alarm.ConnectionLost(s.id.Group, s.id.Slot)
-	}
-}
-
-// observeDial reports a failed dial; a full queue or a deadline is no sign of
-// a failed endpoint.
-func (s *slot) observeDial(err error) {
-	var failure *outcome.Error
-	if s.alarm != nil && asOutcome(err, &failure) && failure.Reason == outcome.ReasonEndpointDown {
-		s.alarm.DialFailed(s.id.Group, s.id.Slot)
-	}
-}
--- a/internal/holder/marked.go
+++ b/internal/holder/marked.go
@@ -120,8 +120,6 @@
 	reason, message := outcome.ReasonConnLost, "the connection to the endpoint was lost"
 	if ctx.Err() != nil || isTimeout(err) {
 		reason, message = outcome.ReasonDeadline, "the endpoint did not answer before the deadline"
-	} else {
-		m.l.slot.observeLost()
 	}
 	if m.committing {
 		return outcome.UnknownError(reason, message, err)
--- a/internal/holder/run.go
+++ b/internal/holder/run.go
@@ -47,9 +47,8 @@
 	// sessionState states that a command changed session state.
 	sessionState bool
 	// tag is the last command tag.
-	tag            string
-	lostConnection bool
-	sinkErr        error
+	tag     string
+	sinkErr error
 
 	// waiting states that the run waits for the endpoint, and not for its caller;
 	// progress counts the messages received. A silence guard reads both.
@@ -64,7 +63,6 @@
 // drive sends the segment and reads until every reply has come.
 func (r *run) drive() (exchange.Result, error) {
 	if err := r.write(); err != nil {
-		r.lostConnection = true
 		return r.result, err
 	}
 	for len(r.plan.expect) > 0 {
@@ -112,7 +110,6 @@
 	r.waiting.Store(false)
 	r.progress.Add(1)
 	if err != nil {
-		r.lostConnection = !isTimeout(err)
 		return err
 	}
 	return r.reply(f)
