First try: status of all control daemons, ports free on TCP and UDP

Cause: run as a newcomer would. The printed status command asked one of three control daemons and showed half of the failure domains as never heard; a second cluster took a port whose UDP half was in use and ended. Both seen, both mended.

--- a/cmd/hemlockmast-dev/main.go
+++ b/cmd/hemlockmast-dev/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -98,6 +99,7 @@
 	} {
 		fmt.Printf("  go run ./cmd/hemlockctl query --url '%s' \"%s\"\n", url, sql)
 	}
-	fmt.Printf("  go run ./cmd/hemlockctl status --control %s\n", c.Daemons[0].AdminAddr())
+	fmt.Printf("  go run ./cmd/hemlockctl status --control %s\n", strings.Join(c.ControlAddrs(), ","))
+	fmt.Printf("  go run ./cmd/hemlockctl timeline --daemon %s\n", c.Daemons[0].AdminURL())
 	fmt.Println("\nCtrl-C stops everything.")
 }
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -87,6 +87,8 @@
 	FailureDomain string
 	stop          context.CancelFunc
 	done          chan struct{}
+	// control states that the daemon has the role control.
+	control bool
 }
 
 // Stop stops the daemon gracefully and waits for its end.
@@ -257,7 +259,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	running := &Daemon{
 		Daemon: d, Name: s.Name, FailureDomain: s.FailureDomain,
-		stop: stop, done: make(chan struct{}),
+		stop: stop, done: make(chan struct{}), control: checked.Has(settings.RoleControl),
 	}
 	c.Daemons = append(c.Daemons, running)
 	c.group.Go(func() error {
@@ -303,6 +305,17 @@
 	return nil
 }
 
+// ControlAddrs returns the addresses of the control daemons.
+func (c *Cluster) ControlAddrs() []string {
+	var addrs []string
+	for _, d := range c.Daemons {
+		if d.control {
+			addrs = append(addrs, d.AdminAddr())
+		}
+	}
+	return addrs
+}
+
 // Close stops everything.
 func (c *Cluster) Close() error {
 	c.stop()
--- a/internal/devcluster/ports.go
+++ b/internal/devcluster/ports.go
@@ -51,14 +51,28 @@
 	for p.next < p.last {
 		addr := net.JoinHostPort(p.host, strconv.Itoa(p.next))
 		p.next++
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
+		if isFree(addr) {
 			return addr, nil
 		}
 	}
 	return "", &NoPortError{Host: p.host, Last: p.last}
 }
 
+// isFree reports whether nothing listens on addr, neither on TCP nor on UDP.
+func isFree(addr string) bool {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = ln.Close() }()
+	packets, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	_ = packets.Close()
+	return true
+}
+
 // NoPortError reports that no port was free.
 type NoPortError struct {
 	Host string
