Pinned connections are counted; no caller before a configuration is in force

A caller of a daemon without configuration was told that its service is unknown (3D000), which sends an operator to the wrong place; now 57P03 no_configuration. TestPinnedConnectionsAreCounted, TestNoCallerWithoutConfiguration.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,8 +77,10 @@
 	// recorder takes the events of failovers.
 	recorder recorder
 	peers    *peerSet
-	ready    atomic.Bool
-	seq      atomic.Uint64
+	// ready is what /readyz says; inForce states that a configuration is in force.
+	ready   atomic.Bool
+	inForce atomic.Bool
+	seq     atomic.Uint64
 
 	listeners listeners
 
@@ -148,6 +150,7 @@
 	d.directory = directoryrpc.NewClient(d.directoryView, &http.Client{Timeout: directoryTimeout}, time.Now)
 	d.directoryServer = directoryrpc.NewServer(incarnationNumber(), directoryLimits, time.Now)
 	d.entry = entry.New(entry.Config{
+		Ready:        d.inForce.Load,
 		Catalog:      d.catalog,
 		Router:       routing.New(d.view, d.openSlot),
 		Sessions:     sessions.NewOpener(keys, d.directory),
@@ -207,6 +210,7 @@
 	g.Go(func() error { return d.serveLink(serving) })
 	g.Go(func() error { return d.serveAdmin(serving) })
 	g.Go(func() error { return d.manageWatchers(serving) })
+	g.Go(func() error { return d.reportUse(serving) })
 	g.Go(func() error { return d.feedOwnStatuses(serving) })
 	g.Go(func() error { return d.members.Run(serving) })
 	g.Go(func() error { return d.followMembership(serving) })
@@ -265,6 +269,7 @@
 	}
 	d.holder.SetShares(shares)
 	d.reassign()
+	d.inForce.Store(true)
 	d.ready.Store(true)
 }
 
--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/silence_test.go
@@ -207,3 +207,38 @@
 		assert.Equal(t, n, 1, "read %d", i)
 	}
 }
+
+// TestPinnedConnectionsAreCounted keeps a connection by session state and ends
+// the session: the count goes up and down, and the connection is clean after.
+func TestPinnedConnectionsAreCounted(t *testing.T) {
+	p := startPath(t)
+	ctx := testContext(t)
+	conn := connect(t, ctx, p.url(5*time.Second))
+	mustExec(t, ctx, conn, "SELECT 1")
+	assert.Equal(t, p.usage().Pinned, 0)
+	mustExec(t, ctx, conn, "SET search_path = 'mine'")
+	mustExec(t, ctx, conn, "SET search_path = 'yours'")
+	assert.Equal(t, p.usage().Pinned, 1)
+	assert.NilError(t, conn.Close(ctx))
+	for p.usage().Pinned > 0 {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	var path string
+	other := connect(t, ctx, p.url(5*time.Second))
+	assert.NilError(t, other.QueryRow(ctx, "SHOW search_path").Scan(&path))
+	assert.Assert(t, path != "yours", path)
+}
+
+// TestNoCallerWithoutConfiguration starts an entry whose control group does not
+// answer: callers are told so, and not that their service is unknown.
+func TestNoCallerWithoutConfiguration(t *testing.T) {
+	s := pathSettings(t, "e1", "a", "", "entry")
+	s.ConfigurationFolders = nil
+	control := pathSettings(t, "c1", "b", "", "control")
+	s.Peers = append(s.Peers, peerOf(control))
+	d, _ := runDaemon(t, s)
+	_, err := pgx.Connect(testContext(t), "postgres://app@"+d.CallerAddr()+"/db")
+	assert.Equal(t, sqlState(err), "57P03")
+	assert.Assert(t, !d.Ready())
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,6 +156,8 @@
 
 // Config holds what a Server needs.
 type Config struct {
+	// Ready reports whether a configuration is in force.
+	Ready    func() bool
 	Catalog  Catalog
 	Router   Router
 	Sessions Sessions
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -95,6 +95,10 @@
 		return nil, outcome.NotRunError(outcome.CodeTooManyConnections, outcome.ReasonQueueFull,
 			"this daemon has as many callers as its settings allow", nil)
 	}
+	if !s.cfg.Ready() {
+		return nil, outcome.NotRunError(outcome.CodeCannotConnectNow, outcome.ReasonNoConfiguration,
+			"this daemon has no configuration in force yet", nil)
+	}
 	user, db := startup["user"], startup["database"]
 	if db == "" {
 		db = user
--- a/internal/holder/exchange.go
+++ b/internal/holder/exchange.go
@@ -152,8 +152,9 @@
 // finish returns the connection when the endpoint is idle, then waits until the
 // commit is confirmed, and only then lets the withheld messages go.
 func (l *local) finish(ctx context.Context, r *run, res exchange.Result) (exchange.Result, error) {
-	if r.sessionState {
+	if r.sessionState && !l.pinned {
 		l.pinned = true
+		l.slot.pool.pin(true)
 	}
 	if res.TxStatus == 'I' && !l.pinned {
 		l.detach()
@@ -184,6 +185,10 @@
 func (l *local) detach() {
 	c := l.conn
 	l.conn = nil
+	if l.pinned {
+		l.pinned = false
+		l.slot.pool.pin(false)
+	}
 	_ = c.raw.SetDeadline(time.Time{})
 	l.slot.pool.release(c, l.service)
 }
--- a/internal/holder/pool.go
+++ b/internal/holder/pool.go
@@ -46,6 +46,8 @@
 	// endpoint is replaced.
 	inUse   map[*conn]struct{}
 	waiters waitQueue
+	// pinned counts connections that session state keeps for one caller.
+	pinned int
 	// dials ends the dials in progress.
 	dials map[*waiter]context.CancelFunc
 	// services counts connections in use by service.
@@ -231,6 +233,17 @@
 	return nil
 }
 
+// pin counts a connection as kept by session state, or no longer so.
+func (p *pool) pin(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.pinned++
+	} else {
+		p.pinned--
+	}
+}
+
 // release takes a connection back. A broken one is closed.
 func (p *pool) release(c *conn, service string) {
 	p.mu.Lock()
@@ -420,12 +433,14 @@
 	Open    int
 	Idle    int
 	Waiting int
+	// Pinned counts connections that session state keeps for one caller.
+	Pinned int
 }
 
 func (p *pool) usage() Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Usage{Limit: p.limit, Open: p.open, Idle: len(p.idle), Waiting: p.waiters.len()}
+	return Usage{Limit: p.limit, Open: p.open, Idle: len(p.idle), Waiting: p.waiters.len(), Pinned: p.pinned}
 }
 
 func queueError(ctx context.Context) error {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -72,6 +72,8 @@
 	ReasonStale         Reason = "stale"
 	ReasonRepeated      Reason = "repeated"
 	ReasonNoDirectory   Reason = "no_directory"
+	// ReasonNoConfiguration: the daemon has not agreed on a configuration.
+	ReasonNoConfiguration Reason = "no_configuration"
 )
 
 // Error is a failure of the system, as opposed to an answer of the endpoint.
