Time line over whole daemons: stamps on calls, a failover as a story

Cause: the clock stamps were not on the calls between daemons. The link between entry and holder carries no stamps yet.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -15,6 +15,7 @@
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/spreadstate"
 	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/timeline/timelinerpc"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -64,7 +65,10 @@
 // setUpControl makes the parts that the settings ask for.
 func (d *Daemon) setUpControl() error {
 	c := &d.control
-	c.client = &http.Client{Timeout: confirmTimeout + reportTimeout}
+	c.client = &http.Client{
+		Timeout:   confirmTimeout + reportTimeout,
+		Transport: &timelinerpc.Transport{Journal: d.journal, Base: http.DefaultTransport},
+	}
 	c.service = &controlplane.Service{FailureDomain: d.settings.FailureDomain, Prober: d}
 	if !followsControl(d.settings) {
 		return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"hemlockmast/internal/settings"
 	"hemlockmast/internal/slotview"
 	"hemlockmast/internal/timeline"
+	"hemlockmast/internal/timeline/timelinerpc"
 	"hemlockmast/internal/watch"
 )
 
@@ -394,7 +395,8 @@
 }
 
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	server := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: dialTimeout}
+	handler := timelinerpc.Stamped(d.journal, d.adminHandler())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/e2e/failover_test.go
+++ b/internal/e2e/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,8 @@
 
 	"hemlockmast/internal/devcluster"
 	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/timeline"
+	"hemlockmast/internal/timeline/timelinerpc"
 )
 
 // primarySlot returns the slot of the primary with the latest term.
@@ -145,3 +148,30 @@
 		}
 	}
 }
+
+// TestFailoverReadsAsAStory kills the primary and reads the time line of all
+// daemons: one failover from suspicion to the first acknowledged write, with its
+// gap, and no daemon missing.
+func TestFailoverReadsAsAStory(t *testing.T) {
+	c := startControlled(t)
+	ctx := testContext(t)
+	conn := connect(t, ctx, url(c.Daemons[1]))
+	mustExec(t, ctx, conn, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+	mustExec(t, ctx, conn, marked("warm", "INSERT INTO t (k, v) VALUES ('warm', 1)"))
+	c.Endpoints["g"][primarySlot(c)].Kill()
+	mustExec(t, ctx, conn, marked("after", "INSERT INTO t (k, v) VALUES ('after', 1)"))
+	var urls []string
+	for _, d := range c.Daemons {
+		urls = append(urls, d.AdminURL())
+	}
+	collected := timelinerpc.Collect(ctx, http.DefaultClient, urls, nil)
+	assert.Equal(t, len(collected.Unreached), 0)
+	failovers := timeline.Failovers(collected.Events)
+	assert.Equal(t, len(failovers), 1)
+	f := failovers[0]
+	assert.Equal(t, f.Group, "g")
+	assert.Assert(t, f.Term >= 2 && f.NewSlot != "" && f.NewSlot != f.OldSlot)
+	gap, known := f.Gap()
+	assert.Assert(t, known)
+	t.Logf("gap %s", gap)
+}
