Cancel requests reach their session through any daemon

Cause: the balancer may send a cancel request to another VM than its session's, where it was dropped. Test: a cancel sent to daemon 1 stops a statement of daemon 0, and the answer names the caller's request.

--- a/internal/controlplane/service.go
+++ b/internal/controlplane/service.go
@@ -27,10 +27,17 @@
 	Report(group string, r suspect.Report)
 }
 
+// Canceler stops what a caller's session runs.
+type Canceler interface {
+	// Cancel reports whether the session is one of this daemon's.
+	Cancel(processID, secret uint32) bool
+}
+
 // Service serves the control API of one daemon.
 type Service struct {
 	FailureDomain string
 	Prober        Prober
+	Canceler      Canceler
 	// Member and Reports are nil without the role control.
 	Member  *Member
 	Reports Reports
@@ -108,6 +115,11 @@
 	return &controlpb.ReportResponse{}, nil
 }
 
+// Cancel implements the Control service.
+func (s *Service) Cancel(_ context.Context, request *controlpb.CancelRequest) (*controlpb.CancelResponse, error) {
+	return &controlpb.CancelResponse{Found: s.Canceler.Cancel(request.ProcessId, request.Secret)}, nil
+}
+
 // Confirm implements the Control service.
 func (s *Service) Confirm(ctx context.Context, request *controlpb.ConfirmRequest) (*controlpb.ConfirmResponse, error) {
 	level := s.Prober.Probe(ctx, request.Group, request.Slot)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -69,7 +69,7 @@
 		Timeout:   confirmTimeout + reportTimeout,
 		Transport: &timelinerpc.Transport{Journal: d.journal, Base: http.DefaultTransport},
 	}
-	c.service = &controlplane.Service{FailureDomain: d.settings.FailureDomain, Prober: d}
+	c.service = &controlplane.Service{FailureDomain: d.settings.FailureDomain, Prober: d, Canceler: d.entry}
 	if !followsControl(d.settings) {
 		return nil
 	}
@@ -219,6 +219,25 @@
 	return suspect.Well
 }
 
+// cancelElsewhere passes a caller's cancel request on to the other daemons: the
+// balancer may have sent it to any of them. It does not wait.
+func (d *Daemon) cancelElsewhere(processID, secret uint32) {
+	for _, v := range d.members.Members() {
+		if v.Name == d.settings.Name || !v.Usable() || !slices.Contains(v.Roles, settings.RoleEntry) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+			defer cancel()
+			client := controlpb.NewControlProtobufClient("http://"+v.Admin, d.control.client)
+			_, err := client.Cancel(ctx, &controlpb.CancelRequest{ProcessId: processID, Secret: secret})
+			if err != nil {
+				d.log.V(1).Info("cancel request not delivered", "peer", v.Name, "error", err.Error())
+			}
+		}()
+	}
+}
+
 // sendReport tells the control daemons what an observer makes of an endpoint.
 // Only the leader acts on it.
 func (d *Daemon) sendReport(group string, r suspect.Report) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,6 +152,7 @@
 	d.directoryServer = directoryrpc.NewServer(incarnationNumber(), directoryLimits, time.Now)
 	d.entry = entry.New(entry.Config{
 		Ready:        d.inForce.Load,
+		Elsewhere:    d.cancelElsewhere,
 		Catalog:      d.catalog,
 		Router:       routing.New(d.view, d.openSlot),
 		Sessions:     sessions.NewOpener(keys, d.directory),
--- a/internal/e2e/clients_test.go
+++ b/internal/e2e/clients_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgxpool"
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"gotest.tools/v3/assert"
@@ -225,6 +226,32 @@
 		}
 		mustExec(t, ctx, conn, "SELECT 1")
 	})
+	t.Run("cancel request through another daemon", func(t *testing.T) {
+		conn := connect(t, ctx, url(c.Daemons[0]))
+		other := connect(t, ctx, url(c.Daemons[1]))
+		done := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(ctx, "SELECT pg_sleep(4)")
+			done <- err
+		}()
+		request := pgproto3.CancelRequest{ProcessID: conn.PgConn().PID(), SecretKey: conn.PgConn().SecretKey()}
+		out, err := request.Encode(nil)
+		assert.NilError(t, err)
+		for err == nil {
+			raw, dialErr := net.Dial("tcp", c.Daemons[1].CallerAddr())
+			assert.NilError(t, dialErr)
+			_, dialErr = raw.Write(out)
+			assert.NilError(t, dialErr)
+			select {
+			case err = <-done:
+				assert.Equal(t, sqlState(err), "57014")
+				assert.Assert(t, strings.Contains(err.Error(), "caller's request"), err.Error())
+			case <-time.After(50 * time.Millisecond):
+			}
+			_ = raw.Close()
+		}
+		mustExec(t, ctx, other, "SELECT 1")
+	})
 	t.Run("session state stays with its session", func(t *testing.T) {
 		conn := connect(t, ctx, url(c.Daemons[0]))
 		mustExec(t, ctx, conn, "SET search_path = 'mine'")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,13 +157,16 @@
 // Config holds what a Server needs.
 type Config struct {
 	// Ready reports whether a configuration is in force.
-	Ready    func() bool
-	Catalog  Catalog
-	Router   Router
-	Sessions Sessions
-	Admit    Admitter
-	Observer Observer
-	Log      logr.Logger
+	Ready func() bool
+	// Elsewhere passes on a cancel request for a session that is not here. It
+	// must not block.
+	Elsewhere func(pid, secret uint32)
+	Catalog   Catalog
+	Router    Router
+	Sessions  Sessions
+	Admit     Admitter
+	Observer  Observer
+	Log       logr.Logger
 	// MaxCallers bounds the open caller connections.
 	MaxCallers int
 	// DrainTimeout bounds the graceful stop.
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -85,7 +85,10 @@
 	if len(body) < minCancelBytes {
 		return
 	}
-	s.Cancel(binary.BigEndian.Uint32(body[4:]), binary.BigEndian.Uint32(body[8:]))
+	pid, secret := binary.BigEndian.Uint32(body[4:]), binary.BigEndian.Uint32(body[8:])
+	if !s.Cancel(pid, secret) {
+		s.cfg.Elsewhere(pid, secret)
+	}
 }
 
 func (s *Server) decodeStartup(conn net.Conn, code uint32, body []byte) (*pgproto3.StartupMessage, bool) {
