--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -19,6 +19,7 @@
 	ctx := testContext(t)
 	writer := connect(t, ctx, url(c.Daemons[0]))
 	mustExec(t, ctx, writer, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+	awaitReplicas(t, ctx, c)
 	leaving := c.Endpoints["g"]["s3"]
 	for i := 0; !isRead(t, ctx, c, "s3", i); i++ {
 		assert.NilError(t, ctx.Err())
@@ -40,7 +41,7 @@
 	k := fmt.Sprintf("k%d", i)
 	mustExec(t, ctx, writer, "INSERT INTO t (k, v) VALUES ($1, 1)", k)
 	assert.NilError(t, writer.Close(ctx))
-	time.Sleep(50 * time.Millisecond)
+	awaitReplicas(t, ctx, c, slot)
 	for range 8 {
 		reader := connect(t, ctx, readerURL(c.Daemons[1], ""))
 		n, err := countRow(ctx, reader, k)
--- a/internal/e2e/sessions_test.go
+++ b/internal/e2e/sessions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,20 @@
 	"hemlockmast/internal/devcluster"
 )
 
+// awaitReplicas waits until every endpoint but those of the slots in except shows
+// what the primary holds. A session without writes may read old data before, or
+// miss a table that is new.
+func awaitReplicas(t *testing.T, ctx context.Context, c *devcluster.Cluster, except ...string) {
+	t.Helper()
+	end := c.Endpoints["g"][primarySlot(c)].Status().Synced
+	for slot, e := range c.Endpoints["g"] {
+		for !slices.Contains(except, slot) && e.Status().Applied.Less(end) {
+			assert.NilError(t, ctx.Err())
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // setApplyLag makes every endpoint show records only after lag.
 func setApplyLag(c *devcluster.Cluster, lag time.Duration) {
 	for _, e := range c.Endpoints["g"] {
@@ -55,7 +70,7 @@
 	ctx := testContext(t)
 	setup := connect(t, ctx, url(c.Daemons[0]))
 	mustExec(t, ctx, setup, "CREATE TABLE t (k text PRIMARY KEY, v int)")
-	time.Sleep(100 * time.Millisecond)
+	awaitReplicas(t, ctx, c)
 	setApplyLag(c, 300*time.Millisecond)
 
 	awaitStaleRead(t, ctx, c, setup)
