Writes without a reachable majority are held back, then refused as not run

Cause: with two of three endpoints gone a write was sent to the primary and ended 'outcome unknown' at its deadline, although nobody could have confirmed it. The entry now holds writes until a majority of the group's slots can be reached, so that the refusal is a true 'not run'; reads go on. TestWithoutMajority (three runs pass) fails without it: no write was ever refused as not run.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,6 +17,7 @@
 	"hemlockmast/internal/exchange"
 	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/quorum"
 	"hemlockmast/internal/route"
 	"hemlockmast/internal/slotview"
 )
@@ -85,6 +86,12 @@
 			return entry.Target{}, outcome.NotRunError(outcome.CodeInvalidCatalogName,
 				outcome.ReasonUnknownTarget, "the service's group is not configured", nil)
 		}
+		if need.Write && !hasMajority(g) {
+			if err := r.await(ctx, changed); err != nil {
+				return entry.Target{}, err
+			}
+			continue
+		}
 		decision, err := r.choose(g, need)
 		if err != nil {
 			return entry.Target{}, refusal(err)
@@ -106,6 +113,19 @@
 	}
 }
 
+// hasMajority reports whether a majority of the group's slots can be reached.
+// Without one no commit can be confirmed: a write that is held back is surely not
+// run, one that is sent would end unknown.
+func hasMajority(g *slotview.Group) bool {
+	reachable := 0
+	for i := range g.Slots {
+		if g.Slots[i].Known && g.Slots[i].Reachable {
+			reachable++
+		}
+	}
+	return reachable >= quorum.Majority(len(g.Slots))
+}
+
 // await waits for a change of the view.
 func (r *Router) await(ctx context.Context, changed <-chan struct{}) error {
 	select {
