TestStoreFails: publish before the daemon starts, unblock in one step

Cause: the test, not the daemon. (1) The daemon started before the publication, so its first poll could rightly confirm that there is no configuration, which is MODE_CONFIRMED at revision 0 (store_test.go:77). (2) RemoveAll empties the blocking folder before it removes it; the daemon's own removal of the stored file then succeeds in between, which by design puts the revision in force without a file, and the later Remove found none (store_test.go:80). Ruled out: mode() calling an unstorable revision confirmed; it compares what is in force with what is held under one lock.

--- a/internal/confspread/store_test.go
+++ b/internal/confspread/store_test.go
@@ -70,12 +70,16 @@
 		c := newCluster(t, 1, 1)
 		store := NewStore(t.TempDir())
 		block(store, storeFile)
-		d := c.start(c.members[0], store)
+		// The publication comes first: a daemon that starts before it may rightly
+		// be confirmed in having no configuration.
 		c.publish()
+		d := c.start(c.members[0], store)
 		c.wait("confirmation", func() bool { return !d.State().ConfirmedAt.IsZero() })
 		assert.Equal(t, d.State().Revision, uint64(0))
 		assert.Equal(t, d.State().Mode, confspread.Mode_MODE_STARTING)
-		assert.NilError(t, os.RemoveAll(store.path()))
+		// A rename unblocks in one step. In the midst of RemoveAll the daemon's own
+		// removal could succeed, which puts revision 1 in force without a file.
+		assert.NilError(t, os.Rename(store.path(), filepath.Join(t.TempDir(), "blocked")))
 		c.waitAll(1)
 		assert.NilError(t, os.Remove(store.path()))
 		block(store, storeFile)
