--- a/cmd/hemlockmastd/main.go
+++ b/cmd/hemlockmastd/main.go
@@ -14,6 +14,10 @@
 )
 
 func main() {
+	// A reload or a log reader that went away must not end the daemon, however
+	// early the signal arrives.
+	signal.Ignore(syscall.SIGPIPE)
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cmd := daemoncmd.Command(version.Text, logging.New)
--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -75,9 +75,22 @@
 		Membership: m,
 		Voter:      member.GetVoter(),
 		Joined:     Find(n.members.at(n.log.commit), n.cfg.Self) != nil,
+		Silence:    n.silence(),
 	}
 }
 
+// silence returns the ticks since each peer's last answer; nil unless leading.
+func (n *Node) silence() map[ID]int {
+	if n.role != Leader {
+		return nil
+	}
+	ticks := make(map[ID]int, len(n.progress))
+	for _, id := range n.peers() {
+		ticks[id] = n.progress[id].silence
+	}
+	return ticks
+}
+
 // Tick tells the node that one unit of time has passed.
 func (n *Node) Tick() {
 	n.sinceContact++
--- a/internal/agree/types.go
+++ b/internal/agree/types.go
@@ -153,4 +153,6 @@
 	// A member that is not has to ask for AddLearner again: what it asked for
 	// before may have been lost with its leader.
 	Joined bool
+	// Silence is, at the leader, the ticks since each peer's last answer.
+	Silence map[ID]int
 }
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,165 @@
+// Package catalog checks, compares and updates the configuration of routes and
+// services. It is pure.
+package catalog
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetpb "hemlockmast/api/fleet"
+)
+
+// Problem says what makes a configuration invalid.
+type Problem uint8
+
+// Problems.
+const (
+	NoVersion Problem = iota
+	NoName
+	DuplicateName
+	DuplicatePlace
+	UnknownService
+	NoTimeout
+	NoLevel
+)
+
+var problemTexts = [...]string{
+	NoVersion:      "the version is 0",
+	NoName:         "a name is missing",
+	DuplicateName:  "the name stands twice",
+	DuplicatePlace: "another route has the same database and path",
+	UnknownService: "the service is not defined",
+	NoTimeout:      "the timeout is 0",
+	NoLevel:        "the read level is unknown",
+}
+
+// InvalidError refuses a configuration.
+type InvalidError struct {
+	// Item is the route or service at fault; empty for the whole.
+	Item    string
+	Problem Problem
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration is invalid at %q: %s", e.Item, problemTexts[e.Problem])
+}
+
+// Check returns *InvalidError for the first mistake in c.
+func Check(c *fleetpb.Configuration) error {
+	if c.Version == 0 {
+		return &InvalidError{Problem: NoVersion}
+	}
+	services := make(map[string]bool)
+	for _, s := range c.Services {
+		if s.Name == "" {
+			return &InvalidError{Problem: NoName}
+		}
+		if services[s.Name] {
+			return &InvalidError{Item: s.Name, Problem: DuplicateName}
+		}
+		services[s.Name] = true
+	}
+	return checkRoutes(c.Routes, services)
+}
+
+type place struct{ database, path string }
+
+func checkRoutes(routes []*fleetpb.Route, services map[string]bool) error {
+	names := make(map[string]bool)
+	places := make(map[place]bool)
+	for _, r := range routes {
+		at := place{database: r.Database, path: r.Path}
+		problem, found := Problem(0), true
+		switch {
+		case r.Name == "" || r.Database == "":
+			problem = NoName
+		case names[r.Name]:
+			problem = DuplicateName
+		case places[at]:
+			problem = DuplicatePlace
+		case !services[r.Service]:
+			problem = UnknownService
+		case r.TimeoutMs == 0:
+			problem = NoTimeout
+		case r.Level == fleetpb.Level_LEVEL_UNSPECIFIED:
+			problem = NoLevel
+		default:
+			found = false
+		}
+		if found {
+			return &InvalidError{Item: r.Name, Problem: problem}
+		}
+		names[r.Name] = true
+		places[at] = true
+	}
+	return nil
+}
+
+// Diff returns the update from base to next. A nil base gives a whole update.
+func Diff(base, next *fleetpb.Configuration) *fleetpb.ConfigurationUpdate {
+	if base == nil {
+		return &fleetpb.ConfigurationUpdate{Changed: next}
+	}
+	before := routesByName(base)
+	changed := &fleetpb.Configuration{
+		Version: next.Version, Services: next.Services, IdleTransactionMs: next.IdleTransactionMs,
+	}
+	update := &fleetpb.ConfigurationUpdate{BaseVersion: base.Version, Changed: changed}
+	for _, r := range next.Routes {
+		if !proto.Equal(before[r.Name], r) {
+			changed.Routes = append(changed.Routes, r)
+		}
+		delete(before, r.Name)
+	}
+	for _, r := range base.Routes {
+		if before[r.Name] != nil {
+			update.Removed = append(update.Removed, r.Name)
+		}
+	}
+	return update
+}
+
+func routesByName(c *fleetpb.Configuration) map[string]*fleetpb.Route {
+	byName := make(map[string]*fleetpb.Route, len(c.Routes))
+	for _, r := range c.Routes {
+		byName[r.Name] = r
+	}
+	return byName
+}
+
+// BaseError reports an update that does not fit the configuration held.
+type BaseError struct{ Held, Base uint64 }
+
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("update from version %d does not fit version %d", e.Base, e.Held)
+}
+
+// Update applies u to base and returns the new configuration. An update that is
+// not newer returns base. Errors: *BaseError.
+func Update(base *fleetpb.Configuration, u *fleetpb.ConfigurationUpdate) (*fleetpb.Configuration, error) {
+	if u.GetChanged().GetVersion() <= base.GetVersion() {
+		return base, nil
+	}
+	if u.BaseVersion == 0 {
+		return u.Changed, nil
+	}
+	if u.BaseVersion != base.GetVersion() {
+		return base, &BaseError{Held: base.GetVersion(), Base: u.BaseVersion}
+	}
+	next := &fleetpb.Configuration{
+		Version: u.Changed.Version, Services: u.Changed.Services,
+		IdleTransactionMs: u.Changed.IdleTransactionMs,
+	}
+	routes := routesByName(base)
+	for _, name := range u.Removed {
+		delete(routes, name)
+	}
+	for _, r := range u.Changed.Routes {
+		routes[r.Name] = r
+	}
+	for _, r := range routes {
+		next.Routes = append(next.Routes, r)
+	}
+	return next, nil
+}
--- a/internal/cli/daemoncmd/daemoncmd.go
+++ b/internal/cli/daemoncmd/daemoncmd.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hemlockmast/internal/daemon"
+	"hemlockmast/internal/fleetd"
 	"hemlockmast/internal/settings"
 )
 
@@ -43,6 +44,13 @@
 					return run(ctx, cmd.String("settings"), newLogger)
 				},
 			},
+			{
+				Name: "serve", Usage: "run one role, entry or control, on the users' platform until SIGTERM",
+				Flags: []cli.Flag{file},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return serve(ctx, cmd.String("settings"), newLogger)
+				},
+			},
 			{
 				Name: "check", Usage: "check the settings without starting", Flags: []cli.Flag{file},
 				Action: func(_ context.Context, cmd *cli.Command) error {
@@ -85,3 +93,18 @@
 	}
 	return nil
 }
+
+func serve(ctx context.Context, path string, newLogger NewLogger) error {
+	s, err := fleetd.Load(path)
+	if err != nil {
+		return cli.Exit(err.Error(), ExitSettings)
+	}
+	log, err := newLogger(s.LogLevel)
+	if err != nil {
+		return err
+	}
+	if err := fleetd.Run(ctx, path, s, log); err != nil {
+		return cli.Exit(err.Error(), ExitFailure)
+	}
+	return nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,7 +65,9 @@
 	// Peers are the control VMs of the settings; the member itself may be among
 	// them. The first by name founds the group, once every other one has
 	// answered that it belongs to none.
-	Peers     []Peer
+	Peers []Peer
+	// JoinOnly keeps this member from founding a group.
+	JoinOnly  bool
 	FS        agreelog.FS
 	Dir       string
 	Machine   StateMachine
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -120,7 +120,7 @@
 		return c.format(result.group, agree.State{})
 	}
 	peers := c.peers()
-	first := len(peers) == 0 || peers[0].Name == c.cfg.Name
+	first := !c.cfg.JoinOnly && (len(peers) == 0 || peers[0].Name == c.cfg.Name)
 	if !result.allWithout || !first {
 		return nil
 	}
--- /dev/null
+++ b/internal/fleetctl/watch.go
@@ -0,0 +1,309 @@
+package fleetctl
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/promotion"
+	"hemlockmast/internal/stmt"
+)
+
+const (
+	// watchInterval is the time between two looks at the primaries.
+	watchInterval = 100 * time.Millisecond
+	// reportAge is how long a report against an endpoint counts.
+	reportAge = 1500 * time.Millisecond
+	// silentBeats is the number of announcements that an endpoint may miss before
+	// it is suspected without a report.
+	silentBeats = 3
+	// probeTimeout bounds one probe of a suspected primary.
+	probeTimeout = 400 * time.Millisecond
+	// probePause is the time between two probes; probeFailures failed ones in a
+	// row confirm a suspicion.
+	probePause    = 100 * time.Millisecond
+	probeFailures = 2
+	// firstRetry and maxRetry bound the pause after a failed promotion.
+	firstRetry = 200 * time.Millisecond
+	maxRetry   = 1500 * time.Millisecond
+	// outlived is how much later than a replica's last announcement the primary
+	// must have announced itself for the replica to hold nothing that it lacks.
+	outlived = 1500 * time.Millisecond
+)
+
+// watch looks after the primaries while its member leads the control group.
+type watch struct {
+	node   *Node
+	log    logr.Logger
+	runner *promotion.Runner
+
+	// mu guards the fields below; nothing else is locked under it.
+	mu sync.Mutex
+	// heardAt is when an endpoint announced itself here last.
+	heardAt map[string]time.Time
+	// reported is when an entry last said that an endpoint does not serve.
+	reported map[string]report
+	busy     map[string]bool
+	retryAt  map[string]time.Time
+	retry    map[string]time.Duration
+}
+
+type report struct {
+	at        time.Time
+	suspicion fleetpb.Suspicion
+}
+
+func newWatch(n *Node) *watch {
+	return &watch{
+		node: n, log: n.log.WithName("watch"),
+		runner:   &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
+		heardAt:  make(map[string]time.Time),
+		reported: make(map[string]report),
+		busy:     make(map[string]bool),
+		retryAt:  make(map[string]time.Time),
+		retry:    make(map[string]time.Duration),
+	}
+}
+
+func (w *watch) heard(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heardAt[id] = time.Now()
+}
+
+func (w *watch) report(r *fleetpb.ReportRequest) {
+	w.log.Info("endpoint reported", "endpoint", r.EndpointId, "service", r.Service,
+		"by", r.Daemon, "suspicion", r.Suspicion.String())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reported[r.EndpointId] = report{at: time.Now(), suspicion: r.Suspicion}
+}
+
+func (w *watch) run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !w.node.leads() {
+			continue
+		}
+		for _, g := range w.groups() {
+			w.consider(ctx, g)
+		}
+	}
+}
+
+// group is a service with its endpoints as this member knows them.
+type group struct {
+	service string
+	record  *fleetpb.Primary
+	// primary is the endpoint of the record; nil when it is unknown.
+	primary *fleetpb.Endpoint
+	others  []*fleetpb.Endpoint
+}
+
+func (w *watch) groups() []group {
+	config, _ := w.node.machine.Configuration()
+	byService := make(map[string][]*fleetpb.Endpoint)
+	for _, e := range w.node.hub.Endpoints() {
+		byService[e.Service] = append(byService[e.Service], e)
+	}
+	var list []group
+	for _, s := range config.GetServices() {
+		g := group{service: s.Name, record: w.node.machine.Primary(s.Name)}
+		for _, e := range byService[s.Name] {
+			if e.Id == g.record.EndpointId {
+				g.primary = e
+			} else {
+				g.others = append(g.others, e)
+			}
+		}
+		list = append(list, g)
+	}
+	return list
+}
+
+// consider starts what a service needs, if nothing is in progress for it.
+func (w *watch) consider(ctx context.Context, g group) {
+	action := w.decide(g, time.Now())
+	if action == nil || !w.begin(g.service) {
+		return
+	}
+	go func() {
+		ok := action(ctx)
+		w.end(g.service, ok)
+	}()
+}
+
+func (w *watch) begin(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy[service] || time.Now().Before(w.retryAt[service]) {
+		return false
+	}
+	w.busy[service] = true
+	return true
+}
+
+func (w *watch) end(service string, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.busy[service] = false
+	if ok {
+		w.retry[service] = 0
+		return
+	}
+	w.retry[service] = min(max(2*w.retry[service], firstRetry), maxRetry)
+	w.retryAt[service] = time.Now().Add(w.retry[service])
+}
+
+// decide returns what to do for a service, or nil.
+func (w *watch) decide(g group, now time.Time) func(context.Context) bool {
+	other := claimant(g.others)
+	switch {
+	case other != nil && (g.primary == nil || !g.primary.Primary):
+		// The record names no primary, or one that says itself that it leads no
+		// more, while another says that it does.
+		return func(ctx context.Context) bool { return w.record(ctx, g, other.Id) }
+	case g.primary == nil:
+		return nil
+	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE:
+		return func(ctx context.Context) bool { return w.promote(ctx, g, false) }
+	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING && hasReady(g.others):
+		return func(ctx context.Context) bool { return w.promote(ctx, g, true) }
+	case w.isSuspected(g.primary.Id, now):
+		return func(ctx context.Context) bool { return w.confirm(ctx, g) }
+	}
+	return nil
+}
+
+func claimant(others []*fleetpb.Endpoint) *fleetpb.Endpoint {
+	for _, e := range others {
+		if e.Primary && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			return e
+		}
+	}
+	return nil
+}
+
+func hasReady(others []*fleetpb.Endpoint) bool {
+	for _, e := range others {
+		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *watch) isSuspected(id string, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := w.reported[id]; ok && now.Sub(r.at) < reportAge {
+		return true
+	}
+	heard, ok := w.heardAt[id]
+	return ok && now.Sub(heard) > silentBeats*w.node.cfg.Heartbeat
+}
+
+// confirm probes a suspected primary and replaces it if it does not answer.
+func (w *watch) confirm(ctx context.Context, g group) bool {
+	for range probeFailures {
+		if w.probe(ctx, g) {
+			w.mu.Lock()
+			delete(w.reported, g.primary.Id)
+			w.heardAt[g.primary.Id] = time.Now()
+			w.mu.Unlock()
+			return true
+		}
+		sleep(ctx, probePause)
+	}
+	w.log.Info("primary does not answer", "service", g.service, "endpoint", g.primary.Id)
+	return w.promote(ctx, g, false)
+}
+
+// probe reports whether the primary answers as one, or says that it is full.
+func (w *watch) probe(ctx context.Context, g group) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := w.node.cfg.Dialer.Dial(ctx, address(g.primary))
+	var refused *stmt.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reply.Code == stmt.CodeTooMany || refused.Reply.Code == stmt.CodeBusy
+	}
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	status, err := conn.Status(time.Now().Add(probeTimeout))
+	if errors.As(err, &refused) {
+		return refused.Reply.Code == stmt.CodeBusy
+	}
+	return err == nil && status.Role == stmt.Primary
+}
+
+func address(e *fleetpb.Endpoint) stmt.Endpoint {
+	return stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
+}
+
+// promote replaces the primary of g.
+func (w *watch) promote(ctx context.Context, g group, serves bool) bool {
+	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
+		AllocateToken: &fleetpb.AllocateToken{Service: g.service, Holder: w.node.cfg.Name},
+	}}
+	result, err := w.node.propose(ctx, allocate)
+	if err != nil {
+		w.log.Info("no token for a promotion", "service", g.service, "error", err.Error())
+		return false
+	}
+	plan := promotion.Plan{
+		Service: g.service, Primary: address(g.primary), PrimaryServes: serves,
+		Replicas: w.replicas(g), Token: result.Token,
+	}
+	leader, err := w.runner.Run(ctx, plan)
+	if err != nil {
+		w.log.Info("promotion failed", "service", g.service, "token", plan.Token, "error", err.Error())
+		return false
+	}
+	w.log.Info("promotion done", "service", g.service, "token", plan.Token, "from", g.primary.Id, "to", leader)
+	return w.record(ctx, g, leader)
+}
+
+func (w *watch) replicas(g group) []promotion.Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []promotion.Replica
+	for _, e := range g.others {
+		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			continue
+		}
+		heard, ok := w.heardAt[e.Id]
+		list = append(list, promotion.Replica{
+			Endpoint:          address(e),
+			Leaving:           e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+			OutlivedByPrimary: ok && w.heardAt[g.primary.Id].Sub(heard) > outlived,
+		})
+	}
+	return list
+}
+
+// record has the control group agree on a service's primary.
+func (w *watch) record(ctx context.Context, g group, id string) bool {
+	cmd := &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: &fleetpb.SetPrimary{
+		Service: g.service, EndpointId: id, IfNumber: g.record.Number,
+	}}}
+	result, err := w.node.propose(ctx, cmd)
+	if err != nil {
+		w.log.Info("primary not recorded", "service", g.service, "endpoint", id, "error", err.Error())
+		return false
+	}
+	w.log.Info("primary recorded", "service", g.service, "endpoint", id, "taken", result.Taken)
+	return true
+}
--- /dev/null
+++ b/internal/fleetd/settings.go
@@ -0,0 +1,95 @@
+// Package fleetd runs a daemon of one role, entry or control, on the users'
+// platform.
+package fleetd
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/settings"
+)
+
+// Roles of a daemon.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+)
+
+// Load reads and checks the settings file at path. The error is
+// settings.Problems.
+func Load(path string) (*fleetpb.DaemonSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, settings.Problems{{File: path, Detail: err.Error(), Fix: "name a file that the daemon may read"}}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the content of a settings file; name stands in messages. The
+// error is settings.Problems.
+func Parse(name string, data []byte) (*fleetpb.DaemonSettings, error) {
+	s := &fleetpb.DaemonSettings{}
+	if err := protojson.Unmarshal(data, s); err != nil {
+		return nil, settings.Problems{{File: name, Detail: err.Error(), Fix: "use the fields and types of docs/platform.md"}}
+	}
+	c := &checker{file: name}
+	c.check(s)
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	return s, nil
+}
+
+type checker struct {
+	file     string
+	problems settings.Problems
+}
+
+func (c *checker) add(field, detail, fix string) {
+	c.problems = append(c.problems, &settings.Problem{File: c.file, Field: field, Detail: detail, Fix: fix})
+}
+
+func (c *checker) check(s *fleetpb.DaemonSettings) {
+	c.required("name", s.Name)
+	c.required("failure_domain", s.FailureDomain)
+	c.address("internal", s.Internal)
+	if s.ControlPort == 0 || s.ControlPort > 65535 {
+		c.add("control_port", fmt.Sprintf("%d is no port", s.ControlPort), "give 1 to 65535")
+	}
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	if s.GraceMs == 0 {
+		c.add("grace_ms", "is missing", "give how long a stop may take, in milliseconds")
+	}
+	switch s.Role {
+	case RoleEntry:
+		c.address("callers", s.Callers)
+		c.address("ready", s.Ready)
+	case RoleControl:
+		c.address("operators", s.Operators)
+		c.address("promoter", s.Promoter)
+		c.required("data_folder", s.DataFolder)
+		if s.HeartbeatMs == 0 {
+			c.add("heartbeat_ms", "is missing", "give the time between two announcements of an endpoint, in milliseconds")
+		}
+	default:
+		c.add("role", fmt.Sprintf("%q is no role", s.Role), `use "entry" or "control"`)
+	}
+}
+
+func (c *checker) required(field, value string) {
+	if value == "" {
+		c.add(field, "is missing", "give a value")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(field, fmt.Sprintf("%q is no address", value), `use "ip:port"`)
+	}
+}
--- /dev/null
+++ b/internal/fleethub/hub.go
@@ -0,0 +1,243 @@
+// Package fleethub holds what a control daemon tells entries and other control
+// daemons: the configuration, the primaries and the endpoints. Followers poll
+// with the version that they hold and receive what changed since.
+package fleethub
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/catalog"
+	"hemlockmast/internal/registry"
+)
+
+const (
+	// keptConfigurations is how many earlier configurations updates can start
+	// from; a follower further behind gets the whole.
+	keptConfigurations = 8
+	// followerTimeout is how long a follower counts after its last poll. Polls
+	// end within MaxWait.
+	followerTimeout = 3 * time.Second
+	// MaxWait bounds the wait of one poll.
+	MaxWait = time.Second
+	// currentCheck is how often a waiting poll looks whether control is still
+	// current; a follower leaves a daemon that is not.
+	currentCheck = 200 * time.Millisecond
+)
+
+// Agreed is the replicated state as the hub reads it.
+type Agreed interface {
+	Configuration() (*fleetpb.Configuration, []byte)
+	Primaries() []*fleetpb.Primary
+}
+
+// View is what the hub asks its daemon at each answer.
+type View interface {
+	// IsCurrent reports whether this daemon heard from a leader of late.
+	IsCurrent() bool
+	// ControlAddresses lists the control daemons, Leader the one that leads.
+	ControlAddresses() []string
+	Leader() string
+}
+
+// Hub is safe for concurrent use.
+type Hub struct {
+	source uint64
+	agreed Agreed
+	view   View
+	now    func() time.Time
+
+	// mu guards the fields below; nothing else is locked under it.
+	mu        sync.Mutex
+	version   uint64
+	table     *registry.Table
+	changedAt map[string]uint64
+	primaries map[string]*versioned
+	configs   []*fleetpb.Configuration
+	followers map[string]time.Time
+	// entriesAt holds the number of entries that other control daemons count.
+	entriesAt map[string]uint32
+	changed   chan struct{}
+}
+
+type versioned struct {
+	primary *fleetpb.Primary
+	version uint64
+}
+
+// New returns a hub. The source number must differ at each start of the daemon.
+func New(source uint64, agreed Agreed, view View, now func() time.Time) *Hub {
+	return &Hub{
+		source: source, agreed: agreed, view: view, now: now,
+		table:     registry.NewTable(),
+		changedAt: make(map[string]uint64),
+		primaries: make(map[string]*versioned),
+		followers: make(map[string]time.Time),
+		entriesAt: make(map[string]uint32),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Refresh takes over a change of the agreed state.
+func (h *Hub) Refresh() {
+	config, _ := h.agreed.Configuration()
+	primaries := h.agreed.Primaries()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if newest := h.newest(); config.GetVersion() > newest.GetVersion() {
+		h.configs = append(h.configs, config)
+		if extra := len(h.configs) - keptConfigurations; extra > 0 {
+			h.configs = append([]*fleetpb.Configuration(nil), h.configs[extra:]...)
+		}
+		h.bump()
+	}
+	for _, p := range primaries {
+		held := h.primaries[p.Service]
+		if held == nil || held.primary.Number < p.Number {
+			h.bump()
+			h.primaries[p.Service] = &versioned{primary: p, version: h.version}
+		}
+	}
+}
+
+func (h *Hub) newest() *fleetpb.Configuration {
+	if len(h.configs) == 0 {
+		return nil
+	}
+	return h.configs[len(h.configs)-1]
+}
+
+// bump starts a new version. mu must be held.
+func (h *Hub) bump() {
+	h.version++
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Merge takes an endpoint's announcement in and returns what it changed.
+func (h *Hub) Merge(e *fleetpb.Endpoint) []*fleetpb.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changed := h.table.Merge(e)
+	h.mark(changed)
+	return changed
+}
+
+// Leave records that an endpoint ended.
+func (h *Hub) Leave(id string, bornMs int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if left := h.table.Leave(id, bornMs); left != nil {
+		h.mark([]*fleetpb.Endpoint{left})
+	}
+}
+
+func (h *Hub) mark(changed []*fleetpb.Endpoint) {
+	if len(changed) == 0 {
+		return
+	}
+	h.bump()
+	for _, e := range changed {
+		h.changedAt[e.Id] = h.version
+	}
+}
+
+// Endpoints returns all records. They may not be changed.
+func (h *Hub) Endpoints() []*fleetpb.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.All()
+}
+
+// CountEntriesAt records how many entries follow another control daemon.
+func (h *Hub) CountEntriesAt(control string, entries uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.entriesAt[control] = entries
+}
+
+// Follow answers a poll once there is news for it, the wait is over, or this
+// daemon stopped being current.
+func (h *Hub) Follow(ctx context.Context, r *fleetpb.FollowRequest) *fleetpb.FollowResponse {
+	end := h.now().Add(min(time.Duration(r.WaitMs)*time.Millisecond, MaxWait))
+	for {
+		answer, changed := h.answer(r)
+		hasNews := answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0
+		left := end.Sub(h.now())
+		if hasNews || !answer.Current || left <= 0 || ctx.Err() != nil {
+			return answer
+		}
+		timer := time.NewTimer(min(left, currentCheck))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (h *Hub) answer(r *fleetpb.FollowRequest) (*fleetpb.FollowResponse, <-chan struct{}) {
+	answer := &fleetpb.FollowResponse{
+		Source: h.source, Current: h.view.IsCurrent(),
+		Control: h.view.ControlAddresses(), Leader: h.view.Leader(),
+	}
+	since := r.Version
+	if r.Source != h.source {
+		since = 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	answer.Version = h.version
+	answer.Entries = h.countFollower(r)
+	if newest := h.newest(); r.IsEntry && newest.GetVersion() > r.ConfigurationVersion {
+		answer.Configuration = catalog.Diff(h.kept(r.ConfigurationVersion), newest)
+	}
+	for id, at := range h.changedAt {
+		if at > since {
+			answer.Endpoints = append(answer.Endpoints, h.table.Get(id))
+		}
+	}
+	for _, p := range h.primaries {
+		if r.IsEntry && p.version > since {
+			answer.Primaries = append(answer.Primaries, p.primary)
+		}
+	}
+	return answer, h.changed
+}
+
+// kept returns the configuration of a version, or nil. mu must be held.
+func (h *Hub) kept(version uint64) *fleetpb.Configuration {
+	for _, c := range h.configs {
+		if c.Version == version {
+			return c
+		}
+	}
+	return nil
+}
+
+// countFollower notes the poll and returns the number of entries: all that are
+// known for an entry, the daemon's own for another control daemon.
+func (h *Hub) countFollower(r *fleetpb.FollowRequest) uint32 {
+	now := h.now()
+	if r.IsEntry {
+		h.followers[r.Daemon] = now
+	}
+	count := uint32(0)
+	for name, seen := range h.followers {
+		if now.Sub(seen) > followerTimeout {
+			delete(h.followers, name)
+			continue
+		}
+		count++
+	}
+	if !r.IsEntry {
+		return count
+	}
+	for _, n := range h.entriesAt {
+		count += n
+	}
+	return count
+}
--- /dev/null
+++ b/internal/fleetrpc/client.go
@@ -0,0 +1,222 @@
+// Package fleetrpc follows control daemons: it keeps one poll open to a control
+// daemon, moves on to another when that one fails or is not current, and
+// remembers all whose addresses it has learnt.
+package fleetrpc
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleethub"
+	"hemlockmast/internal/netopt"
+)
+
+const (
+	// pollGrace is how much longer than its wait a poll may take.
+	pollGrace = 700 * time.Millisecond
+	// firstPause and maxPause bound the pause after all daemons failed.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// maxRemembered bounds the remembered addresses.
+	maxRemembered = 64
+	// callTimeout bounds a call that waits for nothing.
+	callTimeout = time.Second
+)
+
+// NewHTTPClient returns a client for calls between daemons.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         netopt.Dialer().DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// Client returns the service of the control daemon at address.
+func Client(client *http.Client, address string) fleetpb.Fleet {
+	return fleetpb.NewFleetProtobufClient("http://"+address, client)
+}
+
+// Sink takes what a control daemon tells.
+type Sink interface {
+	// Versions returns what the next poll should ask after.
+	ConfigurationVersion() uint64
+	Take(answer *fleetpb.FollowResponse)
+}
+
+// Follower follows one control daemon at a time.
+type Follower struct {
+	// Name and FailureDomain are the daemon's own.
+	Name          string
+	FailureDomain string
+	Sink          Sink
+	HTTP          *http.Client
+	Log           logr.Logger
+
+	// mu guards the fields below; nothing else is locked under it.
+	mu        sync.Mutex
+	addresses []string
+	current   string
+	leader    string
+	lastGood  time.Time
+}
+
+// Learn adds addresses of control daemons; those learnt first are asked first.
+func (f *Follower) Learn(addresses []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range addresses {
+		if slices.Contains(f.addresses, a) {
+			continue
+		}
+		if len(f.addresses) >= maxRemembered {
+			f.addresses = f.addresses[1:]
+		}
+		f.addresses = append(f.addresses, a)
+	}
+}
+
+// Leader returns the address of the leader as last told, or "".
+func (f *Follower) Leader() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader
+}
+
+// LastGood returns when a current control daemon answered last.
+func (f *Follower) LastGood() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastGood
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		for _, address := range f.order() {
+			if f.followOne(ctx, address) {
+				pause = firstPause
+			}
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		timer := time.NewTimer(pause + rand.N(pause))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// order lists the addresses: those on this VM's network first, where the
+// address tells, the others in random order.
+func (f *Follower) order() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := slices.Clone(f.addresses)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	near := slices.IndexFunc(list, func(a string) bool { return a == f.current })
+	if near > 0 {
+		list[0], list[near] = list[near], list[0]
+	}
+	return list
+}
+
+// followOne polls one daemon until it fails or is not current; it reports
+// whether any answer was good.
+func (f *Follower) followOne(ctx context.Context, address string) bool {
+	request := &fleetpb.FollowRequest{Daemon: f.Name, FailureDomain: f.FailureDomain, IsEntry: true}
+	good := false
+	service := Client(f.HTTP, address)
+	for ctx.Err() == nil {
+		request.ConfigurationVersion = f.Sink.ConfigurationVersion()
+		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+pollGrace)
+		answer, err := service.Follow(callCtx, request)
+		cancel()
+		if err != nil {
+			f.lost(address, good, err)
+			return good
+		}
+		f.Sink.Take(answer)
+		f.Learn(answer.Control)
+		if !answer.Current {
+			f.lost(address, good, &NotCurrentError{Address: address})
+			return good
+		}
+		f.found(address, answer.Leader, good)
+		good = true
+		request.Source, request.Version = answer.Source, answer.Version
+		request.WaitMs = uint32(fleethub.MaxWait.Milliseconds())
+	}
+	return good
+}
+
+// NotCurrentError reports a control daemon that has lost its leader.
+type NotCurrentError struct{ Address string }
+
+func (e *NotCurrentError) Error() string { return "control daemon " + e.Address + " is not current" }
+
+func (f *Follower) found(address, leader string, again bool) {
+	f.mu.Lock()
+	f.current, f.leader, f.lastGood = address, leader, time.Now()
+	f.mu.Unlock()
+	if !again {
+		f.Log.Info("control daemon followed", "control", address, "leader", leader)
+	}
+}
+
+func (f *Follower) lost(address string, wasGood bool, err error) {
+	f.mu.Lock()
+	if f.current == address {
+		f.current = ""
+	}
+	f.mu.Unlock()
+	if wasGood {
+		f.Log.Info("control daemon lost", "control", address, "error", err.Error())
+	}
+}
+
+// Report tells the leader, or every known control daemon without one, that an
+// endpoint does not serve.
+func (f *Follower) Report(ctx context.Context, r *fleetpb.ReportRequest) error {
+	targets := []string{f.Leader()}
+	if targets[0] == "" {
+		targets = f.order()
+	}
+	var err error
+	for _, address := range targets {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err = Client(f.HTTP, address).Report(callCtx, r)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// SamePort returns addresses of the hosts of list at port.
+func SamePort(list []string, port string) []string {
+	out := make([]string, 0, len(list))
+	for _, address := range list {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			host = address
+		}
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// drainNotice is how long new connections still arrive after readiness ended:
+	// two questions a second apart, and a little.
+	drainNotice = 2500 * time.Millisecond
+	// drainPoll is how often the end of the last session is looked for.
+	drainPoll = 20 * time.Millisecond
+)
+
+// idleGate tells whether a session waits for its caller, so that it can be ended
+// there and nowhere else.
+type idleGate struct {
+	mu sync.Mutex
+	// waiting is set while the session waits; canEnd also outside a transaction.
+	waiting bool
+	canEnd  bool
+	// closed asks the session to end once it can, forced also in a transaction.
+	closed bool
+	forced bool
+}
+
+// enter notes that the session waits; it reports false when the session must end.
+func (g *idleGate) enter(canEnd bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed && canEnd || g.forced {
+		return false
+	}
+	g.waiting, g.canEnd = true, canEnd
+	return true
+}
+
+// leave notes that a statement has begun to arrive. interrupt is not called any
+// more afterwards.
+func (g *idleGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting = false
+}
+
+// close asks the session to end and calls interrupt if it waits where it may.
+func (g *idleGate) close(force bool, interrupt func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.forced = g.forced || force
+	if g.waiting && (g.canEnd || g.forced) {
+		interrupt()
+	}
+}
+
+// Drain ends the sessions without cutting a request: it first stops being ready,
+// waits until callers are led elsewhere, then ends each session once it is idle.
+// Transactions may go on until txEnd, everything until ctx ends.
+func (s *Server) Drain(ctx context.Context, txEnd time.Duration) {
+	s.draining.Store(true)
+	s.log.Info("drain started", "sessions", s.countSessions())
+	end := time.Now().Add(txEnd)
+	sleepUntil(ctx, time.Now().Add(min(drainNotice, txEnd)))
+	for ctx.Err() == nil && s.countSessions() > 0 {
+		s.endIdle(time.Now().After(end))
+		sleepUntil(ctx, time.Now().Add(drainPoll))
+	}
+	s.log.Info("drain ended", "sessions", s.countSessions())
+}
+
+func (s *Server) countSessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// endIdle closes the connections of idle sessions; withTransactions also those
+// of sessions that wait within a transaction.
+func (s *Server) endIdle(withTransactions bool) {
+	s.mu.Lock()
+	list := make([]*session, 0, len(s.sessions))
+	for ss := range s.sessions {
+		list = append(list, ss)
+	}
+	s.mu.Unlock()
+	for _, ss := range list {
+		ss.idle.close(withTransactions, func() {
+			if err := ss.caller.SetReadDeadline(time.Now()); err != nil {
+				s.log.V(1).Info("session is gone already", "error", err.Error())
+			}
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/proxy/fleetview/fleetview.go
@@ -0,0 +1,170 @@
+// Package fleetview is an entry's picture of the configuration, the endpoints
+// and the primaries, as control told it.
+package fleetview
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/catalog"
+	"hemlockmast/internal/registry"
+)
+
+// Service is a service with its endpoints.
+type Service struct {
+	Config *fleetpb.Service
+	// PrimaryID is empty while none is known. Number grows with each change.
+	PrimaryID string
+	Number    uint64
+	// Endpoints are all that are not gone.
+	Endpoints []*fleetpb.Endpoint
+}
+
+// Picture is one state. It is never changed.
+type Picture struct {
+	Config *fleetpb.Configuration
+	// routes by database.
+	routes   map[string]*fleetpb.Route
+	services map[string]*Service
+	// Entries is the number of entries that share the endpoints' connections.
+	Entries int
+}
+
+// Route returns the route of a database, or nil.
+func (p *Picture) Route(database string) *fleetpb.Route { return p.routes[database] }
+
+// Service returns a service, or nil.
+func (p *Picture) Service(name string) *Service { return p.services[name] }
+
+// Services returns all services.
+func (p *Picture) Services() map[string]*Service { return p.services }
+
+// View keeps the picture up to date. It implements fleetrpc.Sink.
+type View struct {
+	log     logr.Logger
+	current atomic.Pointer[Picture]
+	// OnChange is called after each change, from one goroutine.
+	OnChange func(*Picture)
+
+	// mu guards the fields below; nothing else is locked under it.
+	mu        sync.Mutex
+	config    *fleetpb.Configuration
+	needWhole bool
+	table     *registry.Table
+	primaries map[string]*fleetpb.Primary
+	entries   int
+	changed   chan struct{}
+}
+
+// New returns an empty view.
+func New(log logr.Logger) *View {
+	v := &View{
+		log: log, OnChange: func(*Picture) {},
+		table: registry.NewTable(), primaries: make(map[string]*fleetpb.Primary),
+		changed: make(chan struct{}),
+	}
+	v.current.Store(&Picture{})
+	return v
+}
+
+// Picture returns the latest state.
+func (v *View) Picture() *Picture { return v.current.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// ConfigurationVersion implements fleetrpc.Sink: 0 asks for the whole.
+func (v *View) ConfigurationVersion() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.needWhole {
+		return 0
+	}
+	return v.config.GetVersion()
+}
+
+// Take implements fleetrpc.Sink. Nothing in it ever goes back: configurations,
+// announcements and primaries are taken only if they are newer.
+func (v *View) Take(answer *fleetpb.FollowResponse) {
+	v.mu.Lock()
+	changed := v.takeConfiguration(answer.Configuration)
+	for _, e := range answer.Endpoints {
+		for _, c := range v.table.Merge(e) {
+			changed = true
+			v.log.Info("endpoint known", "endpoint", c.Id, "service", c.Service, "address", c.Address, "state", c.State.String())
+		}
+	}
+	for _, p := range answer.Primaries {
+		if held := v.primaries[p.Service]; held == nil || held.Number < p.Number {
+			v.primaries[p.Service] = p
+			changed = true
+			v.log.Info("primary known", "service", p.Service, "endpoint", p.EndpointId, "number", p.Number)
+		}
+	}
+	if n := int(answer.Entries); answer.Current && n != v.entries {
+		v.entries = n
+		changed = true
+	}
+	var picture *Picture
+	if changed {
+		picture = v.picture()
+		v.current.Store(picture)
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+	v.mu.Unlock()
+	if changed {
+		v.OnChange(picture)
+	}
+}
+
+func (v *View) takeConfiguration(u *fleetpb.ConfigurationUpdate) bool {
+	if u == nil {
+		return false
+	}
+	next, err := catalog.Update(v.config, u)
+	if err != nil {
+		v.needWhole = true
+		v.log.Info("configuration asked for as a whole", "error", err.Error())
+		return false
+	}
+	v.needWhole = false
+	if next == v.config {
+		return false
+	}
+	v.config = next
+	v.log.Info("configuration in force", "version", next.Version, "routes", len(next.Routes))
+	return true
+}
+
+// picture builds the state from the tables. mu must be held.
+func (v *View) picture() *Picture {
+	p := &Picture{
+		Config: v.config, Entries: v.entries,
+		routes:   make(map[string]*fleetpb.Route),
+		services: make(map[string]*Service),
+	}
+	for _, r := range v.config.GetRoutes() {
+		p.routes[r.Database] = r
+	}
+	for _, s := range v.config.GetServices() {
+		primary := v.primaries[s.Name]
+		p.services[s.Name] = &Service{
+			Config: s, PrimaryID: primary.GetEndpointId(), Number: primary.GetNumber(),
+		}
+	}
+	for _, e := range v.table.All() {
+		s := p.services[e.Service]
+		if s != nil && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			s.Endpoints = append(s.Endpoints, e)
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/proxy/pool/pool.go
@@ -0,0 +1,331 @@
+// Package pool holds the connections of this daemon to one endpoint and lends
+// them to statements and transactions.
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/stmt"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: a few round trips and what
+	// the endpoint takes for it.
+	dialTimeout = 700 * time.Millisecond
+	// fullPause is how long no connection is opened after the endpoint had no
+	// room for one.
+	fullPause = 100 * time.Millisecond
+	// suspendTime is how long an endpoint is passed over after a failure.
+	suspendTime = 400 * time.Millisecond
+	// refusedTime is how long an endpoint that lacked a position counts as behind.
+	refusedTime = 60 * time.Millisecond
+	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
+	timeWeight = 8
+)
+
+// Conn is a lent connection with what it has been told.
+type Conn struct {
+	stmt.Conn
+	// Values are the session values in force on the connection.
+	Values map[string]string
+	// Prepared maps the text of a shape to its name on the connection.
+	Prepared map[string]string
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	Endpoint stmt.Endpoint
+	dialer   stmt.Dialer
+
+	inFlight atomic.Int64
+
+	// mu guards the fields below; nothing else is locked under it.
+	mu        sync.Mutex
+	idle      []*Conn
+	open      int
+	limit     int
+	closed    bool
+	waiters   []*waiter
+	fullUntil time.Time
+	suspended time.Time
+	refused   time.Time
+	known     logpos.Pos
+	usual     time.Duration
+}
+
+type waiter struct {
+	priority int32
+	ready    chan *Conn
+}
+
+// New returns an empty pool.
+func New(endpoint stmt.Endpoint, dialer stmt.Dialer, limit int) *Pool {
+	return &Pool{Endpoint: endpoint, dialer: dialer, limit: limit}
+}
+
+// FullError reports that no connection was free in time.
+type FullError struct{ Endpoint string }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("no free connection to %s in time", e.Endpoint)
+}
+
+// ClosedError reports a pool whose endpoint is gone.
+type ClosedError struct{ Endpoint string }
+
+func (e *ClosedError) Error() string { return fmt.Sprintf("endpoint %s is gone", e.Endpoint) }
+
+// SetLimit changes the number of connections that may be open.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for p.open > p.limit && len(p.idle) > 0 {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
+// Get lends a connection: an idle one with the highest fit, a new one, or the
+// next that is returned. fit returns how well a connection suits; below 0 it is
+// closed rather than lent. Errors: *FullError, *ClosedError, those of the dialer.
+func (p *Pool) Get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
+	p.inFlight.Add(1)
+	c, err := p.get(deadline, priority, fit)
+	if err != nil {
+		p.inFlight.Add(-1)
+	}
+	return c, err
+}
+
+func (p *Pool) get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
+	for {
+		c, wait, err := p.take(priority, fit)
+		if c != nil || err != nil {
+			return c, err
+		}
+		if wait == nil {
+			return p.dial(deadline)
+		}
+		c, err = p.await(wait, deadline)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil || fit(c) >= 0 {
+			if c != nil {
+				return c, nil
+			}
+			continue
+		}
+		p.discard(c)
+	}
+}
+
+// take returns an idle connection, or a place in the queue, or neither when a
+// connection is to be opened; the count then includes it.
+func (p *Pool) take(priority int32, fit func(*Conn) int) (*Conn, *waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, &ClosedError{Endpoint: p.Endpoint.ID}
+	}
+	best, bestFit := -1, -1
+	for i, c := range p.idle {
+		if f := fit(c); f >= bestFit && f >= 0 {
+			best, bestFit = i, f
+		}
+	}
+	if best >= 0 {
+		c := p.idle[best]
+		p.idle = slices.Delete(p.idle, best, best+1)
+		return c, nil, nil
+	}
+	if p.open >= p.limit && len(p.idle) > 0 {
+		// The connection unused for longest makes room for one that suits.
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	if p.open < p.limit && time.Now().After(p.fullUntil) {
+		p.open++
+		return nil, nil, nil
+	}
+	w := &waiter{priority: priority, ready: make(chan *Conn, 1)}
+	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.priority > priority })
+	if at < 0 {
+		at = len(p.waiters)
+	}
+	p.waiters = slices.Insert(p.waiters, at, w)
+	return nil, w, nil
+}
+
+// await returns a connection that was handed over, or nil to look again.
+func (p *Pool) await(w *waiter, deadline time.Time) (*Conn, error) {
+	// While the endpoint has no room, nobody may hand one over.
+	timer := time.NewTimer(min(time.Until(deadline), fullPause))
+	defer timer.Stop()
+	select {
+	case c := <-w.ready:
+		return c, nil
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
+	p.mu.Unlock()
+	select {
+	case c := <-w.ready:
+		return c, nil
+	default:
+	}
+	if !time.Now().Before(deadline) {
+		return nil, &FullError{Endpoint: p.Endpoint.ID}
+	}
+	return nil, nil
+}
+
+func (p *Pool) dial(deadline time.Time) (*Conn, error) {
+	limit := time.Now().Add(dialTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	raw, err := p.dialer.Dial(ctx, p.Endpoint)
+	if err == nil {
+		return &Conn{Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string)}, nil
+	}
+	var refused *stmt.RefusedError
+	isFull := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	if isFull {
+		p.fullUntil = time.Now().Add(fullPause)
+	} else {
+		p.suspended = time.Now().Add(suspendTime)
+	}
+	p.wakeOne()
+	return nil, err
+}
+
+// wakeOne lets the first waiter look again. mu must be held.
+func (p *Pool) wakeOne() {
+	if len(p.waiters) > 0 {
+		w := p.waiters[0]
+		p.waiters = p.waiters[1:]
+		w.ready <- nil
+	}
+}
+
+// Put returns a connection on which nothing is in progress.
+func (p *Pool) Put(c *Conn) {
+	p.inFlight.Add(-1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.limit {
+		c.Close()
+		p.open--
+		return
+	}
+	if len(p.waiters) > 0 {
+		w := p.waiters[0]
+		p.waiters = p.waiters[1:]
+		w.ready <- c
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Discard closes a lent connection: an exchange on it failed, or a transaction
+// is open that nobody will end.
+func (p *Pool) Discard(c *Conn) {
+	p.inFlight.Add(-1)
+	p.discard(c)
+}
+
+func (p *Pool) discard(c *Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.wakeOne()
+}
+
+// Failed notes that the endpoint did not answer; idle connections are closed,
+// since they most likely lead to the same.
+func (p *Pool) Failed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspended = time.Now().Add(suspendTime)
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+	}
+	p.idle = nil
+}
+
+// Close closes idle connections and refuses to lend further ones.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+	}
+	p.idle = nil
+	for len(p.waiters) > 0 {
+		p.wakeOne()
+	}
+}
+
+// Answered notes an answer: the position told and the time taken.
+func (p *Pool) Answered(pos logpos.Pos, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known = logpos.Max(p.known, pos)
+	p.suspended = time.Time{}
+	if took <= 0 {
+		return
+	}
+	if p.usual == 0 {
+		p.usual = took
+	}
+	p.usual += (took - p.usual) / timeWeight
+}
+
+// Lagging notes that the endpoint lacked a position; pos is what it has.
+func (p *Pool) Lagging(pos logpos.Pos) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known = logpos.Max(p.known, pos)
+	p.refused = time.Now().Add(refusedTime)
+}
+
+// State is what is known of the endpoint at one moment.
+type State struct {
+	Suspended     bool
+	RefusedLately bool
+	Known         logpos.Pos
+	InFlight      int
+	Usual         time.Duration
+}
+
+// State returns what is known of the endpoint.
+func (p *Pool) State() State {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return State{
+		Suspended: now.Before(p.suspended), RefusedLately: now.Before(p.refused),
+		Known: p.known, InFlight: int(p.inFlight.Load()), Usual: p.usual,
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,334 @@
+// Package proxy serves callers: it keeps their sessions, chooses the endpoint of
+// each statement and transaction, and answers with what the endpoint said or
+// with an error that is true.
+//
+// Reads outside transactions that write go to any endpoint whose log holds the
+// position that the route's level asks for; the endpoint itself checks it. Writes
+// and other transactions go to the primary. A statement that surely did not run
+// is tried again, one that may have run and may not be repeated is not.
+package proxy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/boottime"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/proxy/fleetview"
+	"hemlockmast/internal/proxy/mark"
+	"hemlockmast/internal/proxy/pool"
+	"hemlockmast/internal/stmt"
+)
+
+const (
+	// reservedConnections of an endpoint are left to control's probes and
+	// promotions, and to entries that were not counted yet.
+	reservedConnections = 3
+	// reportInterval is the least time between two reports about one endpoint.
+	reportInterval = 300 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 2 * time.Second
+)
+
+// Texts writes the statements that the proxy issues itself.
+type Texts interface {
+	Begin(readOnly bool) string
+	Rollback() string
+	Set(name, value string) string
+	Reset() string
+	Prepare(name, shape string) string
+	Execute(name, args string) string
+}
+
+// Reporter tells control about an endpoint that does not serve.
+type Reporter interface {
+	Report(ctx context.Context, r *fleetpb.ReportRequest) error
+}
+
+// Config is what a Server needs.
+type Config struct {
+	Name          string
+	FailureDomain string
+	View          *fleetview.View
+	Dialer        stmt.Dialer
+	Texts         Texts
+	Reporter      Reporter
+	Log           logr.Logger
+}
+
+// Server serves the callers of one entry.
+type Server struct {
+	cfg Config
+	log logr.Logger
+
+	// draining is set once the daemon is asked to stop.
+	draining atomic.Bool
+
+	// mu guards the maps; it is never held while a pool's or service's lock is
+	// asked for.
+	mu       sync.Mutex
+	pools    map[string]*pool.Pool
+	services map[string]*serviceState
+	sessions map[*session]struct{}
+	reported map[string]time.Time
+}
+
+// serviceState is what this entry knows of a service's log.
+type serviceState struct {
+	// mu guards the fields below; nothing else is locked under it.
+	mu     sync.Mutex
+	number uint64
+	marks  mark.History
+	// asking is the question to the primary that is on its way, if any.
+	asking *question
+}
+
+// New returns a server that follows its view.
+func New(cfg Config) *Server {
+	s := &Server{
+		cfg: cfg, log: cfg.Log,
+		pools:    make(map[string]*pool.Pool),
+		services: make(map[string]*serviceState),
+		sessions: make(map[*session]struct{}),
+		reported: make(map[string]time.Time),
+	}
+	cfg.View.OnChange = s.follow
+	return s
+}
+
+// follow takes over a change of the picture: pools of endpoints that are gone
+// are closed, limits follow the number of entries, and watermarks of a former
+// primary are forgotten.
+func (s *Server) follow(p *fleetview.Picture) {
+	wanted := make(map[string]int)
+	for name, service := range p.Services() {
+		s.service(name).follow(service.Number)
+		for _, e := range service.Endpoints {
+			wanted[e.Id] = share(service.Config.MaxConnections, p.Entries)
+		}
+	}
+	s.mu.Lock()
+	var closed []*pool.Pool
+	limits := make(map[*pool.Pool]int)
+	for id, pl := range s.pools {
+		if limit, ok := wanted[id]; ok {
+			limits[pl] = limit
+			continue
+		}
+		closed = append(closed, pl)
+		delete(s.pools, id)
+	}
+	s.mu.Unlock()
+	for _, pl := range closed {
+		pl.Close()
+	}
+	for pl, limit := range limits {
+		pl.SetLimit(limit)
+	}
+}
+
+// share is this entry's part of an endpoint's connections.
+func share(maxConnections uint32, entries int) int {
+	return max(1, (int(maxConnections)-reservedConnections)/max(entries, 1))
+}
+
+func (s *Server) service(name string) *serviceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.services[name]
+	if st == nil {
+		st = &serviceState{}
+		s.services[name] = st
+	}
+	return st
+}
+
+// pool returns the pool of an endpoint.
+func (s *Server) pool(e *fleetpb.Endpoint) *pool.Pool {
+	picture := s.cfg.View.Picture()
+	limit := share(picture.Service(e.Service).Config.MaxConnections, picture.Entries)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[e.Id]
+	if p == nil {
+		p = pool.New(stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}, s.cfg.Dialer, limit)
+		s.pools[e.Id] = p
+	}
+	return p
+}
+
+func (st *serviceState) follow(number uint64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if number != st.number {
+		st.number = number
+		st.marks.Reset()
+	}
+}
+
+// learn takes a position that a primary told in answer to what was sent at asked.
+// number is the primary's, so that an answer of a former one is not used.
+func (st *serviceState) learn(number uint64, asked time.Duration, pos logpos.Pos) {
+	if pos.IsZero() {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if number == st.number {
+		st.marks.Add(mark.Mark{Asked: asked, Pos: pos})
+	}
+}
+
+func (st *serviceState) since(t time.Duration) (mark.Mark, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.marks.Since(t)
+}
+
+// question is a question for the primary's position, shared by all who may use
+// its answer.
+type question struct {
+	asked time.Duration
+	done  chan struct{}
+	err   error
+}
+
+// markSince returns a watermark that covers every commit acknowledged before t.
+// If none is known, the primary is asked.
+func (s *Server) markSince(service string, t time.Duration, deadline time.Time, priority int32) (mark.Mark, error) {
+	st := s.service(service)
+	for {
+		if m, ok := st.since(t); ok {
+			return m, nil
+		}
+		st.mu.Lock()
+		q := st.asking
+		if q == nil {
+			q = &question{asked: boottime.Now(), done: make(chan struct{})}
+			st.asking = q
+			st.mu.Unlock()
+			q.err = s.ask(service, st, q, deadline, priority)
+			st.mu.Lock()
+			st.asking = nil
+			st.mu.Unlock()
+			close(q.done)
+		} else {
+			st.mu.Unlock()
+			select {
+			case <-q.done:
+			case <-time.After(time.Until(deadline)):
+				return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
+			}
+		}
+		if q.err != nil && q.asked >= t {
+			return mark.Mark{}, q.err
+		}
+		if !time.Now().Before(deadline) {
+			return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
+		}
+	}
+}
+
+// ask asks the primary for its position.
+func (s *Server) ask(service string, st *serviceState, q *question, deadline time.Time, priority int32) error {
+	lead, err := s.primary(service)
+	if err != nil {
+		return err
+	}
+	c, err := lead.pool.Get(deadline, priority, anyFit)
+	if err != nil {
+		s.failed(lead, err)
+		return notRun(err)
+	}
+	q.asked = boottime.Now()
+	status, err := c.Status(deadline)
+	var refused *stmt.RefusedError
+	if err != nil && !asRefused(err, &refused) {
+		lead.pool.Discard(c)
+		s.failed(lead, err)
+		return &stmt.Error{Code: stmt.CodeLagging, Detail: "primary does not answer"}
+	}
+	lead.pool.Put(c)
+	switch {
+	case err != nil:
+		return &stmt.Error{Code: stmt.CodeBusy, Detail: "primary is busy"}
+	case status.Role != stmt.Primary:
+		return &stmt.Error{Code: stmt.CodeReadOnly, Detail: "no primary is known"}
+	}
+	st.learn(lead.number, q.asked, status.Received)
+	lead.pool.Answered(status.Received, 0)
+	return nil
+}
+
+// lead is a service's primary as this entry knows it.
+type lead struct {
+	endpoint *fleetpb.Endpoint
+	pool     *pool.Pool
+	number   uint64
+}
+
+// primary returns the primary of a service. Errors: *stmt.Error.
+func (s *Server) primary(service string) (lead, error) {
+	sv := s.cfg.View.Picture().Service(service)
+	if sv == nil {
+		return lead{}, &stmt.Error{Code: stmt.CodeNoDatabase, Detail: "service is not configured"}
+	}
+	for _, e := range sv.Endpoints {
+		if e.Id == sv.PrimaryID {
+			return lead{endpoint: e, pool: s.pool(e), number: sv.Number}, nil
+		}
+	}
+	return lead{}, &stmt.Error{Code: stmt.CodeReadOnly, Detail: "no primary is known"}
+}
+
+// failed notes that an endpoint did not serve and tells control.
+func (s *Server) failed(l lead, err error) {
+	if !isFailure(err) {
+		return
+	}
+	l.pool.Failed()
+	s.report(l.endpoint, err)
+}
+
+// report tells control, not more often than reportInterval for one endpoint.
+func (s *Server) report(e *fleetpb.Endpoint, cause error) {
+	now := time.Now()
+	s.mu.Lock()
+	if now.Sub(s.reported[e.Id]) < reportInterval {
+		s.mu.Unlock()
+		return
+	}
+	s.reported[e.Id] = now
+	s.mu.Unlock()
+	s.log.Info("endpoint does not serve", "endpoint", e.Id, "service", e.Service, "error", cause.Error())
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		err := s.cfg.Reporter.Report(ctx, &fleetpb.ReportRequest{
+			Daemon: s.cfg.Name, FailureDomain: s.cfg.FailureDomain, Service: e.Service,
+			EndpointId: e.Id, Suspicion: fleetpb.Suspicion_SUSPICION_UNREACHABLE,
+		})
+		if err != nil {
+			s.log.Info("report not delivered", "endpoint", e.Id, "error", err.Error())
+		}
+	}()
+}
+
+// IsReady reports whether callers can be served.
+func (s *Server) IsReady() bool {
+	p := s.cfg.View.Picture()
+	if s.draining.Load() || p.Config == nil {
+		return false
+	}
+	for _, service := range p.Services() {
+		if len(service.Endpoints) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/single.go
@@ -0,0 +1,259 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/boottime"
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/proxy/place"
+	"hemlockmast/internal/proxy/pool"
+	"hemlockmast/internal/stmt"
+)
+
+const (
+	// retryPause is the pause before a statement that did not run is tried again:
+	// a fraction of a usual statement, in which a place may become free.
+	retryPause = 4 * time.Millisecond
+	// holdShare is the part of a statement's time for which it may wait without
+	// having reached an endpoint, as a divisor: the rest is left to a retry of
+	// the caller's, which reaches another daemon.
+	holdShare = 2
+)
+
+// single runs a statement outside a transaction.
+func (ss *session) single(st stmt.Statement, arrival time.Time) stmt.Reply {
+	arrived := boottime.Now()
+	route := ss.server.cfg.View.Picture().Route(ss.database)
+	if route == nil {
+		return ss.fail(stmt.CodeNoDatabase, "no route has this name")
+	}
+	r, refusal := ss.resolve(st)
+	if refusal != nil {
+		return stmt.Reply{Err: refusal}
+	}
+	run := &run{
+		ss: ss, route: route, r: r, arrived: arrived,
+		deadline: ss.deadline(route, arrival),
+		holdEnd:  arrival.Add(time.Duration(route.TimeoutMs) * time.Millisecond / holdShare),
+		tried:    make(map[string]bool),
+	}
+	var reply stmt.Reply
+	if r.writes {
+		reply = run.write()
+	} else {
+		reply = run.read()
+	}
+	if reply.Err != nil {
+		ss.server.log.Info("statement failed", "id", st.ID, "database", ss.database, "service", route.Service,
+			"kind", st.Kind.String(), "code", reply.Err.Code.String(), "detail", reply.Err.Detail,
+			"tries", run.tries, "elapsed", time.Since(arrival).String())
+	}
+	return reply
+}
+
+// run is one statement on its way.
+type run struct {
+	ss    *session
+	route *fleetpb.Route
+	r     resolved
+	// arrived is when the statement arrived, on the clock of package boottime.
+	arrived  time.Duration
+	deadline time.Time
+	// holdEnd is when a statement that has not reached an endpoint is refused.
+	holdEnd time.Time
+	tried   map[string]bool
+	tries   int
+}
+
+// mayHold reports whether there is time for another try.
+func (r *run) mayHold() bool { return time.Now().Before(r.holdEnd) }
+
+func (r *run) failed(e *stmt.Error) stmt.Reply { return stmt.Reply{Err: e} }
+
+// write runs a write at the primary. It is tried again only while it surely did
+// not run.
+func (r *run) write() stmt.Reply {
+	server := r.ss.server
+	last := &stmt.Error{Code: stmt.CodeBusy, Detail: "not tried in time"}
+	for ; ; r.pause() {
+		lead, err := server.primary(r.route.Service)
+		if err != nil {
+			last = notRun(err)
+		} else {
+			reply, done := r.writeAt(lead)
+			if done {
+				return reply
+			}
+			last = reply.Err
+		}
+		if !r.mayHold() {
+			return r.failed(last)
+		}
+	}
+}
+
+// pause waits a little before the next try.
+func (r *run) pause() { time.Sleep(retryPause) }
+
+// writeAt tries the write at one primary; done is false if it surely did not run.
+func (r *run) writeAt(l lead) (reply stmt.Reply, done bool) {
+	r.tries++
+	server := r.ss.server
+	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
+	if err != nil {
+		server.failed(l, err)
+		return r.failed(notRun(err)), false
+	}
+	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
+		r.ss.dropUnaligned(l.pool, c, err)
+		return r.failed(notRun(err)), false
+	}
+	asked := boottime.Now()
+	sent := time.Now()
+	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	if err != nil {
+		l.pool.Discard(c)
+		return r.broken(l, err)
+	}
+	r.ss.giveBack(l.pool, c, reply)
+	if reply.Err != nil {
+		l.pool.Answered(reply.Pos, 0)
+		return reply, !reply.Err.Code.NotRun()
+	}
+	l.pool.Answered(reply.Pos, time.Since(sent))
+	server.service(r.route.Service).learn(l.number, asked, reply.Pos)
+	r.ss.raiseFloor(r.route.Service, reply.Pos)
+	return reply, true
+}
+
+// broken answers a write whose connection failed.
+func (r *run) broken(l lead, err error) (stmt.Reply, bool) {
+	r.ss.server.failed(l, err)
+	var broken *stmt.BrokenError
+	if errors.As(err, &broken) && !broken.Sent {
+		return r.failed(&stmt.Error{Code: stmt.CodeBusy, Detail: "endpoint not reached"}), false
+	}
+	return r.failed(&stmt.Error{Code: stmt.CodeInDoubt, Detail: "connection to the endpoint failed"}), true
+}
+
+func (ss *session) raiseFloor(service string, pos logpos.Pos) {
+	ss.floors[service] = logpos.Max(ss.floors[service], pos)
+}
+
+// floor returns the position that a read which arrived at that moment must see.
+func (ss *session) floor(route *fleetpb.Route, arrived time.Duration, deadline time.Time) (logpos.Pos, error) {
+	since := arrived
+	if route.Level != fleetpb.Level_LEVEL_CURRENT {
+		since -= time.Duration(route.MaxStalenessMs) * time.Millisecond
+	}
+	m, err := ss.server.markSince(route.Service, since, deadline, route.Priority)
+	if err != nil {
+		return logpos.Pos{}, err
+	}
+	if route.Level == fleetpb.Level_LEVEL_SESSION {
+		return logpos.Max(m.Pos, ss.floors[route.Service]), nil
+	}
+	return m.Pos, nil
+}
+
+// read runs a read at any endpoint that holds what it must see.
+func (r *run) read() stmt.Reply {
+	last := &stmt.Error{Code: stmt.CodeBusy, Detail: "not tried in time"}
+	for ; ; r.pause() {
+		floor, err := r.ss.floor(r.route, r.arrived, r.holdEnd)
+		if err != nil {
+			last = notRun(err)
+		} else {
+			reply, done := r.readOnce(floor)
+			if done {
+				return reply
+			}
+			last = reply.Err
+		}
+		if !r.mayHold() {
+			return r.failed(last)
+		}
+	}
+}
+
+// readOnce tries the endpoints, each once.
+func (r *run) readOnce(floor logpos.Pos) (reply stmt.Reply, done bool) {
+	clear(r.tried)
+	reply = r.failed(&stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"})
+	for {
+		l, ok := r.ss.server.choose(r.route.Service, floor, r.tried)
+		if !ok {
+			return reply, false
+		}
+		r.tried[l.endpoint.Id] = true
+		reply, done = r.readAt(l, floor)
+		if done || !r.mayHold() {
+			return reply, done
+		}
+	}
+}
+
+func (r *run) readAt(l lead, floor logpos.Pos) (reply stmt.Reply, done bool) {
+	r.tries++
+	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
+	if err != nil {
+		r.ss.server.failed(l, err)
+		return r.failed(notRun(err)), false
+	}
+	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
+		r.ss.dropUnaligned(l.pool, c, err)
+		return r.failed(notRun(err)), false
+	}
+	sent := time.Now()
+	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, floor)
+	if err != nil {
+		l.pool.Discard(c)
+		r.ss.server.failed(l, err)
+		if !time.Now().Before(r.deadline) {
+			return r.failed(&stmt.Error{Code: stmt.CodeTimeout, Detail: "no answer in time"}), true
+		}
+		// A read may run twice.
+		return r.failed(&stmt.Error{Code: stmt.CodeFailed, Detail: "connection to the endpoint failed"}), false
+	}
+	r.ss.giveBack(l.pool, c, reply)
+	if reply.Err == nil {
+		l.pool.Answered(reply.Pos, time.Since(sent))
+		return reply, true
+	}
+	if reply.Err.Code == stmt.CodeLagging {
+		l.pool.Lagging(reply.Pos)
+	}
+	return reply, !reply.Err.Code.NotRun()
+}
+
+// choose returns the endpoint that should answer a read first.
+func (s *Server) choose(service string, floor logpos.Pos, tried map[string]bool) (lead, bool) {
+	sv := s.cfg.View.Picture().Service(service)
+	if sv == nil {
+		return lead{}, false
+	}
+	var ready []*fleetpb.Endpoint
+	var candidates []place.Candidate
+	var pools []*pool.Pool
+	for _, e := range sv.Endpoints {
+		if e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
+			continue
+		}
+		p := s.pool(e)
+		state := p.State()
+		ready = append(ready, e)
+		pools = append(pools, p)
+		candidates = append(candidates, place.Candidate{
+			ID: e.Id, Primary: e.Id == sv.PrimaryID, Near: e.FailureDomain == s.cfg.FailureDomain,
+			Suspended: state.Suspended, Known: state.Known, RefusedLately: state.RefusedLately,
+			InFlight: state.InFlight, Slots: int(e.Slots), Time: state.Usual,
+		})
+	}
+	i := place.Choose(candidates, floor, func(id string) bool { return tried[id] })
+	if i < 0 {
+		return lead{}, false
+	}
+	return lead{endpoint: ready[i], pool: pools[i], number: sv.Number}, true
+}
