--- a/internal/fleetctl/node.go
+++ b/internal/fleetctl/node.go
@@ -35,10 +35,10 @@
 
 const (
 	// tick is the unit of the agreement's waits: heartbeats every 100 ms, an
-	// election after half a second to a second.
+	// election after 450 to 900 ms.
 	tick           = 50 * time.Millisecond
 	heartbeatTicks = 2
-	electionTicks  = 12
+	electionTicks  = 9
 	// proposeTimeout bounds one order; callers ask again after a second.
 	proposeTimeout = 900 * time.Millisecond
 	// barrierTimeout bounds a read of the configuration.
@@ -287,14 +287,31 @@
 // announce itself next: at the leader, which judges whether it lives.
 func (n *Node) Announce(e *fleetpb.Endpoint) string {
 	n.watch.heard(e.Id)
-	n.logChanges(n.hub.Merge(e))
+	n.remember(n.hub.Merge(e))
 	return ""
 }
 
 // Leave takes an endpoint's last word.
 func (n *Node) Leave(id string, bornMs int64) {
 	n.log.Info("endpoint ended", "endpoint", id)
-	n.hub.Leave(id, bornMs)
+	if left := n.hub.Leave(id, bornMs); left != nil {
+		n.remember([]*fleetpb.Endpoint{left})
+	}
+}
+
+// remember has changes of endpoints recorded by the control group. Entries hear
+// of them at once; the record is for the time after a restart, so that a record
+// which fails is made by the next change.
+func (n *Node) remember(changed []*fleetpb.Endpoint) {
+	n.logChanges(changed)
+	for _, e := range changed {
+		cmd := &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}}
+		go func() {
+			if _, err := n.propose(context.Background(), cmd); err != nil {
+				n.log.Info("endpoint not recorded", "endpoint", e.Id, "error", err.Error())
+			}
+		}()
+	}
 }
 
 func (n *Node) logChanges(changed []*fleetpb.Endpoint) {
--- a/internal/fleetd/run.go
+++ b/internal/fleetd/run.go
@@ -30,6 +30,9 @@
 	settingsPoll = 2 * time.Second
 	// headerTimeout bounds the head of a request to the HTTP servers.
 	headerTimeout = 5 * time.Second
+	// staleAfter is longer than an election takes, and short enough for an entry
+	// in a failure domain that is cut off.
+	staleAfter = 3 * time.Second
 	// stopMargin is left of the grace time for the end of the process itself.
 	stopMargin = 500 * time.Millisecond
 )
@@ -89,12 +92,13 @@
 func runEntry(ctx context.Context, path string, s *fleetpb.DaemonSettings, log logr.Logger) error {
 	view := fleetview.New(log)
 	follower := &fleetrpc.Follower{
-		Name: s.Name, FailureDomain: s.FailureDomain, Sink: view, HTTP: fleetrpc.NewHTTPClient(), Log: log,
+		Name: s.Name, FailureDomain: s.FailureDomain, Sink: view, HTTP: fleetrpc.NewHTTPClient(), Log: log, StaleAfter: staleAfter,
 	}
 	follower.Learn(fleetrpc.SamePort(s.Seeds, controlPort(s)))
 	server := proxy.New(proxy.Config{
 		Name: s.Name, FailureDomain: s.FailureDomain, View: view,
 		Dialer: platform.Dialer{Name: s.Name}, Texts: platform.Texts, Reporter: follower, Log: log,
+		ControlHeard: follower.LastGood,
 	})
 	listener, err := netopt.ListenConfig().Listen(ctx, "tcp", s.Callers)
 	if err != nil {
@@ -106,6 +110,7 @@
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { follower.Run(serving); return nil })
 	group.Go(func() error { return serveHTTP(serving, s.Ready, platform.ReadyHandler(server.IsReady)) })
+	group.Go(func() error { server.WatchIsolation(serving); return nil })
 	group.Go(func() error { return accept(serving, listener, server, log) })
 	group.Go(func() error {
 		watchSettings(serving, path, log, func(n *fleetpb.DaemonSettings) {
--- a/internal/fleethub/hub.go
+++ b/internal/fleethub/hub.go
@@ -31,6 +31,7 @@
 type Agreed interface {
 	Configuration() (*fleetpb.Configuration, []byte)
 	Primaries() []*fleetpb.Primary
+	Endpoints() []*fleetpb.Endpoint
 }
 
 // View is what the hub asks its daemon at each answer.
@@ -84,8 +85,12 @@
 func (h *Hub) Refresh() {
 	config, _ := h.agreed.Configuration()
 	primaries := h.agreed.Primaries()
+	endpoints := h.agreed.Endpoints()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for _, e := range endpoints {
+		h.mark(h.table.Merge(e))
+	}
 	if newest := h.newest(); config.GetVersion() > newest.GetVersion() {
 		h.configs = append(h.configs, config)
 		if extra := len(h.configs) - keptConfigurations; extra > 0 {
@@ -125,13 +130,15 @@
 	return changed
 }
 
-// Leave records that an endpoint ended.
-func (h *Hub) Leave(id string, bornMs int64) {
+// Leave records that an endpoint ended and returns the changed record, or nil.
+func (h *Hub) Leave(id string, bornMs int64) *fleetpb.Endpoint {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if left := h.table.Leave(id, bornMs); left != nil {
+	left := h.table.Leave(id, bornMs)
+	if left != nil {
 		h.mark([]*fleetpb.Endpoint{left})
 	}
+	return left
 }
 
 func (h *Hub) mark(changed []*fleetpb.Endpoint) {
--- a/internal/fleetrpc/client.go
+++ b/internal/fleetrpc/client.go
@@ -61,6 +61,9 @@
 	Sink          Sink
 	HTTP          *http.Client
 	Log           logr.Logger
+	// StaleAfter is how long after the start a configuration is taken only from
+	// a daemon that is current.
+	StaleAfter time.Duration
 
 	// mu guards the fields below; nothing else is locked under it.
 	mu        sync.Mutex
@@ -68,6 +71,7 @@
 	current   string
 	leader    string
 	lastGood  time.Time
+	started   time.Time
 }
 
 // Learn adds addresses of control daemons; those learnt first are asked first.
@@ -99,8 +103,17 @@
 	return f.lastGood
 }
 
+func (f *Follower) sinceStart() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.started)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.started = time.Now()
+	f.mu.Unlock()
 	pause := firstPause
 	for ctx.Err() == nil {
 		for _, address := range f.order() {
@@ -150,6 +163,11 @@
 			f.lost(address, good, err)
 			return good
 		}
+		if !answer.Current && f.sinceStart() < f.StaleAfter {
+			// Before a current daemon was looked for, an old configuration would
+			// take callers back to what a restart should not bring back.
+			answer.Configuration = nil
+		}
 		f.Sink.Take(answer)
 		f.Learn(answer.Control)
 		if !answer.Current {
--- a/internal/fleetstate/fleetstate.go
+++ b/internal/fleetstate/fleetstate.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/registry"
 )
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore come
@@ -23,6 +24,9 @@
 	mu        sync.Mutex
 	config    *fleetpb.PutConfiguration
 	primaries map[string]*fleetpb.Primary
+	// endpoints outlive a restart of every control daemon, so that entries need
+	// not wait for the next announcements.
+	endpoints *registry.Table
 }
 
 // New returns the empty state. onChange may be nil.
@@ -30,7 +34,9 @@
 	if onChange == nil {
 		onChange = func() {}
 	}
-	return &Machine{onChange: onChange, primaries: make(map[string]*fleetpb.Primary)}
+	return &Machine{
+		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
+	}
 }
 
 // Apply implements control.StateMachine. A command that cannot be decoded
@@ -62,6 +68,8 @@
 		result.Taken = true
 	case *fleetpb.Command_SetPrimary:
 		result.Taken = m.setPrimary(kind.SetPrimary)
+	case *fleetpb.Command_Announce:
+		result.Taken = len(m.endpoints.Merge(kind.Announce)) > 0
 	}
 	result.Version = m.config.GetConfiguration().GetVersion()
 	return result
@@ -109,7 +117,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sorted()})
+	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sorted(), Endpoints: m.endpoints.All()})
 }
 
 // Restore implements control.StateMachine.
@@ -124,6 +132,10 @@
 	for _, p := range state.Primaries {
 		m.primaries[p.Service] = p
 	}
+	m.endpoints = registry.NewTable()
+	for _, e := range state.Endpoints {
+		m.endpoints.Merge(e)
+	}
 	m.mu.Unlock()
 	m.onChange()
 	return nil
@@ -144,6 +156,13 @@
 	return m.sorted()
 }
 
+// Endpoints returns the recorded endpoints. They may not be changed.
+func (m *Machine) Endpoints() []*fleetpb.Endpoint {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.endpoints.All()
+}
+
 // Primary returns the record of one service; an empty one if there is none.
 func (m *Machine) Primary(service string) *fleetpb.Primary {
 	m.mu.Lock()
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -10,6 +10,11 @@
 	// drainNotice is how long new connections still arrive after readiness ended:
 	// two questions a second apart, and a little.
 	drainNotice = 2500 * time.Millisecond
+	// drainQuiet is how long a session must have been idle to be ended early. A
+	// caller sends the statements of one operation at shorter intervals.
+	drainQuiet = 150 * time.Millisecond
+	// drainExtra is the time after the notice in which sessions may become idle.
+	drainExtra = time.Second
 	// drainPoll is how often the end of the last session is looked for.
 	drainPoll = 20 * time.Millisecond
 )
@@ -24,6 +29,8 @@
 	// closed asks the session to end once it can, forced also in a transaction.
 	closed bool
 	forced bool
+	// since is when the session began to wait.
+	since time.Time
 }
 
 // enter notes that the session waits; it reports false when the session must end.
@@ -33,7 +40,7 @@
 	if g.closed && canEnd || g.forced {
 		return false
 	}
-	g.waiting, g.canEnd = true, canEnd
+	g.waiting, g.canEnd, g.since = true, canEnd, time.Now()
 	return true
 }
 
@@ -45,10 +52,16 @@
 	g.waiting = false
 }
 
-// close asks the session to end and calls interrupt if it waits where it may.
-func (g *idleGate) close(force bool, interrupt func()) {
+// close asks the session to end and calls interrupt if it waits where it may. A
+// session that has waited for less than quiet is left alone: its caller may be
+// about to send.
+func (g *idleGate) close(force bool, quiet time.Duration, interrupt func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	isQuiet := g.waiting && g.canEnd && time.Since(g.since) >= quiet
+	if quiet > 0 && !isQuiet {
+		return
+	}
 	g.closed = true
 	g.forced = g.forced || force
 	if g.waiting && (g.canEnd || g.forced) {
@@ -64,8 +77,14 @@
 	s.log.Info("drain started", "sessions", s.countSessions())
 	end := time.Now().Add(txEnd)
 	sleepUntil(ctx, time.Now().Add(min(drainNotice, txEnd)))
+	end = end.Add(drainExtra)
 	for ctx.Err() == nil && s.countSessions() > 0 {
-		s.endIdle(time.Now().After(end))
+		isLate := time.Now().After(end)
+		quiet := drainQuiet
+		if isLate {
+			quiet = 0
+		}
+		s.endIdle(isLate, quiet)
 		sleepUntil(ctx, time.Now().Add(drainPoll))
 	}
 	s.log.Info("drain ended", "sessions", s.countSessions())
@@ -77,9 +96,9 @@
 	return len(s.sessions)
 }
 
-// endIdle closes the connections of idle sessions; withTransactions also those
-// of sessions that wait within a transaction.
-func (s *Server) endIdle(withTransactions bool) {
+// endIdle closes the connections of sessions idle for longer than quiet;
+// withTransactions also those of sessions that wait within a transaction.
+func (s *Server) endIdle(withTransactions bool, quiet time.Duration) {
 	s.mu.Lock()
 	list := make([]*session, 0, len(s.sessions))
 	for ss := range s.sessions {
@@ -87,7 +106,7 @@
 	}
 	s.mu.Unlock()
 	for _, ss := range list {
-		ss.idle.close(withTransactions, func() {
+		ss.idle.close(withTransactions, quiet, func() {
 			if err := ss.caller.SetReadDeadline(time.Now()); err != nil {
 				s.log.V(1).Info("session is gone already", "error", err.Error())
 			}
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -32,7 +32,11 @@
 	var refused *stmt.RefusedError
 	var full *pool.FullError
 	var closed *pool.ClosedError
+	var down *pool.DownError
 	var broken *stmt.BrokenError
+	if errors.As(err, &down) {
+		return false
+	}
 	if asRefused(err, &refused) || asFull(err, &full) || errors.As(err, &closed) {
 		return false
 	}
--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -17,6 +17,9 @@
 	primaryPenalty = 15 * time.Millisecond
 	// laggingPenalty is for an endpoint that may have to refuse.
 	laggingPenalty = 25 * time.Millisecond
+	// openPenalty is what a new connection takes, and about what it keeps others
+	// at the endpoint waiting.
+	openPenalty = 15 * time.Millisecond
 	// usualTime stands for the time of an endpoint that was not measured yet.
 	usualTime = 25 * time.Millisecond
 )
@@ -27,8 +30,10 @@
 	Primary bool
 	// Near is set in this daemon's failure domain.
 	Near bool
-	// Suspended is set for a short time after a failure.
-	Suspended bool
+	// Down is set while the endpoint is not reached.
+	Down bool
+	// HasConnection is set when a connection can be had at once.
+	HasConnection bool
 	// Known is the last position that the endpoint told.
 	Known logpos.Pos
 	// RefusedLately is set when it lacked a position a moment ago.
@@ -47,7 +52,7 @@
 	best := -1
 	var bestCost time.Duration
 	for i, c := range candidates {
-		if tried(c.ID) || c.Suspended {
+		if tried(c.ID) || c.Down {
 			continue
 		}
 		if cost := cost(c, floor); best < 0 || cost < bestCost {
@@ -70,6 +75,9 @@
 	if c.Primary {
 		total += primaryPenalty
 	}
+	if !c.HasConnection {
+		total += openPenalty
+	}
 	if c.RefusedLately && c.Known.Less(floor) {
 		total += laggingPenalty
 	}
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -22,8 +22,15 @@
 	// fullPause is how long no connection is opened after the endpoint had no
 	// room for one.
 	fullPause = 100 * time.Millisecond
-	// suspendTime is how long an endpoint is passed over after a failure.
-	suspendTime = 400 * time.Millisecond
+	// probePause is the time between two attempts to reach an endpoint that
+	// failed; statements are not used for it.
+	probePause = 250 * time.Millisecond
+	// maxDials bounds the connections that are being opened at once: an endpoint
+	// spends a place on each, and drops attempts beyond its queue.
+	maxDials = 2
+	// idleTime is how long a connection beyond the first is kept unused, so that
+	// other daemons find room.
+	idleTime = 4 * time.Second
 	// refusedTime is how long an endpoint that lacked a position counts as behind.
 	refusedTime = 60 * time.Millisecond
 	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
@@ -37,6 +44,8 @@
 	Values map[string]string
 	// Prepared maps the text of a shape to its name on the connection.
 	Prepared map[string]string
+	// idleSince is when the connection was returned last.
+	idleSince time.Time
 }
 
 // Pool is safe for concurrent use.
@@ -50,14 +59,16 @@
 	mu        sync.Mutex
 	idle      []*Conn
 	open      int
+	dialing   int
 	limit     int
 	closed    bool
 	waiters   []*waiter
 	fullUntil time.Time
-	suspended time.Time
-	refused   time.Time
-	known     logpos.Pos
-	usual     time.Duration
+	// down is set from a failure until the endpoint has been reached again.
+	down    bool
+	refused time.Time
+	known   logpos.Pos
+	usual   time.Duration
 }
 
 type waiter struct {
@@ -82,6 +93,11 @@
 
 func (e *ClosedError) Error() string { return fmt.Sprintf("endpoint %s is gone", e.Endpoint) }
 
+// DownError reports an endpoint that failed and was not reached again yet.
+type DownError struct{ Endpoint string }
+
+func (e *DownError) Error() string { return fmt.Sprintf("endpoint %s is not reached", e.Endpoint) }
+
 // SetLimit changes the number of connections that may be open.
 func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
@@ -95,8 +111,9 @@
 }
 
 // Get lends a connection: an idle one with the highest fit, a new one, or the
-// next that is returned. fit returns how well a connection suits; below 0 it is
-// closed rather than lent. Errors: *FullError, *ClosedError, those of the dialer.
+// next that is returned. fit returns how well a connection suits; one below 0 is
+// closed rather than lent. Errors: *FullError, *ClosedError, *DownError, those of
+// the dialer.
 func (p *Pool) Get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
 	p.inFlight.Add(1)
 	c, err := p.get(deadline, priority, fit)
@@ -137,6 +154,10 @@
 	if p.closed {
 		return nil, nil, &ClosedError{Endpoint: p.Endpoint.ID}
 	}
+	if p.down {
+		return nil, nil, &DownError{Endpoint: p.Endpoint.ID}
+	}
+	p.closeStale()
 	best, bestFit := -1, -1
 	for i, c := range p.idle {
 		if f := fit(c); f >= bestFit && f >= 0 {
@@ -154,8 +175,9 @@
 		p.idle = p.idle[1:]
 		p.open--
 	}
-	if p.open < p.limit && time.Now().After(p.fullUntil) {
+	if p.open < p.limit && p.dialing < maxDials && time.Now().After(p.fullUntil) {
 		p.open++
+		p.dialing++
 		return nil, nil, nil
 	}
 	w := &waiter{priority: priority, ready: make(chan *Conn, 1)}
@@ -191,34 +213,73 @@
 	return nil, nil
 }
 
+// closeStale closes connections beyond the first that were unused for long. mu
+// must be held.
+func (p *Pool) closeStale() {
+	for len(p.idle) > 0 && p.open > 1 && time.Since(p.idle[0].idleSince) > idleTime {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
+// dial opens a connection that take has counted. A statement's deadline must not
+// decide whether the endpoint counts as reached, so the attempt goes on in the
+// background after it; what it opens is then kept.
 func (p *Pool) dial(deadline time.Time) (*Conn, error) {
-	limit := time.Now().Add(dialTimeout)
-	if deadline.Before(limit) {
-		limit = deadline
+	type result struct {
+		conn *Conn
+		err  error
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	done := make(chan result, 1)
+	go func() {
+		conn, err := p.establish()
+		done <- result{conn, err}
+	}()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case r := <-done:
+		return r.conn, r.err
+	case <-timer.C:
+	}
+	go func() {
+		if r := <-done; r.conn != nil {
+			p.inFlight.Add(1)
+			p.Put(r.conn)
+		}
+	}()
+	return nil, &FullError{Endpoint: p.Endpoint.ID}
+}
+
+// establish opens one connection and settles the counts.
+func (p *Pool) establish() (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	raw, err := p.dialer.Dial(ctx, p.Endpoint)
-	if err == nil {
-		return &Conn{Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string)}, nil
-	}
 	var refused *stmt.RefusedError
 	isFull := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing--
+	if err == nil {
+		p.wakeOne()
+		return &Conn{Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string)}, nil
+	}
 	p.open--
 	if isFull {
 		p.fullUntil = time.Now().Add(fullPause)
 	} else {
-		p.suspended = time.Now().Add(suspendTime)
+		p.markDown()
 	}
 	p.wakeOne()
 	return nil, err
 }
 
-// wakeOne lets the first waiter look again. mu must be held.
+// wakeOne lets the first waiter look again; all of them while the endpoint is
+// down. mu must be held.
 func (p *Pool) wakeOne() {
-	if len(p.waiters) > 0 {
+	for n := 0; len(p.waiters) > 0 && (n == 0 || p.down); n++ {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		w.ready <- nil
@@ -241,6 +302,7 @@
 		w.ready <- c
 		return
 	}
+	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -259,17 +321,65 @@
 	p.wakeOne()
 }
 
-// Failed notes that the endpoint did not answer; idle connections are closed,
-// since they most likely lead to the same.
+// Failed notes that the endpoint did not answer. Idle connections are closed,
+// since they most likely lead to the same, and the endpoint is passed over until
+// a connection could be opened again.
 func (p *Pool) Failed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspended = time.Now().Add(suspendTime)
+	p.markDown()
+	p.wakeOne()
+}
+
+// markDown starts to look for the endpoint. mu must be held.
+func (p *Pool) markDown() {
 	for _, c := range p.idle {
 		c.Close()
 		p.open--
 	}
 	p.idle = nil
+	if p.down || p.closed {
+		return
+	}
+	p.down = true
+	go p.probe()
+}
+
+// probe opens connections until one succeeds, then puts it into use.
+func (p *Pool) probe() {
+	for {
+		time.Sleep(probePause)
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		raw, err := p.dialer.Dial(ctx, p.Endpoint)
+		cancel()
+		var refused *stmt.RefusedError
+		isFull := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
+		if p.probed(raw, err == nil || isFull) {
+			return
+		}
+	}
+}
+
+// probed reports whether probing is over.
+func (p *Pool) probed(raw stmt.Conn, reached bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !reached && !p.closed {
+		return false
+	}
+	p.down = false
+	if raw == nil {
+		return true
+	}
+	if p.closed || p.open >= p.limit {
+		raw.Close()
+		return true
+	}
+	p.open++
+	p.idle = append(p.idle, &Conn{
+		Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string), idleSince: time.Now(),
+	})
+	return true
 }
 
 // Close closes idle connections and refuses to lend further ones.
@@ -292,7 +402,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.known = logpos.Max(p.known, pos)
-	p.suspended = time.Time{}
 	if took <= 0 {
 		return
 	}
@@ -312,20 +421,23 @@
 
 // State is what is known of the endpoint at one moment.
 type State struct {
-	Suspended     bool
+	Down          bool
 	RefusedLately bool
 	Known         logpos.Pos
 	InFlight      int
 	Usual         time.Duration
+	// HasFit is set when an idle connection suits at once.
+	HasFit bool
 }
 
 // State returns what is known of the endpoint.
-func (p *Pool) State() State {
+func (p *Pool) State(fit func(*Conn) int) State {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return State{
-		Suspended: now.Before(p.suspended), RefusedLately: now.Before(p.refused),
+		Down: p.down, RefusedLately: now.Before(p.refused),
 		Known: p.known, InFlight: int(p.inFlight.Load()), Usual: p.usual,
+		HasFit: slices.ContainsFunc(p.idle, func(c *Conn) bool { return fit(c) >= 0 }),
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,7 +58,9 @@
 	Dialer        stmt.Dialer
 	Texts         Texts
 	Reporter      Reporter
-	Log           logr.Logger
+	// ControlHeard returns when a current control daemon answered last.
+	ControlHeard func() time.Time
+	Log          logr.Logger
 }
 
 // Server serves the callers of one entry.
@@ -76,6 +78,8 @@
 	services map[string]*serviceState
 	sessions map[*session]struct{}
 	reported map[string]time.Time
+
+	reach reach
 }
 
 // serviceState is what this entry knows of a service's log.
@@ -261,7 +265,7 @@
 		return &stmt.Error{Code: stmt.CodeReadOnly, Detail: "no primary is known"}
 	}
 	st.learn(lead.number, q.asked, status.Received)
-	lead.pool.Answered(status.Received, 0)
+	s.answered(lead, status.Received, 0)
 	return nil
 }
 
@@ -292,9 +296,16 @@
 		return
 	}
 	l.pool.Failed()
+	s.reach.failed(s.isFar(l.endpoint), time.Now())
 	s.report(l.endpoint, err)
 }
 
+// answered notes an answer of an endpoint.
+func (s *Server) answered(l lead, pos logpos.Pos, took time.Duration) {
+	l.pool.Answered(pos, took)
+	s.reach.answered(s.isFar(l.endpoint), time.Now())
+}
+
 // report tells control, not more often than reportInterval for one endpoint.
 func (s *Server) report(e *fleetpb.Endpoint, cause error) {
 	now := time.Now()
@@ -322,7 +333,7 @@
 // IsReady reports whether callers can be served.
 func (s *Server) IsReady() bool {
 	p := s.cfg.View.Picture()
-	if s.draining.Load() || p.Config == nil {
+	if s.draining.Load() || p.Config == nil || s.isolated() {
 		return false
 	}
 	for _, service := range p.Services() {
--- /dev/null
+++ b/internal/proxy/reach.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	fleetpb "hemlockmast/api/fleet"
+)
+
+const (
+	// controlSilence is how long no control daemon has answered in a failure
+	// domain that is cut off. Answers come at least once a second.
+	controlSilence = 1300 * time.Millisecond
+	// isolatedNotice is how long the platform may still send callers here after
+	// readiness ended.
+	isolatedNotice = 2200 * time.Millisecond
+	// isolationCheck is how often a change is looked for.
+	isolationCheck = 200 * time.Millisecond
+)
+
+// reach notes whether endpoints of other failure domains answer.
+type reach struct {
+	mu sync.Mutex
+	// farOK and farFailed are when one answered and failed last.
+	farOK, farFailed time.Time
+}
+
+func (r *reach) answered(isFar bool, now time.Time) {
+	if !isFar {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.farOK = now
+}
+
+func (r *reach) failed(isFar bool, now time.Time) {
+	if !isFar {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.farFailed = now
+}
+
+// isLost reports whether the last that was seen of other failure domains is a
+// failure.
+func (r *reach) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.farFailed.After(r.farOK)
+}
+
+func (s *Server) isFar(e *fleetpb.Endpoint) bool { return e.FailureDomain != s.cfg.FailureDomain }
+
+// isolated reports whether this daemon is most likely cut off from the other
+// failure domains: neither control nor an endpoint there answers. Callers are
+// served better by a daemon elsewhere, which they still reach; those that come
+// nevertheless get what the endpoints here can answer.
+func (s *Server) isolated() bool {
+	return time.Since(s.cfg.ControlHeard()) > controlSilence && s.reach.isLost()
+}
+
+// WatchIsolation logs changes, and ends idle sessions of an isolated daemon once
+// new ones are led elsewhere, until ctx ends.
+func (s *Server) WatchIsolation(ctx context.Context) {
+	ticker := time.NewTicker(isolationCheck)
+	defer ticker.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		switch isolated := s.isolated(); {
+		case !isolated && !since.IsZero():
+			s.log.Info("no longer cut off", "after", time.Since(since).String())
+			since = time.Time{}
+		case isolated && since.IsZero():
+			since = time.Now()
+			s.log.Info("cut off from other failure domains", "controlHeard", s.cfg.ControlHeard())
+		case isolated && time.Since(since) > isolatedNotice:
+			s.endIdle(false, drainQuiet)
+		}
+	}
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -137,9 +137,6 @@
 		if ss.answerFailed(ss.caller.Answer(reply)) {
 			return
 		}
-		if ss.tx == nil && ss.server.draining.Load() {
-			return
-		}
 	}
 }
 
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -68,7 +68,11 @@
 }
 
 // mayHold reports whether there is time for another try.
-func (r *run) mayHold() bool { return time.Now().Before(r.holdEnd) }
+func (r *run) mayHold() bool {
+	// A caller that tries again reaches another daemon, which a cut-off one does
+	// not get nearer to by waiting.
+	return time.Now().Before(r.holdEnd) && !r.ss.server.isolated()
+}
 
 func (r *run) failed(e *stmt.Error) stmt.Reply { return stmt.Reply{Err: e} }
 
@@ -119,10 +123,10 @@
 	}
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err != nil {
-		l.pool.Answered(reply.Pos, 0)
+		r.ss.server.answered(l, reply.Pos, 0)
 		return reply, !reply.Err.Code.NotRun()
 	}
-	l.pool.Answered(reply.Pos, time.Since(sent))
+	r.ss.server.answered(l, reply.Pos, time.Since(sent))
 	server.service(r.route.Service).learn(l.number, asked, reply.Pos)
 	r.ss.raiseFloor(r.route.Service, reply.Pos)
 	return reply, true
@@ -183,7 +187,7 @@
 	clear(r.tried)
 	reply = r.failed(&stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"})
 	for {
-		l, ok := r.ss.server.choose(r.route.Service, floor, r.tried)
+		l, ok := r.ss.server.choose(r.route.Service, floor, r.tried, r.ss.fit(r.r.shape))
 		if !ok {
 			return reply, false
 		}
@@ -219,7 +223,7 @@
 	}
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err == nil {
-		l.pool.Answered(reply.Pos, time.Since(sent))
+		r.ss.server.answered(l, reply.Pos, time.Since(sent))
 		return reply, true
 	}
 	if reply.Err.Code == stmt.CodeLagging {
@@ -229,7 +233,7 @@
 }
 
 // choose returns the endpoint that should answer a read first.
-func (s *Server) choose(service string, floor logpos.Pos, tried map[string]bool) (lead, bool) {
+func (s *Server) choose(service string, floor logpos.Pos, tried map[string]bool, fit func(*pool.Conn) int) (lead, bool) {
 	sv := s.cfg.View.Picture().Service(service)
 	if sv == nil {
 		return lead{}, false
@@ -242,12 +246,12 @@
 			continue
 		}
 		p := s.pool(e)
-		state := p.State()
+		state := p.State(fit)
 		ready = append(ready, e)
 		pools = append(pools, p)
 		candidates = append(candidates, place.Candidate{
 			ID: e.Id, Primary: e.Id == sv.PrimaryID, Near: e.FailureDomain == s.cfg.FailureDomain,
-			Suspended: state.Suspended, Known: state.Known, RefusedLately: state.RefusedLately,
+			Down: state.Down, HasConnection: state.HasFit, Known: state.Known, RefusedLately: state.RefusedLately,
 			InFlight: state.InFlight, Slots: int(e.Slots), Time: state.Usual,
 		})
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -117,7 +117,7 @@
 		if refusal == nil || refusal.Code == stmt.CodeFailed || refusal.Code == stmt.CodeTimeout {
 			return refusal
 		}
-		if !time.Now().Before(holdEnd) {
+		if !time.Now().Before(holdEnd) || ss.server.isolated() {
 			return refusal
 		}
 		time.Sleep(retryPause)
@@ -126,7 +126,7 @@
 
 func (ss *session) startOnce(shape *stmt.Shape, tried map[string]bool, holdEnd, deadline time.Time) *stmt.Error {
 	tx := ss.tx
-	l, floor, refusal := ss.startTarget(tried, holdEnd)
+	l, floor, refusal := ss.startTarget(shape, tried, holdEnd)
 	if refusal != nil {
 		return refusal
 	}
@@ -155,7 +155,7 @@
 		ss.giveBack(l.pool, c, reply)
 		return reply.Err
 	}
-	l.pool.Answered(reply.Pos, 0)
+	ss.server.answered(l, reply.Pos, 0)
 	if !tx.readsOnly() {
 		ss.server.service(tx.route.Service).learn(l.number, asked, reply.Pos)
 	}
@@ -164,7 +164,7 @@
 }
 
 // startTarget returns where the transaction goes and what it must see there.
-func (ss *session) startTarget(tried map[string]bool, holdEnd time.Time) (lead, logpos.Pos, *stmt.Error) {
+func (ss *session) startTarget(shape *stmt.Shape, tried map[string]bool, holdEnd time.Time) (lead, logpos.Pos, *stmt.Error) {
 	tx := ss.tx
 	if !tx.readsOnly() {
 		l, err := ss.server.primary(tx.route.Service)
@@ -177,7 +177,7 @@
 	if err != nil {
 		return lead{}, logpos.Pos{}, notRun(err)
 	}
-	l, ok := ss.server.choose(tx.route.Service, floor, tried)
+	l, ok := ss.server.choose(tx.route.Service, floor, tried, ss.fit(shape))
 	if !ok {
 		clear(tried)
 		return lead{}, logpos.Pos{}, &stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"}
@@ -200,7 +200,7 @@
 			return ss.brokenStatement(r.st, err)
 		}
 		if reply.Err == nil {
-			tx.lead.pool.Answered(reply.Pos, 0)
+			ss.server.answered(tx.lead, reply.Pos, 0)
 			tx.wrote = tx.wrote || r.writes
 			if !tx.readsOnly() {
 				ss.server.service(tx.route.Service).learn(tx.lead.number, asked, reply.Pos)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	fleetpb "hemlockmast/api/fleet"
 )
@@ -109,11 +110,12 @@
 // Get returns the record of an endpoint, or nil. It may not be changed.
 func (t *Table) Get(id string) *fleetpb.Endpoint { return t.byID[id] }
 
-// All returns every record. The records may not be changed.
+// All returns every record, sorted by id. The records may not be changed.
 func (t *Table) All() []*fleetpb.Endpoint {
 	list := make([]*fleetpb.Endpoint, 0, len(t.byID))
 	for _, e := range t.byID {
 		list = append(list, e)
 	}
+	slices.SortFunc(list, func(a, b *fleetpb.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
 	return list
 }
