Connections are cleared by RESET instead of opened anew

Cause: 3,014 new connections for 9,200 requests; each takes 12 ms and keeps a place at its endpoint.

--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -13,28 +13,28 @@
 // anyFit suits what depends on no session value.
 func anyFit(*pool.Conn) int { return 0 }
 
-// Fits of connections; a connection that has values which the session has not is
-// not lent, since a new connection costs less than clearing it.
+// Fits of connections. One that has values which the session has not must be
+// cleared first, which is quicker than a new connection and costs the endpoint
+// no place.
 const (
-	fitUnsuitable = -1
-	fitPrepared   = 1 << 10
-	fitSame       = 1 << 11
+	fitSame     = 1 << 11
+	fitPrepared = 1 << 10
+	fitNoReset  = 1 << 9
 )
 
 // fit returns how well a connection suits this session and a shape.
 func (ss *session) fit(shape *stmt.Shape) func(*pool.Conn) int {
 	return func(c *pool.Conn) int {
+		if ss.needsReset(c) {
+			return 0
+		}
 		same := 0
 		for name, value := range c.Values {
-			wanted, ok := ss.values[name]
-			if !ok {
-				return fitUnsuitable
-			}
-			if wanted == value {
+			if ss.values[name] == value {
 				same++
 			}
 		}
-		score := same
+		score := fitNoReset + same
 		if same == len(ss.values) {
 			score += fitSame
 		}
@@ -45,10 +45,27 @@
 	}
 }
 
+// needsReset reports whether a connection has a value that the session has not.
+func (ss *session) needsReset(c *pool.Conn) bool {
+	for name := range c.Values {
+		if _, ok := ss.values[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // align puts the session's values and the prepared shape in force on a
 // connection. Nothing of the caller's runs on it when it fails.
 func (ss *session) align(c *pool.Conn, deadline time.Time, shape *stmt.Shape) error {
 	texts := ss.server.cfg.Texts
+	if ss.needsReset(c) {
+		if err := ss.own(c, deadline, texts.Reset()); err != nil {
+			return err
+		}
+		clear(c.Values)
+		clear(c.Prepared)
+	}
 	for name, value := range ss.values {
 		if held, ok := c.Values[name]; ok && held == value {
 			continue
