--- a/internal/fleetctl/node.go
+++ b/internal/fleetctl/node.go
@@ -10,7 +10,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"path/filepath"
-	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +37,7 @@
 	// tick is the unit of the agreement's waits: heartbeats every 100 ms, an
 	// election after 450 to 900 ms.
 	tick           = 50 * time.Millisecond
-	heartbeatTicks = 2
+	heartbeatTicks = 4
 	electionTicks  = 9
 	// proposeTimeout bounds one order; callers ask again after a second.
 	proposeTimeout = 900 * time.Millisecond
@@ -84,11 +84,15 @@
 
 	// leaderSeen is when a leader was known last, as nanoseconds of time.Time.
 	leaderSeen atomic.Pointer[time.Time]
+
+	// mu guards domains: the failure domains that other control daemons told.
+	mu      sync.Mutex
+	domains map[string]string
 }
 
 // Open reads the data folder. Run must be called next.
 func Open(ctx context.Context, cfg Config) (*Node, error) {
-	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick)}
+	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick), domains: make(map[string]string)}
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
 	n.hub = fleethub.New(newNumber(), n.machine, n, time.Now)
 	n.watch = newWatch(n)
@@ -169,16 +173,28 @@
 	return seen != nil && time.Since(*seen) < leaderSilence
 }
 
-// ControlAddresses implements fleethub.View.
-func (n *Node) ControlAddresses() []string {
-	var list []string
+// ControlDaemons implements fleethub.View.
+func (n *Node) ControlDaemons() []*fleetpb.ControlDaemon {
+	var list []*fleetpb.ControlDaemon
 	for _, m := range n.control.Status().Membership.GetMembers() {
-		list = append(list, m.Address)
+		list = append(list, &fleetpb.ControlDaemon{Address: m.Address, FailureDomain: n.domainOf(m.Address)})
 	}
-	slices.Sort(list)
 	return list
 }
 
+// FailureDomain implements fleethub.View.
+func (n *Node) FailureDomain() string { return n.cfg.FailureDomain }
+
+// domainOf returns the failure domain of a control daemon, or "" before it told.
+func (n *Node) domainOf(address string) string {
+	if address == n.cfg.Address {
+		return n.cfg.FailureDomain
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.domains[address]
+}
+
 // Leader implements fleethub.View.
 func (n *Node) Leader() string { return n.control.Status().LeaderAddress }
 
--- a/internal/fleetctl/peers.go
+++ b/internal/fleetctl/peers.go
@@ -34,7 +34,10 @@
 	ticker := time.NewTicker(peerRefresh)
 	defer ticker.Stop()
 	for {
-		addresses := n.ControlAddresses()
+		var addresses []string
+		for _, d := range n.ControlDaemons() {
+			addresses = append(addresses, d.Address)
+		}
 		for _, address := range addresses {
 			if address == n.cfg.Address || following[address] != nil {
 				continue
@@ -72,6 +75,9 @@
 		request.Source, request.Version = answer.Source, answer.Version
 		request.WaitMs = uint32(fleethub.MaxWait.Milliseconds())
 		n.hub.CountEntriesAt(address, answer.Entries)
+		n.mu.Lock()
+		n.domains[address] = answer.FailureDomain
+		n.mu.Unlock()
 		for _, e := range answer.Endpoints {
 			n.logChanges(n.hub.Merge(e))
 		}
--- a/internal/fleethub/hub.go
+++ b/internal/fleethub/hub.go
@@ -38,9 +38,10 @@
 type View interface {
 	// IsCurrent reports whether this daemon heard from a leader of late.
 	IsCurrent() bool
-	// ControlAddresses lists the control daemons, Leader the one that leads.
-	ControlAddresses() []string
+	// ControlDaemons lists the control daemons, Leader the one that leads.
+	ControlDaemons() []*fleetpb.ControlDaemon
 	Leader() string
+	FailureDomain() string
 }
 
 // Hub is safe for concurrent use.
@@ -189,7 +190,8 @@
 func (h *Hub) answer(r *fleetpb.FollowRequest) (*fleetpb.FollowResponse, <-chan struct{}) {
 	answer := &fleetpb.FollowResponse{
 		Source: h.source, Current: h.view.IsCurrent(),
-		Control: h.view.ControlAddresses(), Leader: h.view.Leader(),
+		Control: h.view.ControlDaemons(), Leader: h.view.Leader(),
+		FailureDomain: h.view.FailureDomain(),
 	}
 	since := r.Version
 	if r.Source != h.source {
--- a/internal/fleetrpc/client.go
+++ b/internal/fleetrpc/client.go
@@ -25,6 +25,9 @@
 	// firstPause and maxPause bound the pause after all daemons failed.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
+	// nearerAfter is how long a daemon elsewhere is followed before one in this
+	// failure domain is tried again.
+	nearerAfter = 3 * time.Second
 	// maxRemembered bounds the remembered addresses.
 	maxRemembered = 64
 	// callTimeout bounds a call that waits for nothing.
@@ -68,6 +71,7 @@
 	// mu guards the fields below; nothing else is locked under it.
 	mu        sync.Mutex
 	addresses []string
+	domains   map[string]string
 	current   string
 	leader    string
 	lastGood  time.Time
@@ -89,6 +93,38 @@
 	}
 }
 
+func (f *Follower) learnDomains(list []*fleetpb.ControlDaemon) {
+	addresses := make([]string, 0, len(list))
+	f.mu.Lock()
+	if f.domains == nil {
+		f.domains = make(map[string]string)
+	}
+	for _, d := range list {
+		addresses = append(addresses, d.Address)
+		if d.FailureDomain != "" {
+			f.domains[d.Address] = d.FailureDomain
+		}
+	}
+	f.mu.Unlock()
+	f.Learn(addresses)
+}
+
+// hasNearer reports whether a control daemon in this failure domain is known
+// while another one is followed. It is tried from time to time.
+func (f *Follower) hasNearer(address string, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(since) < nearerAfter || f.domains[address] == f.FailureDomain {
+		return false
+	}
+	for _, domain := range f.domains {
+		if domain == f.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
 // Leader returns the address of the leader as last told, or "".
 func (f *Follower) Leader() string {
 	f.mu.Lock()
@@ -134,17 +170,23 @@
 	}
 }
 
-// order lists the addresses: those on this VM's network first, where the
-// address tells, the others in random order.
+// order lists the addresses: those in this failure domain first, then the one
+// followed last, the others in random order.
 func (f *Follower) order() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := slices.Clone(f.addresses)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	near := slices.IndexFunc(list, func(a string) bool { return a == f.current })
-	if near > 0 {
-		list[0], list[near] = list[near], list[0]
+	rank := func(address string) int {
+		switch {
+		case f.domains[address] == f.FailureDomain:
+			return 0
+		case address == f.current:
+			return 1
+		}
+		return 2
 	}
+	slices.SortStableFunc(list, func(a, b string) int { return rank(a) - rank(b) })
 	return list
 }
 
@@ -153,6 +195,7 @@
 func (f *Follower) followOne(ctx context.Context, address string) bool {
 	request := &fleetpb.FollowRequest{Daemon: f.Name, FailureDomain: f.FailureDomain, IsEntry: true}
 	good := false
+	since := time.Now()
 	service := Client(f.HTTP, address)
 	for ctx.Err() == nil {
 		request.ConfigurationVersion = f.Sink.ConfigurationVersion()
@@ -169,12 +212,15 @@
 			answer.Configuration = nil
 		}
 		f.Sink.Take(answer)
-		f.Learn(answer.Control)
+		f.learnDomains(answer.Control)
 		if !answer.Current {
 			f.lost(address, good, &NotCurrentError{Address: address})
 			return good
 		}
 		f.found(address, answer.Leader, good)
+		if f.hasNearer(address, since) {
+			return true
+		}
 		good = true
 		request.Source, request.Version = answer.Source, answer.Version
 		request.WaitMs = uint32(fleethub.MaxWait.Milliseconds())
--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -12,7 +12,7 @@
 const (
 	// farPenalty is what an endpoint in another failure domain has to be faster
 	// by: bytes between failure domains cost more than a round trip.
-	farPenalty = 12 * time.Millisecond
+	farPenalty = 40 * time.Millisecond
 	// primaryPenalty keeps reads off the endpoint that alone can write.
 	primaryPenalty = 15 * time.Millisecond
 	// laggingPenalty is for an endpoint that may have to refuse.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -249,26 +249,48 @@
 		s.failed(lead, err)
 		return notRun(err)
 	}
-	q.asked = boottime.Now()
-	status, err := c.Status(deadline)
-	var refused *stmt.RefusedError
-	if err != nil && !asRefused(err, &refused) {
-		lead.pool.Discard(c)
-		s.failed(lead, err)
+	reply, asked, err := s.guard(lead, c, deadline)
+	if err != nil {
 		return &stmt.Error{Code: stmt.CodeLagging, Detail: "primary does not answer"}
 	}
-	lead.pool.Put(c)
-	switch {
-	case err != nil:
-		return &stmt.Error{Code: stmt.CodeBusy, Detail: "primary is busy"}
-	case status.Role != stmt.Primary:
-		return &stmt.Error{Code: stmt.CodeReadOnly, Detail: "no primary is known"}
+	q.asked = asked
+	if reply.Err != nil {
+		lead.pool.Put(c)
+		return reply.Err
 	}
-	st.learn(lead.number, q.asked, status.Received)
-	s.answered(lead, status.Received, 0)
+	s.endGuard(lead, c, deadline)
 	return nil
 }
 
+// guard opens a transaction of the proxy's own, which only a primary does: its
+// answer tells a position that covers every commit acknowledged before asked.
+// Unlike a question for the status it takes none of the endpoint's places. On an
+// error the connection is given up; after a refusal no transaction is open.
+func (s *Server) guard(l lead, c *pool.Conn, deadline time.Time) (reply stmt.Reply, asked time.Duration, err error) {
+	asked = boottime.Now()
+	reply, err = c.Do(deadline, s.cfg.Texts.Begin(false), "", logpos.Pos{})
+	if err != nil {
+		l.pool.Discard(c)
+		s.failed(l, err)
+		return reply, asked, err
+	}
+	if reply.Err == nil {
+		s.service(l.endpoint.Service).learn(l.number, asked, reply.Pos)
+		s.answered(l, reply.Pos, 0)
+	}
+	return reply, asked, nil
+}
+
+// endGuard rolls the proxy's own transaction back and returns the connection.
+func (s *Server) endGuard(l lead, c *pool.Conn, deadline time.Time) {
+	reply, err := c.Do(deadline, s.cfg.Texts.Rollback(), "", logpos.Pos{})
+	if err != nil || reply.State != stmt.Idle {
+		l.pool.Discard(c)
+		return
+	}
+	l.pool.Put(c)
+}
+
 // lead is a service's primary as this entry knows it.
 type lead struct {
 	endpoint *fleetpb.Endpoint
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -40,9 +40,12 @@
 		tried:    make(map[string]bool),
 	}
 	var reply stmt.Reply
-	if r.writes {
-		reply = run.write()
-	} else {
+	switch {
+	case r.writes:
+		reply = run.atPrimary(run.writeAt)
+	case route.Level == fleetpb.Level_LEVEL_CURRENT:
+		reply = run.atPrimary(run.guardedReadAt)
+	default:
 		reply = run.read()
 	}
 	if reply.Err != nil {
@@ -76,9 +79,8 @@
 
 func (r *run) failed(e *stmt.Error) stmt.Reply { return stmt.Reply{Err: e} }
 
-// write runs a write at the primary. It is tried again only while it surely did
-// not run.
-func (r *run) write() stmt.Reply {
+// atPrimary tries a statement at the primary until it is done.
+func (r *run) atPrimary(try func(lead) (stmt.Reply, bool)) stmt.Reply {
 	server := r.ss.server
 	last := &stmt.Error{Code: stmt.CodeBusy, Detail: "not tried in time"}
 	for ; ; r.pause() {
@@ -86,7 +88,7 @@
 		if err != nil {
 			last = notRun(err)
 		} else {
-			reply, done := r.writeAt(lead)
+			reply, done := try(lead)
 			if done {
 				return reply
 			}
@@ -132,6 +134,54 @@
 	return reply, true
 }
 
+// guardedReadAt reads at the primary inside a transaction of the proxy's own: a
+// primary that was superseded refuses it, so that the read sees every commit
+// acknowledged before it arrived. done is false if it may be tried again.
+func (r *run) guardedReadAt(l lead) (reply stmt.Reply, done bool) {
+	r.tries++
+	server := r.ss.server
+	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
+	if err != nil {
+		server.failed(l, err)
+		return r.failed(notRun(err)), false
+	}
+	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
+		r.ss.dropUnaligned(l.pool, c, err)
+		return r.failed(notRun(err)), false
+	}
+	begun, _, err := server.guard(l, c, r.deadline)
+	if err != nil {
+		return r.failed(notRun(err)), false
+	}
+	if begun.Err != nil {
+		r.ss.giveBack(l.pool, c, begun)
+		return begun, !begun.Err.Code.NotRun()
+	}
+	sent := time.Now()
+	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	if err != nil {
+		l.pool.Discard(c)
+		server.failed(l, err)
+		return r.readBroken()
+	}
+	server.endGuard(l, c, r.deadline)
+	reply.State = stmt.Idle
+	if reply.Err != nil {
+		return reply, !reply.Err.Code.NotRun()
+	}
+	server.answered(l, reply.Pos, time.Since(sent))
+	return reply, true
+}
+
+// readBroken answers a read whose connection failed: it may run twice, so it is
+// tried again while there is time.
+func (r *run) readBroken() (reply stmt.Reply, done bool) {
+	if !time.Now().Before(r.deadline) {
+		return r.failed(&stmt.Error{Code: stmt.CodeTimeout, Detail: "no answer in time"}), true
+	}
+	return r.failed(&stmt.Error{Code: stmt.CodeFailed, Detail: "connection to the endpoint failed"}), false
+}
+
 // broken answers a write whose connection failed.
 func (r *run) broken(l lead, err error) (stmt.Reply, bool) {
 	r.ss.server.failed(l, err)
@@ -215,11 +265,7 @@
 	if err != nil {
 		l.pool.Discard(c)
 		r.ss.server.failed(l, err)
-		if !time.Now().Before(r.deadline) {
-			return r.failed(&stmt.Error{Code: stmt.CodeTimeout, Detail: "no answer in time"}), true
-		}
-		// A read may run twice.
-		return r.failed(&stmt.Error{Code: stmt.CodeFailed, Detail: "connection to the endpoint failed"}), false
+		return r.readBroken()
 	}
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err == nil {
