Reports reach every control daemon; first election sooner; isolation seen sooner

Reports now go to every known control daemon, also from attempts to reach an endpoint again. A member that restarts waits a heartbeat, not a whole election wait, before its first election.

--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -56,7 +56,9 @@
 		n.vote = IDOf(st.HardState.GetVote())
 	}
 	n.savedTerm, n.savedVote = n.term, n.vote
-	n.drawElectionWait()
+	// A leader, if there is one, is heard within a heartbeat; after a restart of
+	// all members there is none to wait for.
+	n.electionWait = cfg.HeartbeatTicks + 1 + cfg.Rand(cfg.ElectionTicks)
 	return n, nil
 }
 
--- a/internal/fleetctl/node.go
+++ b/internal/fleetctl/node.go
@@ -34,7 +34,7 @@
 )
 
 const (
-	// tick is the unit of the agreement's waits: heartbeats every 100 ms, an
+	// tick is the unit of the agreement's waits: heartbeats every 200 ms, an
 	// election after 450 to 900 ms.
 	tick           = 50 * time.Millisecond
 	heartbeatTicks = 4
@@ -44,8 +44,8 @@
 	// barrierTimeout bounds a read of the configuration.
 	barrierTimeout = 800 * time.Millisecond
 	// leaderSilence is how long a member may be without a leader and still count
-	// as current. It is a few heartbeats.
-	leaderSilence = 600 * time.Millisecond
+	// as current. A member knows of none once it starts an election.
+	leaderSilence = 400 * time.Millisecond
 	// minVoters is the least number of voters with which a configuration is
 	// acknowledged: the loss of one disk must leave a majority that holds it.
 	minVoters = 3
--- a/internal/fleetd/run.go
+++ b/internal/fleetd/run.go
@@ -98,7 +98,7 @@
 	server := proxy.New(proxy.Config{
 		Name: s.Name, FailureDomain: s.FailureDomain, View: view,
 		Dialer: platform.Dialer{Name: s.Name}, Texts: platform.Texts, Reporter: follower, Log: log,
-		ControlHeard: follower.LastGood,
+		ControlLost: follower.LostFor,
 	})
 	listener, err := netopt.ListenConfig().Listen(ctx, "tcp", s.Callers)
 	if err != nil {
--- a/internal/fleetrpc/client.go
+++ b/internal/fleetrpc/client.go
@@ -74,8 +74,9 @@
 	domains   map[string]string
 	current   string
 	leader    string
-	lastGood  time.Time
-	started   time.Time
+	// lostAt is when the daemon followed stopped answering; zero while one does.
+	lostAt  time.Time
+	started time.Time
 }
 
 // Learn adds addresses of control daemons; those learnt first are asked first.
@@ -132,11 +133,15 @@
 	return f.leader
 }
 
-// LastGood returns when a current control daemon answered last.
-func (f *Follower) LastGood() time.Time {
+// LostFor returns for how long no current control daemon has answered; 0 while one
+// is followed.
+func (f *Follower) LostFor() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lastGood
+	if f.lostAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.lostAt)
 }
 
 func (f *Follower) sinceStart() time.Duration {
@@ -149,6 +154,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.mu.Lock()
 	f.started = time.Now()
+	f.lostAt = f.started
 	f.mu.Unlock()
 	pause := firstPause
 	for ctx.Err() == nil {
@@ -235,7 +241,7 @@
 
 func (f *Follower) found(address, leader string, again bool) {
 	f.mu.Lock()
-	f.current, f.leader, f.lastGood = address, leader, time.Now()
+	f.current, f.leader, f.lostAt = address, leader, time.Time{}
 	f.mu.Unlock()
 	if !again {
 		f.Log.Info("control daemon followed", "control", address, "leader", leader)
@@ -246,6 +252,7 @@
 	f.mu.Lock()
 	if f.current == address {
 		f.current = ""
+		f.lostAt = time.Now()
 	}
 	f.mu.Unlock()
 	if wasGood {
@@ -253,23 +260,32 @@
 	}
 }
 
-// Report tells the leader, or every known control daemon without one, that an
-// endpoint does not serve.
+// Report tells every known control daemon that an endpoint does not serve: which
+// of them leads may just be changing. It returns an error if none was told.
 func (f *Follower) Report(ctx context.Context, r *fleetpb.ReportRequest) error {
-	targets := []string{f.Leader()}
-	if targets[0] == "" {
-		targets = f.order()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	addresses := f.order()
+	errs := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			_, err := Client(f.HTTP, address).Report(ctx, r)
+			errs <- err
+		}()
 	}
-	var err error
-	for _, address := range targets {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err = Client(f.HTTP, address).Report(callCtx, r)
-		cancel()
-		if err == nil {
-			return nil
+	var last error
+	told := false
+	for range addresses {
+		if err := <-errs; err != nil {
+			last = err
+		} else {
+			told = true
 		}
 	}
-	return err
+	if told {
+		return nil
+	}
+	return last
 }
 
 // SamePort returns addresses of the hosts of list at port.
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -52,6 +52,8 @@
 type Pool struct {
 	Endpoint stmt.Endpoint
 	dialer   stmt.Dialer
+	// unreached is called after each failed attempt to reach the endpoint again.
+	unreached func(error)
 
 	inFlight atomic.Int64
 
@@ -76,9 +78,10 @@
 	ready    chan *Conn
 }
 
-// New returns an empty pool.
-func New(endpoint stmt.Endpoint, dialer stmt.Dialer, limit int) *Pool {
-	return &Pool{Endpoint: endpoint, dialer: dialer, limit: limit}
+// New returns an empty pool. unreached is called, without a lock, after each
+// failed attempt to reach an endpoint that is down.
+func New(endpoint stmt.Endpoint, dialer stmt.Dialer, limit int, unreached func(error)) *Pool {
+	return &Pool{Endpoint: endpoint, dialer: dialer, limit: limit, unreached: unreached}
 }
 
 // FullError reports that no connection was free in time.
@@ -357,6 +360,7 @@
 		if p.probed(raw, err == nil || isFull) {
 			return
 		}
+		p.unreached(err)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -58,9 +58,9 @@
 	Dialer        stmt.Dialer
 	Texts         Texts
 	Reporter      Reporter
-	// ControlHeard returns when a current control daemon answered last.
-	ControlHeard func() time.Time
-	Log          logr.Logger
+	// ControlLost returns for how long no current control daemon has answered.
+	ControlLost func() time.Duration
+	Log         logr.Logger
 }
 
 // Server serves the callers of one entry.
@@ -160,7 +160,11 @@
 	defer s.mu.Unlock()
 	p := s.pools[e.Id]
 	if p == nil {
-		p = pool.New(stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}, s.cfg.Dialer, limit)
+		endpoint := stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
+		p = pool.New(endpoint, s.cfg.Dialer, limit, func(err error) {
+			s.reach.failed(s.isFar(e), time.Now())
+			s.report(e, err)
+		})
 		s.pools[e.Id] = p
 	}
 	return p
@@ -355,7 +359,7 @@
 // IsReady reports whether callers can be served.
 func (s *Server) IsReady() bool {
 	p := s.cfg.View.Picture()
-	if s.draining.Load() || p.Config == nil || s.isolated() {
+	if s.draining.Load() || p.Config == nil || s.reach.isLostFor(farLost) {
 		return false
 	}
 	for _, service := range p.Services() {
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -9,9 +9,13 @@
 )
 
 const (
-	// controlSilence is how long no control daemon has answered in a failure
-	// domain that is cut off. Answers come at least once a second.
-	controlSilence = 1300 * time.Millisecond
+	// controlSilence is how long no current control daemon has answered in a
+	// failure domain that is cut off; a change of the leader takes longer.
+	controlSilence = 300 * time.Millisecond
+	// farLost is how long no endpoint of another failure domain has answered,
+	// while attempts failed, before new callers are led elsewhere. The platform
+	// waits for two such answers a second apart, which filters short losses.
+	farLost = 250 * time.Millisecond
 	// isolatedNotice is how long the platform may still send callers here after
 	// readiness ended.
 	isolatedNotice = 2200 * time.Millisecond
@@ -52,6 +56,13 @@
 	return r.farFailed.After(r.farOK)
 }
 
+// isLostFor reports the same for at least d.
+func (r *reach) isLostFor(d time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.farFailed.After(r.farOK) && time.Since(r.farOK) > d
+}
+
 func (s *Server) isFar(e *fleetpb.Endpoint) bool { return e.FailureDomain != s.cfg.FailureDomain }
 
 // isolated reports whether this daemon is most likely cut off from the other
@@ -59,7 +70,7 @@
 // served better by a daemon elsewhere, which they still reach; those that come
 // nevertheless get what the endpoints here can answer.
 func (s *Server) isolated() bool {
-	return time.Since(s.cfg.ControlHeard()) > controlSilence && s.reach.isLost()
+	return s.cfg.ControlLost() > controlSilence && s.reach.isLost()
 }
 
 // WatchIsolation logs changes, and ends idle sessions of an isolated daemon once
@@ -80,7 +91,7 @@
 			since = time.Time{}
 		case isolated && since.IsZero():
 			since = time.Now()
-			s.log.Info("cut off from other failure domains", "controlHeard", s.cfg.ControlHeard())
+			s.log.Info("cut off from other failure domains", "controlLost", s.cfg.ControlLost().String())
 		case isolated && time.Since(since) > isolatedNotice:
 			s.endIdle(false, drainQuiet)
 		}
