Entries may borrow connections beyond their share

Cause: after a restart, and while replicas lag, transactions held both of an entry's connections to a primary and all others waited (too many: no free connection in time), while 5 of 21 connections were never used. Connections beyond the share close after 100 ms unused; what the endpoint refuses is waited for.

--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -31,6 +31,8 @@
 	// idleTime is how long a connection beyond the first is kept unused, so that
 	// other daemons find room.
 	idleTime = 4 * time.Second
+	// borrowedTime is the same for one beyond the share.
+	borrowedTime = 100 * time.Millisecond
 	// refusedTime is how long an endpoint that lacked a position counts as behind.
 	refusedTime = 60 * time.Millisecond
 	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
@@ -58,10 +60,13 @@
 	inFlight atomic.Int64
 
 	// mu guards the fields below; nothing else is locked under it.
-	mu        sync.Mutex
-	idle      []*Conn
-	open      int
-	dialing   int
+	mu      sync.Mutex
+	idle    []*Conn
+	open    int
+	dialing int
+	// share is how many connections may stay open, limit how many may be open
+	// while statements wait for one.
+	share     int
 	limit     int
 	closed    bool
 	waiters   []*waiter
@@ -80,8 +85,18 @@
 
 // New returns an empty pool. unreached is called, without a lock, after each
 // failed attempt to reach an endpoint that is down.
-func New(endpoint stmt.Endpoint, dialer stmt.Dialer, limit int, unreached func(error)) *Pool {
-	return &Pool{Endpoint: endpoint, dialer: dialer, limit: limit, unreached: unreached}
+func New(endpoint stmt.Endpoint, dialer stmt.Dialer, share Share, unreached func(error)) *Pool {
+	return &Pool{Endpoint: endpoint, dialer: dialer, share: share.Keep, limit: share.Most, unreached: unreached}
+}
+
+// Share is a daemon's part of an endpoint's connections.
+type Share struct {
+	// Keep connections may stay open. The sum over all daemons is within the
+	// endpoint's limit.
+	Keep int
+	// Most connections may be open while statements wait. What daemons borrow in
+	// this way beyond the endpoint's limit is refused there.
+	Most int
 }
 
 // FullError reports that no connection was free in time.
@@ -101,11 +116,11 @@
 
 func (e *DownError) Error() string { return fmt.Sprintf("endpoint %s is not reached", e.Endpoint) }
 
-// SetLimit changes the number of connections that may be open.
-func (p *Pool) SetLimit(limit int) {
+// SetShare changes the number of connections that may be open.
+func (p *Pool) SetShare(share Share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
+	p.share, p.limit = share.Keep, share.Most
 	for p.open > p.limit && len(p.idle) > 0 {
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
@@ -219,7 +234,14 @@
 // closeStale closes connections beyond the first that were unused for long. mu
 // must be held.
 func (p *Pool) closeStale() {
-	for len(p.idle) > 0 && p.open > 1 && time.Since(p.idle[0].idleSince) > idleTime {
+	for len(p.idle) > 0 && p.open > 1 {
+		keep := idleTime
+		if p.open > p.share {
+			keep = borrowedTime
+		}
+		if time.Since(p.idle[0].idleSince) < keep {
+			return
+		}
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
 		p.open--
@@ -307,6 +329,7 @@
 	}
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
+	p.closeStale()
 }
 
 // Discard closes a lent connection: an exchange on it failed, or a transaction
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,10 @@
 	// reservedConnections of an endpoint are left to control's probes and
 	// promotions, and to entries that were not counted yet.
 	reservedConnections = 3
+	// borrowedPercent of its share may an entry borrow.
+	borrowedPercent = 100
+	// leastEntries is the number of entries that a part is computed for at least.
+	leastEntries = 4
 	// reportInterval is the least time between two reports about one endpoint.
 	reportInterval = 300 * time.Millisecond
 	// reportTimeout bounds one report.
@@ -109,7 +113,7 @@
 // are closed, limits follow the number of entries, and watermarks of a former
 // primary are forgotten.
 func (s *Server) follow(p *fleetview.Picture) {
-	wanted := make(map[string]int)
+	wanted := make(map[string]pool.Share)
 	for name, service := range p.Services() {
 		s.service(name).follow(service.Number)
 		for _, e := range service.Endpoints {
@@ -118,10 +122,10 @@
 	}
 	s.mu.Lock()
 	var closed []*pool.Pool
-	limits := make(map[*pool.Pool]int)
+	shares := make(map[*pool.Pool]pool.Share)
 	for id, pl := range s.pools {
-		if limit, ok := wanted[id]; ok {
-			limits[pl] = limit
+		if share, ok := wanted[id]; ok {
+			shares[pl] = share
 			continue
 		}
 		closed = append(closed, pl)
@@ -131,14 +135,18 @@
 	for _, pl := range closed {
 		pl.Close()
 	}
-	for pl, limit := range limits {
-		pl.SetLimit(limit)
+	for pl, share := range shares {
+		pl.SetShare(share)
 	}
 }
 
-// share is this entry's part of an endpoint's connections.
-func share(maxConnections uint32, entries int) int {
-	return max(1, (int(maxConnections)-reservedConnections)/max(entries, 1))
+// share is this entry's part of an endpoint's connections. Load is uneven, since
+// the platform leads callers by a hash, so that half of the part may be borrowed.
+func share(maxConnections uint32, entries int) pool.Share {
+	// Before the others are counted, as after a restart of all, a part is small.
+	entries = max(entries, leastEntries)
+	keep := max(1, (int(maxConnections)-reservedConnections)/entries)
+	return pool.Share{Keep: keep, Most: keep + max(1, keep*borrowedPercent/100)}
 }
 
 func (s *Server) service(name string) *serviceState {
@@ -155,13 +163,13 @@
 // pool returns the pool of an endpoint.
 func (s *Server) pool(e *fleetpb.Endpoint) *pool.Pool {
 	picture := s.cfg.View.Picture()
-	limit := share(picture.Service(e.Service).Config.MaxConnections, picture.Entries)
+	part := share(picture.Service(e.Service).Config.MaxConnections, picture.Entries)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[e.Id]
 	if p == nil {
 		endpoint := stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
-		p = pool.New(endpoint, s.cfg.Dialer, limit, func(err error) {
+		p = pool.New(endpoint, s.cfg.Dialer, part, func(err error) {
 			s.reach.failed(s.isFar(e), time.Now())
 			s.report(e, err)
 		})
