Writes wait for a promotion that has begun and are refused at once otherwise

A new fencing token now reaches the entries as the start of a promotion; without one a primary that is down here is not waited for beyond 60 ms.

--- a/internal/fleetctl/watch.go
+++ b/internal/fleetctl/watch.go
@@ -22,10 +22,10 @@
 	// it is suspected without a report.
 	silentBeats = 3
 	// probeTimeout bounds one probe of a suspected primary.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// probePause is the time between two probes; probeFailures failed ones in a
 	// row confirm a suspicion.
-	probePause    = 100 * time.Millisecond
+	probePause    = 50 * time.Millisecond
 	probeFailures = 2
 	// firstRetry and maxRetry bound the pause after a failed promotion.
 	firstRetry = 200 * time.Millisecond
--- a/internal/fleetd/run.go
+++ b/internal/fleetd/run.go
@@ -109,7 +109,7 @@
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { follower.Run(serving); return nil })
-	group.Go(func() error { return serveHTTP(serving, s.Ready, platform.ReadyHandler(server.IsReady)) })
+	group.Go(func() error { return serveHTTP(serving, s.Ready, platform.ReadyHandler(server.Ready)) })
 	group.Go(func() error { server.WatchIsolation(serving); return nil })
 	group.Go(func() error { return accept(serving, listener, server, log) })
 	group.Go(func() error {
--- a/internal/fleethub/hub.go
+++ b/internal/fleethub/hub.go
@@ -101,7 +101,8 @@
 	}
 	for _, p := range primaries {
 		held := h.primaries[p.Service]
-		if held == nil || held.primary.Number < p.Number {
+		// A new token says that a promotion has begun; entries hold writes for it.
+		if held == nil || held.primary.Number < p.Number || held.primary.Token < p.Token {
 			h.bump()
 			h.primaries[p.Service] = &versioned{primary: p, version: h.version}
 		}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -76,7 +76,7 @@
 	s.draining.Store(true)
 	s.log.Info("drain started", "sessions", s.countSessions())
 	end := time.Now().Add(txEnd)
-	sleepUntil(ctx, time.Now().Add(min(drainNotice, txEnd)))
+	s.awaitNotice(ctx, time.Now().Add(min(drainNotice, txEnd)))
 	end = end.Add(drainExtra)
 	for ctx.Err() == nil && s.countSessions() > 0 {
 		isLate := time.Now().After(end)
@@ -90,6 +90,14 @@
 	s.log.Info("drain ended", "sessions", s.countSessions())
 }
 
+// awaitNotice waits until the platform has been told twice, at most until the
+// stated time: nobody may be asking.
+func (s *Server) awaitNotice(ctx context.Context, until time.Time) {
+	for ctx.Err() == nil && time.Now().Before(until) && !s.misses.hasLeft() {
+		sleepUntil(ctx, time.Now().Add(drainPoll))
+	}
+}
+
 func (s *Server) countSessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -13,12 +14,19 @@
 	"hemlockmast/internal/registry"
 )
 
+// promotingTime is how long a promotion may take: the platform needs up to a
+// second or so, and its call may have to be repeated.
+const promotingTime = 3 * time.Second
+
 // Service is a service with its endpoints.
 type Service struct {
 	Config *fleetpb.Service
 	// PrimaryID is empty while none is known. Number grows with each change.
 	PrimaryID string
 	Number    uint64
+	// PromotingUntil is when a promotion that has begun should be over; zero
+	// without one.
+	PromotingUntil time.Time
 	// Endpoints are all that are not gone.
 	Endpoints []*fleetpb.Endpoint
 }
@@ -55,6 +63,8 @@
 	needWhole bool
 	table     *registry.Table
 	primaries map[string]*fleetpb.Primary
+	// promoting is until when a promotion of a service is expected to end.
+	promoting map[string]time.Time
 	entries   int
 	changed   chan struct{}
 }
@@ -64,7 +74,8 @@
 	v := &View{
 		log: log, OnChange: func(*Picture) {},
 		table: registry.NewTable(), primaries: make(map[string]*fleetpb.Primary),
-		changed: make(chan struct{}),
+		promoting: make(map[string]time.Time),
+		changed:   make(chan struct{}),
 	}
 	v.current.Store(&Picture{})
 	return v
@@ -102,11 +113,7 @@
 		}
 	}
 	for _, p := range answer.Primaries {
-		if held := v.primaries[p.Service]; held == nil || held.Number < p.Number {
-			v.primaries[p.Service] = p
-			changed = true
-			v.log.Info("primary known", "service", p.Service, "endpoint", p.EndpointId, "number", p.Number)
-		}
+		changed = v.takePrimary(p) || changed
 	}
 	if n := int(answer.Entries); answer.Current && n != v.entries {
 		v.entries = n
@@ -125,6 +132,22 @@
 	}
 }
 
+func (v *View) takePrimary(p *fleetpb.Primary) bool {
+	held := v.primaries[p.Service]
+	switch {
+	case held == nil || held.Number < p.Number:
+		v.promoting[p.Service] = time.Time{}
+		v.log.Info("primary known", "service", p.Service, "endpoint", p.EndpointId, "number", p.Number)
+	case held.Token < p.Token:
+		v.promoting[p.Service] = time.Now().Add(promotingTime)
+		v.log.Info("promotion begun", "service", p.Service, "token", p.Token)
+	default:
+		return false
+	}
+	v.primaries[p.Service] = p
+	return true
+}
+
 func (v *View) takeConfiguration(u *fleetpb.ConfigurationUpdate) bool {
 	if u == nil {
 		return false
@@ -158,6 +181,7 @@
 		primary := v.primaries[s.Name]
 		p.services[s.Name] = &Service{
 			Config: s, PrimaryID: primary.GetEndpointId(), Number: primary.GetNumber(),
+			PromotingUntil: v.promoting[s.Name],
 		}
 	}
 	for _, e := range v.table.All() {
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -446,6 +446,13 @@
 	p.refused = time.Now().Add(refusedTime)
 }
 
+// IsDown reports whether the endpoint is not reached.
+func (p *Pool) IsDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 // State is what is known of the endpoint at one moment.
 type State struct {
 	Down          bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -83,7 +83,8 @@
 	sessions map[*session]struct{}
 	reported map[string]time.Time
 
-	reach reach
+	reach  reach
+	misses misses
 }
 
 // serviceState is what this entry knows of a service's log.
@@ -364,8 +365,14 @@
 	}()
 }
 
-// IsReady reports whether callers can be served.
-func (s *Server) IsReady() bool {
+// Ready answers whether new callers should be sent here, and counts the answers.
+func (s *Server) Ready() bool {
+	ready := s.isReady()
+	s.misses.count(ready)
+	return ready
+}
+
+func (s *Server) isReady() bool {
 	p := s.cfg.View.Picture()
 	if s.draining.Load() || p.Config == nil || s.reach.isLostFor(farLost) {
 		return false
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -16,9 +16,9 @@
 	// while attempts failed, before new callers are led elsewhere. The platform
 	// waits for two such answers a second apart, which filters short losses.
 	farLost = 250 * time.Millisecond
-	// isolatedNotice is how long the platform may still send callers here after
-	// readiness ended.
-	isolatedNotice = 2200 * time.Millisecond
+	// missesToLeave is the number of negative answers in a row after which the
+	// platform sends no more callers.
+	missesToLeave = 2
 	// isolationCheck is how often a change is looked for.
 	isolationCheck = 200 * time.Millisecond
 )
@@ -73,6 +73,29 @@
 	return s.cfg.ControlLost() > controlSilence && s.reach.isLost()
 }
 
+// misses counts negative answers about readiness in a row.
+type misses struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (m *misses) count(ready bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ready {
+		m.n = 0
+		return
+	}
+	m.n++
+}
+
+// hasLeft reports whether the platform sends callers elsewhere by now.
+func (m *misses) hasLeft() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.n >= missesToLeave
+}
+
 // WatchIsolation logs changes, and ends idle sessions of an isolated daemon once
 // new ones are led elsewhere, until ctx ends.
 func (s *Server) WatchIsolation(ctx context.Context) {
@@ -92,7 +115,7 @@
 		case isolated && since.IsZero():
 			since = time.Now()
 			s.log.Info("cut off from other failure domains", "controlLost", s.cfg.ControlLost().String())
-		case isolated && time.Since(since) > isolatedNotice:
+		case isolated && s.misses.hasLeft():
 			s.endIdle(false, drainQuiet)
 		}
 	}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -16,6 +16,10 @@
 	// retryPause is the pause before a statement that did not run is tried again:
 	// a fraction of a usual statement, in which a place may become free.
 	retryPause = 4 * time.Millisecond
+	// unledHold is how long a statement waits for a primary that is not reached
+	// and not being replaced. Most likely only this daemon does not reach it, and
+	// the caller's retry goes to another.
+	unledHold = 60 * time.Millisecond
 	// holdShare is the part of a statement's time for which it may wait without
 	// having reached an endpoint, as a divisor: the rest is left to a retry of
 	// the caller's, which reaches another daemon.
@@ -34,7 +38,7 @@
 		return stmt.Reply{Err: refusal}
 	}
 	run := &run{
-		ss: ss, route: route, r: r, arrived: arrived,
+		ss: ss, route: route, r: r, arrived: arrived, started: arrival,
 		deadline: ss.deadline(route, arrival),
 		holdEnd:  arrival.Add(time.Duration(route.TimeoutMs) * time.Millisecond / holdShare),
 		tried:    make(map[string]bool),
@@ -62,7 +66,9 @@
 	route *fleetpb.Route
 	r     resolved
 	// arrived is when the statement arrived, on the clock of package boottime.
-	arrived  time.Duration
+	arrived time.Duration
+	// started is when the statement arrived, on the steady clock.
+	started  time.Time
 	deadline time.Time
 	// holdEnd is when a statement that has not reached an endpoint is refused.
 	holdEnd time.Time
@@ -94,12 +100,24 @@
 			}
 			last = reply.Err
 		}
-		if !r.mayHold() {
+		if !r.mayHold() || !server.awaitsLead(r.route.Service, r.started) {
 			return r.failed(last)
 		}
 	}
 }
 
+// awaitsLead reports whether a statement that arrived then should go on waiting
+// for the service's primary.
+func (s *Server) awaitsLead(service string, arrived time.Time) bool {
+	now := time.Now()
+	sv := s.cfg.View.Picture().Service(service)
+	if sv == nil || now.Sub(arrived) < unledHold || now.Before(sv.PromotingUntil) {
+		return true
+	}
+	l, err := s.primary(service)
+	return err == nil && !l.pool.IsDown()
+}
+
 // pause waits a little before the next try.
 func (r *run) pause() { time.Sleep(retryPause) }
 
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -120,6 +120,9 @@
 		if !time.Now().Before(holdEnd) || ss.server.isolated() {
 			return refusal
 		}
+		if !tx.readsOnly() && !ss.server.awaitsLead(tx.route.Service, arrival) {
+			return refusal
+		}
 		time.Sleep(retryPause)
 	}
 }
