--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -13,9 +14,14 @@
 )
 
 const (
-	// retryPause is the pause before a statement that did not run is tried again:
-	// a fraction of a usual statement, in which a place may become free.
-	retryPause = 4 * time.Millisecond
+	// retryPause is the first pause before a statement that did not run is tried
+	// again: a fraction of a usual statement, in which a place may become free.
+	// It doubles up to maxRetryPause, so that a full endpoint is not asked by
+	// every waiting statement all the time.
+	retryPause    = 4 * time.Millisecond
+	maxRetryPause = 24 * time.Millisecond
+	// maxDoublings keeps the doubled pause from overflowing.
+	maxDoublings = 8
 	// unledHold is how long a statement waits for a primary that is not reached
 	// and not being replaced. Most likely only this daemon does not reach it, and
 	// the caller's retry goes to another.
@@ -74,6 +80,7 @@
 	holdEnd time.Time
 	tried   map[string]bool
 	tries   int
+	pauses  int
 }
 
 // mayHold reports whether there is time for another try.
@@ -118,8 +125,20 @@
 	return err == nil && !l.pool.IsDown()
 }
 
-// pause waits a little before the next try.
-func (r *run) pause() { time.Sleep(retryPause) }
+// pause waits before the next try.
+func (r *run) pause() {
+	r.pauses++
+	time.Sleep(backoff(r.pauses))
+}
+
+// backoff returns a random pause before try n+1, n from 1.
+func backoff(n int) time.Duration {
+	most := maxRetryPause
+	if n < maxDoublings {
+		most = min(retryPause<<(n-1), maxRetryPause)
+	}
+	return most/2 + rand.N(most/2)
+}
 
 // writeAt tries the write at one primary; done is false if it surely did not run.
 func (r *run) writeAt(l lead) (reply stmt.Reply, done bool) {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -112,6 +112,7 @@
 	holdEnd := arrival.Add(time.Duration(tx.route.TimeoutMs) * time.Millisecond / holdShare)
 	deadline := ss.deadline(tx.route, arrival)
 	tried := make(map[string]bool)
+	pauses := 0
 	for {
 		refusal := ss.startOnce(shape, tried, holdEnd, deadline)
 		if refusal == nil || refusal.Code == stmt.CodeFailed || refusal.Code == stmt.CodeTimeout {
@@ -123,7 +124,8 @@
 		if !tx.readsOnly() && !ss.server.awaitsLead(tx.route.Service, arrival) {
 			return refusal
 		}
-		time.Sleep(retryPause)
+		pauses++
+		time.Sleep(backoff(pauses))
 	}
 }
 
