--- /dev/null
+++ b/internal/fleetd/fleetd_test.go
@@ -0,0 +1,366 @@
+package fleetd
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/encoding/protojson"
+	"gotest.tools/v3/assert"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/platform/standin"
+)
+
+const heartbeat = 200 * time.Millisecond
+
+// fleet is control daemons and entries on loopback before one stand-in group.
+type fleet struct {
+	t        *testing.T
+	group    *standin.Group
+	promoter *http.Server
+	port     uint32
+	daemons  map[string]*process
+	promotes string
+
+	mu      sync.Mutex
+	leaving map[string]bool
+	born    int64
+}
+
+// process is a daemon that runs in this process.
+type process struct {
+	settings *fleetpb.DaemonSettings
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newFleet(t *testing.T, controls, entries int) *fleet {
+	group, err := standin.Start("svc", 3)
+	assert.NilError(t, err)
+	t.Cleanup(group.Close)
+	f := &fleet{
+		t: t, group: group, port: uint32(freePort(t)), daemons: make(map[string]*process),
+		leaving: make(map[string]bool), born: time.Now().UnixMilli(),
+	}
+	f.servePromotions()
+	for i := range controls {
+		f.start(f.controlSettings(i, i < 3 || controls < 3))
+	}
+	for i := range entries {
+		ip := fmt.Sprintf("127.0.2.%d", i+1)
+		f.start(&fleetpb.DaemonSettings{
+			Name: fmt.Sprintf("entry-%d", i), FailureDomain: string(rune('a' + i%3)), Role: RoleEntry,
+			Callers: fmt.Sprintf("%s:%d", ip, f.port), Ready: fmt.Sprintf("%s:%d", ip, f.port+1),
+			Internal: fmt.Sprintf("%s:%d", ip, f.port+2), ControlPort: f.port, Seeds: f.seeds(), GraceMs: 3000,
+		})
+	}
+	beats, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go f.announce(beats)
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) seeds() []string {
+	var list []string
+	for i := range 3 {
+		list = append(list, fmt.Sprintf("127.0.1.%d:%d", i+1, f.port+1))
+	}
+	return list
+}
+
+func (f *fleet) controlSettings(i int, mayFound bool) *fleetpb.DaemonSettings {
+	ip := fmt.Sprintf("127.0.1.%d", i+1)
+	return &fleetpb.DaemonSettings{
+		Name: fmt.Sprintf("control-%d", i), FailureDomain: string(rune('a' + i%3)), Role: RoleControl,
+		Operators: fmt.Sprintf("%s:%d", ip, f.port+1), Internal: fmt.Sprintf("%s:%d", ip, f.port),
+		ControlPort: f.port, Seeds: f.seeds(), MayFound: mayFound, DataFolder: f.t.TempDir(),
+		Promoter: f.promotes, GraceMs: 1000, HeartbeatMs: uint32(heartbeat.Milliseconds()),
+	}
+}
+
+func (f *fleet) servePromotions() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.promotes = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var token uint64
+		_, _ = fmt.Sscan(r.Header.Get("X-Fencing-Token"), &token)
+		body := make([]byte, 200)
+		n, _ := r.Body.Read(body)
+		for _, node := range f.group.Nodes() {
+			if strings.Contains(string(body[:n]), `"`+node.ID+`"`) {
+				w.WriteHeader(f.group.Promote(node.ID, token))
+				return
+			}
+		}
+		w.WriteHeader(http.StatusBadRequest)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+}
+
+// start runs a daemon from a settings file, as the command does.
+func (f *fleet) start(s *fleetpb.DaemonSettings) {
+	data, err := protojson.Marshal(s)
+	assert.NilError(f.t, err)
+	path := filepath.Join(f.t.TempDir(), "settings.json")
+	assert.NilError(f.t, os.WriteFile(path, data, 0o600))
+	loaded, err := Load(path)
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{settings: s, stop: cancel, done: make(chan struct{})}
+	f.daemons[s.Name] = p
+	go func() {
+		defer close(p.done)
+		if err := Run(ctx, path, loaded, logr.Discard()); err != nil {
+			f.t.Logf("daemon %s: %v", s.Name, err)
+		}
+	}()
+}
+
+func (f *fleet) stop(name string) *fleetpb.DaemonSettings {
+	p := f.daemons[name]
+	delete(f.daemons, name)
+	p.stop()
+	<-p.done
+	return p.settings
+}
+
+func (f *fleet) stopAll() {
+	for _, p := range f.daemons {
+		p.stop()
+	}
+	for _, p := range f.daemons {
+		<-p.done
+	}
+}
+
+// announce sends each endpoint's heartbeats to any control daemon.
+func (f *fleet) announce(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second}
+	for sequence := 1; ctx.Err() == nil; sequence++ {
+		for i, n := range f.group.Nodes() {
+			f.mu.Lock()
+			state := "ready"
+			if f.leaving[n.ID] {
+				state = "draining"
+			}
+			f.mu.Unlock()
+			if n.IsDown() {
+				continue
+			}
+			role := "replica"
+			if f.group.Primary() == n {
+				role = "primary"
+			}
+			body := fmt.Sprintf(`{"Backend":"svc","Address":%q,"Zone":%q,"Slots":3,"State":%q,"DbRole":%q,"Sequence":%d,"born":%d}`,
+				n.Address, string(rune('a'+i)), state, role, sequence, f.born)
+			for c := range 4 {
+				url := fmt.Sprintf("http://127.0.1.%d:%d/hemlockmast/instances/%s/heartbeat", c+1, f.port+1, n.ID)
+				response, err := client.Post(url, "application/json", strings.NewReader(body))
+				if err == nil {
+					_ = response.Body.Close()
+					break
+				}
+			}
+		}
+		time.Sleep(heartbeat / 4)
+	}
+}
+
+func configuration(version int, timeoutMs int) string {
+	return fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r","Database":"db","PathPrefix":"/","Type":"read_your_writes",
+"TimeoutMs":%d,"Backend":"svc","MaxStalenessMs":1500}],"Services":[{"Name":"svc","MaxConnections":40,"SyncReplicas":1}],
+"Limits":{"TxIdleMs":3000}}`, version, timeoutMs)
+}
+
+// operate sends a request to one control daemon and returns the status and body.
+func (f *fleet) operate(i int, method, path, body string) (int, string) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	request, err := http.NewRequest(method, fmt.Sprintf("http://127.0.1.%d:%d%s", i+1, f.port+1, path), strings.NewReader(body))
+	assert.NilError(f.t, err)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	answer := new(strings.Builder)
+	_, _ = bufio.NewReader(response.Body).WriteTo(answer)
+	return response.StatusCode, answer.String()
+}
+
+// publish sends a configuration until a control daemon acknowledges it.
+func (f *fleet) publish(body string) {
+	f.t.Helper()
+	i := 0
+	acknowledged := standin.WaitFor(10*time.Second, func() bool {
+		i++
+		status, _ := f.operate(i%4, "POST", "/hemlockmast/config/replace", body)
+		return status == http.StatusOK
+	})
+	assert.Assert(f.t, acknowledged)
+}
+
+// query runs one statement in a session of its own through an entry.
+func (f *fleet) query(entry int, text string) string {
+	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.2.%d:%d", entry+1, f.port), time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	r := bufio.NewReader(conn)
+	_, _ = fmt.Fprintf(conn, "CONNECT db me\r\n")
+	if line, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "READY") {
+		return line
+	}
+	_, _ = fmt.Fprintf(conn, "QUERY q%d %s\r\n", time.Now().UnixNano(), text)
+	line, _ := r.ReadString('\n')
+	return line
+}
+
+func (f *fleet) eventually(entry int, text string) {
+	f.t.Helper()
+	var last string
+	ok := standin.WaitFor(8*time.Second, func() bool {
+		last = f.query(entry, text)
+		return strings.HasPrefix(last, "COMPLETE") || strings.HasPrefix(last, "ROW")
+	})
+	assert.Assert(f.t, ok, "%s: %s", text, last)
+}
+
+func TestCalmPath(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(configuration(5, 800))
+	for entry := range 2 {
+		f.eventually(entry, "STORE item v")
+		f.eventually(entry, "FETCH item")
+	}
+	const replace, get = "/hemlockmast/config/replace", "/hemlockmast/config/get"
+	status, _ := f.operate(0, "POST", replace, configuration(6, 0))
+	assert.Equal(t, status, http.StatusBadRequest)
+	status, _ = f.operate(1, "POST", replace, configuration(4, 10))
+	assert.Equal(t, status, http.StatusOK)
+	// Other content under the version held is acknowledged and changes nothing.
+	status, _ = f.operate(1, "POST", replace, configuration(5, 10))
+	assert.Equal(t, status, http.StatusOK)
+	for i := range 4 {
+		status, body := f.operate(i, "GET", get, "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, configuration(5, 800))
+	}
+}
+
+func TestCrashedPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	f.eventually(0, "STORE item v1")
+	f.eventually(1, "STORE item v2")
+	assert.Assert(t, f.group.Primary().ID != "svc-0")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
+func TestLeavingPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	f.mu.Lock()
+	f.leaving["svc-0"] = true
+	f.mu.Unlock()
+	replaced := standin.WaitFor(5*time.Second, func() bool { return f.group.Primary().ID != "svc-0" })
+	assert.Assert(t, replaced)
+	f.eventually(0, "STORE item v1")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
+// TestControlSurvives stops all control daemons at once and starts them again,
+// then replaces the disk of one and loses another right after.
+func TestControlSurvives(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(configuration(5, 800))
+	f.publish(configuration(6, 800))
+	var all []*fleetpb.DaemonSettings
+	for i := range 4 {
+		all = append(all, f.stop(fmt.Sprintf("control-%d", i)))
+	}
+	for _, s := range all {
+		s.MayFound = false
+		f.start(s)
+	}
+	holds := func(i int, version int) bool {
+		status, body := f.operate(i, "GET", "/hemlockmast/config/get", "")
+		return status == http.StatusOK && body == configuration(version, 800)
+	}
+	for i := range 4 {
+		assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(i, 6) }), "control %d", i)
+	}
+	wiped := f.stop("control-1")
+	wiped.DataFolder = t.TempDir()
+	f.start(wiped)
+	assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(1, 6) }))
+	f.stop("control-2")
+	f.publish(configuration(7, 800))
+	for _, i := range []int{0, 1, 3} {
+		assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(i, 7) }), "control %d", i)
+	}
+}
+
+// TestAcknowledgedNeedsCopies has a single control daemon, whose disk may be lost.
+func TestAcknowledgedNeedsCopies(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	time.Sleep(500 * time.Millisecond)
+	status, _ := f.operate(0, "POST", "/hemlockmast/config/replace", configuration(5, 800))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
+// TestRestartedEntryWaitsForAConfiguration has control lose its majority: a
+// daemon that starts then serves nobody, until control says what is in force.
+func TestRestartedEntryWaitsForAConfiguration(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(configuration(5, 800))
+	f.eventually(0, "STORE item v")
+	var stopped []*fleetpb.DaemonSettings
+	for i := range 2 {
+		stopped = append(stopped, f.stop(fmt.Sprintf("control-%d", i)))
+	}
+	time.Sleep(time.Second)
+	f.start(f.stop("entry-0"))
+	answer := f.query(0, "FETCH item")
+	assert.Assert(t, strings.HasPrefix(answer, "ERROR BUSY") || strings.Contains(answer, "refused"), answer)
+	for _, s := range stopped {
+		s.MayFound = false
+		f.start(s)
+	}
+	f.eventually(0, "FETCH item")
+}
+
+func TestParseRefusesMistakes(t *testing.T) {
+	for _, role := range []string{RoleEntry, RoleControl, "other", ""} {
+		_, err := Parse("f", []byte(fmt.Sprintf(`{"role":%q,"seeds":["x"]}`, role)))
+		for _, field := range []string{"name", "failure_domain", "internal", "control_port", "seeds[0]", "grace_ms"} {
+			assert.ErrorContains(t, err, "f: "+field+": ")
+		}
+	}
+	_, err := Parse("f", []byte(`{"nam`))
+	assert.ErrorContains(t, err, "docs/platform.md")
+}
--- /dev/null
+++ b/internal/fleethub/hub_test.go
@@ -0,0 +1,97 @@
+package fleethub
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	fleetpb "hemlockmast/api/fleet"
+)
+
+type fakeAgreed struct {
+	config    *fleetpb.Configuration
+	primaries []*fleetpb.Primary
+	endpoints []*fleetpb.Endpoint
+}
+
+func (f *fakeAgreed) Configuration() (*fleetpb.Configuration, []byte) { return f.config, nil }
+func (f *fakeAgreed) Primaries() []*fleetpb.Primary                   { return f.primaries }
+func (f *fakeAgreed) Endpoints() []*fleetpb.Endpoint                  { return f.endpoints }
+
+type fakeView struct{ stale atomic.Bool }
+
+func (f *fakeView) IsCurrent() bool                          { return !f.stale.Load() }
+func (f *fakeView) ControlDaemons() []*fleetpb.ControlDaemon { return nil }
+func (f *fakeView) Leader() string                           { return "" }
+func (f *fakeView) FailureDomain() string                    { return "a" }
+
+func newHub() (*Hub, *fakeAgreed, *fakeView) {
+	agreed, view := &fakeAgreed{}, &fakeView{}
+	return New(7, agreed, view, time.Now), agreed, view
+}
+
+func entry(source, version, configuration uint64) *fleetpb.FollowRequest {
+	return &fleetpb.FollowRequest{
+		Daemon: "e", IsEntry: true, Source: source, Version: version, ConfigurationVersion: configuration, WaitMs: 1000,
+	}
+}
+
+func TestFollowerGetsWhatChanged(t *testing.T) {
+	h, agreed, _ := newHub()
+	agreed.config = &fleetpb.Configuration{Version: 3, Routes: []*fleetpb.Route{{Name: "a"}, {Name: "b"}}}
+	agreed.primaries = []*fleetpb.Primary{{Service: "s", EndpointId: "x", Number: 1}}
+	h.Refresh()
+	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	first := h.Follow(t.Context(), entry(0, 0, 0))
+	assert.Equal(t, len(first.Configuration.Changed.Routes), 2)
+	assert.Equal(t, len(first.Primaries), 1)
+	assert.Equal(t, len(first.Endpoints), 1)
+	agreed.config = &fleetpb.Configuration{Version: 4, Routes: []*fleetpb.Route{{Name: "a", TimeoutMs: 5}, {Name: "b"}}}
+	h.Refresh()
+	second := h.Follow(t.Context(), entry(7, first.Version, 3))
+	assert.Equal(t, second.Configuration.BaseVersion, uint64(3))
+	assert.Equal(t, len(second.Configuration.Changed.Routes), 1)
+	assert.Equal(t, len(second.Endpoints), 0)
+	// A daemon that started again has another source: the follower gets all.
+	third := h.Follow(t.Context(), entry(6, second.Version, 4))
+	assert.Equal(t, len(third.Endpoints), 1)
+	// A new token is news, as the start of a promotion.
+	agreed.primaries = []*fleetpb.Primary{{Service: "s", EndpointId: "x", Number: 1, Token: 2}}
+	h.Refresh()
+	assert.Equal(t, len(h.Follow(t.Context(), entry(7, second.Version, 4)).Primaries), 1)
+}
+
+func TestWaitEndsWithNewsAndWithStaleness(t *testing.T) {
+	h, _, view := newHub()
+	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	held := h.Follow(t.Context(), entry(0, 0, 0)).Version
+	start := time.Now()
+	time.AfterFunc(30*time.Millisecond, func() { h.Merge(&fleetpb.Endpoint{Id: "y", Address: "1.1.1.1:2", BornMs: 1, Sequence: 1}) })
+	answer := h.Follow(t.Context(), entry(7, held, 0))
+	assert.Equal(t, answer.Endpoints[0].Id, "y")
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond)
+	time.AfterFunc(30*time.Millisecond, func() { view.stale.Store(true) })
+	start = time.Now()
+	assert.Equal(t, h.Follow(t.Context(), entry(7, answer.Version, 0)).Current, false)
+	assert.Assert(t, time.Since(start) < 700*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	view.stale.Store(false)
+	h.Follow(ctx, entry(7, answer.Version, 0))
+}
+
+func TestEntriesAreCounted(t *testing.T) {
+	h, _, _ := newHub()
+	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Follow(t.Context(), entry(0, 0, 0))
+	other := entry(0, 0, 0)
+	other.Daemon = "f"
+	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(2))
+	h.CountEntriesAt("peer", 3)
+	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(5))
+	peer := &fleetpb.FollowRequest{Daemon: "control"}
+	assert.Equal(t, h.Follow(t.Context(), peer).Entries, uint32(2))
+}
--- /dev/null
+++ b/internal/fleetstate/fleetstate_test.go
@@ -0,0 +1,110 @@
+package fleetstate
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	fleetpb "hemlockmast/api/fleet"
+)
+
+func apply(t *testing.T, m *Machine, cmd *fleetpb.Command) *fleetpb.CommandResult {
+	data, err := proto.Marshal(cmd)
+	assert.NilError(t, err)
+	var result fleetpb.CommandResult
+	assert.NilError(t, proto.Unmarshal(m.Apply(1, data), &result))
+	return &result
+}
+
+func put(version uint64, body string) *fleetpb.Command {
+	return &fleetpb.Command{Kind: &fleetpb.Command_PutConfiguration{PutConfiguration: &fleetpb.PutConfiguration{
+		Configuration: &fleetpb.Configuration{Version: version}, Body: []byte(body),
+	}}}
+}
+
+func token(service string) *fleetpb.Command {
+	return &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{AllocateToken: &fleetpb.AllocateToken{Service: service}}}
+}
+
+func setPrimary(id string, number uint64) *fleetpb.Command {
+	return &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: &fleetpb.SetPrimary{
+		Service: "s", EndpointId: id, IfNumber: number,
+	}}}
+}
+
+// TestOnlyHigherVersionsAreTaken sends versions late, twice and with other
+// content under the version held.
+func TestOnlyHigherVersionsAreTaken(t *testing.T) {
+	m := New(nil)
+	for _, step := range []struct {
+		version uint64
+		body    string
+		taken   bool
+		holds   string
+	}{
+		{5, "five", true, "five"},
+		{5, "other", false, "five"},
+		{3, "three", false, "five"},
+		{9, "nine", true, "nine"},
+		{5, "five", false, "nine"},
+	} {
+		assert.Equal(t, apply(t, m, put(step.version, step.body)).Taken, step.taken)
+		_, body := m.Configuration()
+		assert.Equal(t, string(body), step.holds)
+	}
+}
+
+func TestTokensAreNeverGivenTwice(t *testing.T) {
+	m := New(nil)
+	last := uint64(0)
+	for range 10 {
+		next := apply(t, m, token("s")).Token
+		assert.Assert(t, next > last)
+		last = next
+		data, err := m.Snapshot()
+		assert.NilError(t, err)
+		m = New(nil)
+		assert.NilError(t, m.Restore(data))
+	}
+	assert.Equal(t, apply(t, m, token("other")).Token, uint64(1))
+}
+
+// TestPrimaryIsSetOnce has two leaders record a primary for the same number.
+func TestPrimaryIsSetOnce(t *testing.T) {
+	m := New(nil)
+	assert.Assert(t, apply(t, m, setPrimary("a", 0)).Taken)
+	assert.Assert(t, !apply(t, m, setPrimary("b", 0)).Taken)
+	assert.Equal(t, m.Primary("s").EndpointId, "a")
+	assert.Assert(t, apply(t, m, setPrimary("b", 1)).Taken)
+	assert.Equal(t, m.Primary("s").Number, uint64(2))
+}
+
+func TestSnapshotHoldsEverything(t *testing.T) {
+	m := New(nil)
+	apply(t, m, put(4, "body"))
+	apply(t, m, setPrimary("a", 0))
+	apply(t, m, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
+		Id: "a", Service: "s", Address: "1.2.3.4:5", BornMs: 7, Sequence: 3,
+	}}})
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	changes := 0
+	restored := New(func() { changes++ })
+	assert.NilError(t, restored.Restore(data))
+	assert.Equal(t, changes, 1)
+	again, err := restored.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, data)
+	assert.Equal(t, restored.Endpoints()[0].Sequence, uint64(3))
+}
+
+func TestUnreadableCommandChangesNothing(t *testing.T) {
+	m := New(nil)
+	before, err := m.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, m.Apply(1, []byte{0xff, 0x01}) == nil)
+	after, err := m.Snapshot()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, before, after)
+}
--- /dev/null
+++ b/internal/promotion/promotion_test.go
@@ -0,0 +1,216 @@
+package promotion_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/promotion"
+	"hemlockmast/internal/stmt"
+	"hemlockmast/platform"
+	"hemlockmast/platform/standin"
+)
+
+// promoter carries promotions out at a stand-in group.
+type promoter struct {
+	group *standin.Group
+	// unknown is how many calls get no answer; late leaves them undone as well.
+	unknown int
+	late    bool
+	calls   []string
+}
+
+func (p *promoter) Promote(_ context.Context, _, id string, token uint64) error {
+	p.calls = append(p.calls, fmt.Sprintf("%s/%d", id, token))
+	if p.unknown > 0 {
+		p.unknown--
+		if !p.late {
+			p.group.Promote(id, token)
+		}
+		return &promotion.UnknownError{Cause: context.DeadlineExceeded}
+	}
+	if p.group.Promote(id, token) != 200 {
+		return &promotion.ConflictError{Detail: "refused"}
+	}
+	return nil
+}
+
+type fixture struct {
+	t        *testing.T
+	group    *standin.Group
+	promoter *promoter
+	runner   *promotion.Runner
+}
+
+func newFixture(t *testing.T) *fixture {
+	group, err := standin.Start("svc", 3)
+	assert.NilError(t, err)
+	t.Cleanup(group.Close)
+	p := &promoter{group: group}
+	return &fixture{t: t, group: group, promoter: p, runner: &promotion.Runner{
+		Dialer: platform.Dialer{Name: "control"}, Promoter: p, Log: logr.Discard(),
+	}}
+}
+
+func (f *fixture) endpoint(i int) stmt.Endpoint {
+	n := f.group.Nodes()[i]
+	return stmt.Endpoint{ID: n.ID, Service: "svc", Address: n.Address}
+}
+
+func (f *fixture) plan(token uint64, serves bool) promotion.Plan {
+	return promotion.Plan{
+		Service: "svc", Primary: f.endpoint(0), PrimaryServes: serves, Token: token,
+		Replicas: []promotion.Replica{{Endpoint: f.endpoint(1)}, {Endpoint: f.endpoint(2)}},
+	}
+}
+
+// write commits at a node and reports whether it was acknowledged.
+func (f *fixture) write(i int, item string) bool {
+	conn, err := platform.Dialer{Name: "writer"}.Dial(f.t.Context(), f.endpoint(i))
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	reply, err := conn.Do(time.Now().Add(time.Second), "STORE "+item+" v", "id-"+item, logpos.Pos{})
+	return err == nil && reply.Err == nil
+}
+
+func (f *fixture) nothingLost() {
+	f.t.Helper()
+	assert.Equal(f.t, len(f.group.Primary().Lost()), 0)
+}
+
+func TestCrashedPrimaryIsReplacedByTheLatestLog(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	f.group.Nodes()[1].Set(standin.Faults{})
+	leader, err := f.runner.Run(t.Context(), f.plan(1, false))
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-2")
+	f.nothingLost()
+	// The others receive again, or nothing could be acknowledged.
+	assert.Assert(t, f.write(2, "b"))
+}
+
+// TestReplicaOutOfReachForbidsPromotion has the one that holds the last commit cut
+// off together with the primary.
+func TestReplicaOutOfReachForbidsPromotion(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	f.group.Nodes()[2].Set(standin.Faults{Down: true})
+	_, err := f.runner.Run(t.Context(), f.plan(1, false))
+	var unsafe *promotion.UnsafeError
+	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
+	assert.DeepEqual(t, unsafe.Unreached, []string{"svc-2"})
+	assert.Equal(t, len(f.promoter.calls), 0)
+}
+
+// TestDeadReplicaDoesNotForbid has a replica whose process ended while the
+// primary went on.
+func TestDeadReplicaDoesNotForbid(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Down: true})
+	assert.Assert(t, f.write(0, "b"))
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	plan := f.plan(1, false)
+	plan.Replicas[1].OutlivedByPrimary = true
+	plan.Replicas[1].Address = "127.0.0.1:1"
+	leader, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-1")
+	f.nothingLost()
+}
+
+// TestPlannedReplacementGoesOnServing writes all the time: every acknowledged
+// write must be in the new primary's log.
+func TestPlannedReplacementGoesOnServing(t *testing.T) {
+	f := newFixture(t)
+	stop := make(chan struct{})
+	done := make(chan int)
+	go func() {
+		acknowledged := 0
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				done <- acknowledged
+				return
+			default:
+			}
+			if f.write(0, fmt.Sprint("w", i)) {
+				acknowledged++
+			}
+		}
+	}()
+	time.Sleep(30 * time.Millisecond)
+	_, err := f.runner.Run(t.Context(), f.plan(1, true))
+	close(stop)
+	assert.Assert(t, <-done > 0)
+	assert.NilError(t, err)
+	assert.Assert(t, f.group.Primary().ID != "svc-0")
+	f.nothingLost()
+}
+
+// TestPlannedReplacementWithoutOneReplica cannot pause it, so that the primary
+// steps down first.
+func TestPlannedReplacementWithoutOneReplica(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	leader, err := f.runner.Run(t.Context(), f.plan(1, true))
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-1")
+	f.nothingLost()
+}
+
+func TestLeavingReplicaIsNotChosen(t *testing.T) {
+	f := newFixture(t)
+	plan := f.plan(1, true)
+	plan.Replicas[0].Leaving = true
+	leader, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-2")
+}
+
+func TestUnansweredCallIsRepeatedWithItsToken(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := newFixture(t)
+		f.promoter.unknown, f.promoter.late = 2, late
+		f.group.Nodes()[0].Set(standin.Faults{Down: true})
+		leader, err := f.runner.Run(t.Context(), f.plan(4, false))
+		assert.NilError(t, err)
+		for _, call := range f.promoter.calls {
+			assert.Equal(t, call, leader+"/4")
+		}
+	}
+}
+
+// TestSupersededTokenStops has another holder use a higher token meanwhile.
+func TestSupersededTokenStops(t *testing.T) {
+	f := newFixture(t)
+	f.group.Promote("svc-0", 9)
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	_, err := f.runner.Run(t.Context(), f.plan(4, false))
+	var conflict *promotion.ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, len(f.promoter.calls), 1)
+}
+
+func TestNoReplica(t *testing.T) {
+	f := newFixture(t)
+	plan := f.plan(1, true)
+	plan.Replicas = nil
+	_, err := f.runner.Run(t.Context(), plan)
+	var none *promotion.NoCandidateError
+	assert.Assert(t, errors.As(err, &none), "%v", err)
+}
--- /dev/null
+++ b/internal/proxy/mark/mark_test.go
@@ -0,0 +1,43 @@
+package mark
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hemlockmast/internal/logpos"
+)
+
+func at(n uint64) logpos.Pos { return logpos.Pos{Term: 1, Index: n} }
+
+// TestMarkCoversWhatWasAcknowledged draws answers of a primary whose log grows,
+// in any order of arrival: a mark that is returned for t never names a position
+// before what the log held at t.
+func TestMarkCoversWhatWasAcknowledged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h History
+		// At time x the log ends at x/10; an answer tells a position no older.
+		for range rapid.IntRange(1, 300).Draw(t, "answers") {
+			asked := rapid.Int64Range(0, 5000).Draw(t, "asked")
+			later := rapid.Int64Range(0, 50).Draw(t, "later")
+			h.Add(Mark{Asked: time.Duration(asked) * time.Millisecond, Pos: at(uint64(asked+later)/10 + 1)})
+		}
+		since := rapid.Int64Range(0, 5000).Draw(t, "since")
+		m, ok := h.Since(time.Duration(since) * time.Millisecond)
+		if ok {
+			assert.Assert(t, m.Pos.Index >= uint64(since)/10+1)
+			assert.Assert(t, m.Asked >= time.Duration(since)*time.Millisecond)
+		}
+		assert.Assert(t, len(h.marks) <= maxMarks+1)
+	})
+}
+
+func TestResetForgets(t *testing.T) {
+	var h History
+	h.Add(Mark{Asked: time.Second, Pos: at(4)})
+	h.Reset()
+	_, ok := h.Since(0)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/internal/proxy/place/place_test.go
@@ -0,0 +1,48 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/logpos"
+)
+
+func TestChoose(t *testing.T) {
+	floor := logpos.Pos{Term: 2, Index: 10}
+	near := Candidate{ID: "near", Near: true, HasConnection: true, Slots: 3, Time: 30 * time.Millisecond}
+	far := Candidate{ID: "far", HasConnection: true, Slots: 3, Time: 30 * time.Millisecond}
+	primary := Candidate{ID: "primary", Primary: true, HasConnection: true, Slots: 3, Time: 30 * time.Millisecond}
+	with := func(c Candidate, change func(*Candidate)) Candidate {
+		change(&c)
+		return c
+	}
+	for name, row := range map[string]struct {
+		candidates []Candidate
+		tried      string
+		want       string
+	}{
+		"near first":             {[]Candidate{far, near, primary}, "", "near"},
+		"replica before primary": {[]Candidate{primary, far}, "", "far"},
+		"not twice":              {[]Candidate{far, near, primary}, "near", "far"},
+		"not one that is down":   {[]Candidate{with(near, func(c *Candidate) { c.Down = true }), far}, "", "far"},
+		"load moves away":        {[]Candidate{with(near, func(c *Candidate) { c.InFlight = 20 }), far}, "", "far"},
+		"slow moves away":        {[]Candidate{with(near, func(c *Candidate) { c.Time = 300 * time.Millisecond }), far}, "", "far"},
+		"lagging moves away": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
+			with(near, func(c *Candidate) { c.ID = "other"; c.Known = floor }),
+		}, "", "other"},
+		"old term lags": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 1, Index: 99} }),
+			with(near, func(c *Candidate) { c.ID = "other"; c.Known = floor }),
+		}, "", "other"},
+		"nobody left": {[]Candidate{near}, "near", ""},
+	} {
+		got := ""
+		if i := Choose(row.candidates, floor, func(id string) bool { return id == row.tried }); i >= 0 {
+			got = row.candidates[i].ID
+		}
+		assert.Equal(t, got, row.want, name)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -191,13 +191,17 @@
 // learn takes a position that a primary told in answer to what was sent at asked.
 // number is the primary's, so that an answer of a former one is not used.
 func (st *serviceState) learn(number uint64, asked time.Duration, pos logpos.Pos) {
-	if pos.IsZero() {
-		return
+	if !pos.IsZero() {
+		st.add(number, mark.Mark{Asked: asked, Pos: pos})
 	}
+}
+
+// add takes a mark in; one with no position says that the log was empty.
+func (st *serviceState) add(number uint64, m mark.Mark) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if number == st.number {
-		st.marks.Add(mark.Mark{Asked: asked, Pos: pos})
+		st.marks.Add(m)
 	}
 }
 
@@ -242,8 +246,16 @@
 				return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
 			}
 		}
-		if q.err != nil && q.asked >= t {
-			return mark.Mark{}, q.err
+		if q.asked >= t {
+			m, ok := st.since(t)
+			switch {
+			case ok:
+				return m, nil
+			case q.err != nil:
+				return mark.Mark{}, q.err
+			}
+			// The primary changed while it was asked.
+			return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary changed"}
 		}
 		if !time.Now().Before(deadline) {
 			return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
@@ -271,10 +283,26 @@
 		lead.pool.Put(c)
 		return reply.Err
 	}
+	if reply.Pos.IsZero() {
+		s.askEmpty(lead, c, st, deadline)
+	}
 	s.endGuard(lead, c, deadline)
 	return nil
 }
 
+// askEmpty asks a primary that told no position whether its log is empty.
+func (s *Server) askEmpty(l lead, c *pool.Conn, st *serviceState, deadline time.Time) {
+	asked := boottime.Now()
+	status, err := c.Status(deadline)
+	if err != nil {
+		s.log.Info("primary told no position", "endpoint", l.endpoint.Id, "error", err.Error())
+		return
+	}
+	if status.Role == stmt.Primary {
+		st.add(l.number, mark.Mark{Asked: asked, Pos: status.Received})
+	}
+}
+
 // guard opens a transaction of the proxy's own, which only a primary does: its
 // answer tells a position that covers every commit acknowledged before asked.
 // Unlike a question for the status it takes none of the endpoint's places. On an
