--- a/internal/fleetctl/node.go
+++ b/internal/fleetctl/node.go
@@ -155,7 +155,8 @@
 			return
 		case now := <-ticker.C:
 			st := n.control.Status()
-			if st.Leader.Name != "" && st.Stalled == nil {
+			// A member without a vote may not have received the state yet.
+			if st.Leader.Name != "" && st.Stalled == nil && st.Voter {
 				n.leaderSeen.Store(&now)
 			}
 			if st.Leader.Name != last {
--- a/internal/fleetctl/watch.go
+++ b/internal/fleetctl/watch.go
@@ -45,24 +45,20 @@
 	mu sync.Mutex
 	// heardAt is when an endpoint announced itself here last.
 	heardAt map[string]time.Time
-	// reported is when an entry last said that an endpoint does not serve.
-	reported map[string]report
+	// reported holds, by endpoint and failure domain, when an entry there last
+	// said that the endpoint does not serve.
+	reported map[string]map[string]time.Time
 	busy     map[string]bool
 	retryAt  map[string]time.Time
 	retry    map[string]time.Duration
 }
 
-type report struct {
-	at        time.Time
-	suspicion fleetpb.Suspicion
-}
-
 func newWatch(n *Node) *watch {
 	return &watch{
 		node: n, log: n.log.WithName("watch"),
 		runner:   &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
 		heardAt:  make(map[string]time.Time),
-		reported: make(map[string]report),
+		reported: make(map[string]map[string]time.Time),
 		busy:     make(map[string]bool),
 		retryAt:  make(map[string]time.Time),
 		retry:    make(map[string]time.Duration),
@@ -80,7 +76,10 @@
 		"by", r.Daemon, "suspicion", r.Suspicion.String())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reported[r.EndpointId] = report{at: time.Now(), suspicion: r.Suspicion}
+	if w.reported[r.EndpointId] == nil {
+		w.reported[r.EndpointId] = make(map[string]time.Time)
+	}
+	w.reported[r.EndpointId][r.FailureDomain] = time.Now()
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -206,16 +205,39 @@
 func (w *watch) isSuspected(id string, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r, ok := w.reported[id]; ok && now.Sub(r.at) < reportAge {
+	if w.reporters(id, now) > 0 {
 		return true
 	}
 	heard, ok := w.heardAt[id]
 	return ok && now.Sub(heard) > silentBeats*w.node.cfg.Heartbeat
 }
 
+// reporters counts the failure domains that reported an endpoint of late. mu must
+// be held.
+func (w *watch) reporters(id string, now time.Time) int {
+	count := 0
+	for _, at := range w.reported[id] {
+		if now.Sub(at) < reportAge {
+			count++
+		}
+	}
+	return count
+}
+
+// probesNeeded is the number of failed probes that confirm a suspicion: fewer
+// where several failure domains share it.
+func (w *watch) probesNeeded(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reporters(id, time.Now()) > 1 {
+		return 1
+	}
+	return probeFailures
+}
+
 // confirm probes a suspected primary and replaces it if it does not answer.
 func (w *watch) confirm(ctx context.Context, g group) bool {
-	for range probeFailures {
+	for range w.probesNeeded(g.primary.Id) {
 		if w.probe(ctx, g) {
 			w.mu.Lock()
 			delete(w.reported, g.primary.Id)
--- a/internal/fleetrpc/client.go
+++ b/internal/fleetrpc/client.go
@@ -24,7 +24,7 @@
 	pollGrace = 700 * time.Millisecond
 	// firstPause and maxPause bound the pause after all daemons failed.
 	firstPause = 50 * time.Millisecond
-	maxPause   = 500 * time.Millisecond
+	maxPause   = 120 * time.Millisecond
 	// nearerAfter is how long a daemon elsewhere is followed before one in this
 	// failure domain is tried again.
 	nearerAfter = 3 * time.Second
