A connection that is closed or reset concerns itself alone

Only a failed attempt to connect and unacknowledged bytes prove that an endpoint is not reached. Entries also flapped between cut off and not where one of two far endpoints was reachable.

--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"os"
+	"syscall"
 
 	"hemlockmast/internal/proxy/pool"
 	"hemlockmast/internal/stmt"
@@ -27,7 +29,9 @@
 
 // isFailure reports whether err says that the endpoint cannot be reached. A
 // refusal is an answer, and a statement that is merely slow proves nothing: the
-// connection's own time-outs find a peer that is dead or cut off.
+// connection's own time-outs find a peer that is dead or cut off. A connection
+// that was closed or reset concerns itself alone: whether the endpoint is gone
+// shows the next attempt to open one.
 func isFailure(err error) bool {
 	var refused *stmt.RefusedError
 	var full *pool.FullError
@@ -40,6 +44,10 @@
 	if asRefused(err, &refused) || asFull(err, &full) || errors.As(err, &closed) {
 		return false
 	}
-	isSlow := errors.As(err, &broken) && broken.Sent && errors.Is(err, os.ErrDeadlineExceeded)
-	return !isSlow
+	if !errors.As(err, &broken) || !broken.Sent {
+		return true
+	}
+	isSlow := errors.Is(err, os.ErrDeadlineExceeded)
+	isClosed := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return !isSlow && !isClosed
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -244,6 +244,19 @@
 	assert.Equal(t, f.group.Ran(id), 1)
 }
 
+// TestLostAnswerDoesNotTakeTheEndpointDown has one answer lost, as in incident
+// inc-1223: the next statements must not be refused, nor a promotion be asked for.
+func TestLostAnswerDoesNotTakeTheEndpointDown(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[0].Set(standin.Faults{LoseAnswers: true})
+	f.session("session").fails("STORE item v", "INDOUBT")
+	f.group.Nodes()[0].Set(standin.Faults{})
+	f.session("session").ok("STORE item v")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, len(f.reports), 0)
+}
+
 func TestReadWithLostAnswerRunsElsewhere(t *testing.T) {
 	f := newFixture(t)
 	f.session("session").ok("STORE item v")
--- a/internal/proxy/reach.go
+++ b/internal/proxy/reach.go
@@ -15,7 +15,7 @@
 	// farLost is how long no endpoint of another failure domain has answered,
 	// while attempts failed, before new callers are led elsewhere. The platform
 	// waits for two such answers a second apart, which filters short losses.
-	farLost = 250 * time.Millisecond
+	farLost = 300 * time.Millisecond
 	// missesToLeave is the number of negative answers in a row after which the
 	// platform sends no more callers.
 	missesToLeave = 2
@@ -48,15 +48,9 @@
 	r.farFailed = now
 }
 
-// isLost reports whether the last that was seen of other failure domains is a
-// failure.
-func (r *reach) isLost() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.farFailed.After(r.farOK)
-}
-
-// isLostFor reports the same for at least d.
+// isLostFor reports whether the last that was seen of other failure domains is a
+// failure, and no answer came for d. A shorter time would make entries flap that
+// reach only some endpoints.
 func (r *reach) isLostFor(d time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -70,7 +64,7 @@
 // served better by a daemon elsewhere, which they still reach; those that come
 // nevertheless get what the endpoints here can answer.
 func (s *Server) isolated() bool {
-	return s.cfg.ControlLost() > controlSilence && s.reach.isLost()
+	return s.cfg.ControlLost() > controlSilence && s.reach.isLostFor(farLost)
 }
 
 // misses counts negative answers about readiness in a row.
