Decision lines with what decided, on standard output without blocking; metrics

Each failed statement is logged with its id, the endpoint tried, the primary and its number, whether a promotion has begun, the position that a read had to see and whether the entry is cut off; up to 1,000 lines of a message in 10 s, written in the background (a stalled reader costs lines, which are counted).

--- a/internal/cli/daemoncmd/daemoncmd.go
+++ b/internal/cli/daemoncmd/daemoncmd.go
@@ -4,12 +4,15 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
 	"hemlockmast/internal/daemon"
 	"hemlockmast/internal/fleetd"
+	"hemlockmast/internal/logging"
 	"hemlockmast/internal/settings"
 )
 
@@ -48,7 +51,7 @@
 				Name: "serve", Usage: "run one role, entry or control, on the users' platform until SIGTERM",
 				Flags: []cli.Flag{file},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
-					return serve(ctx, cmd.String("settings"), newLogger)
+					return serve(ctx, cmd.String("settings"))
 				},
 			},
 			{
@@ -94,16 +97,19 @@
 	return nil
 }
 
-func serve(ctx context.Context, path string, newLogger NewLogger) error {
+// logFlush bounds the writing of the last log lines.
+const logFlush = 200 * time.Millisecond
+
+func serve(ctx context.Context, path string) error {
 	s, err := fleetd.Load(path)
 	if err != nil {
 		return cli.Exit(err.Error(), ExitSettings)
 	}
-	log, err := newLogger(s.LogLevel)
-	if err != nil {
-		return err
-	}
+	lines := logging.NewAsync(os.Stdout)
+	defer lines.Close(logFlush)
+	log := logging.NewDaemon(s.LogLevel, lines)
 	if err := fleetd.Run(ctx, path, s, log); err != nil {
+		log.Error(err, "daemon failed")
 		return cli.Exit(err.Error(), ExitFailure)
 	}
 	return nil
--- a/internal/fleetd/run.go
+++ b/internal/fleetd/run.go
@@ -18,6 +18,7 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleetctl"
 	"hemlockmast/internal/fleetrpc"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/netopt"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
@@ -90,6 +91,7 @@
 }
 
 func runEntry(ctx context.Context, path string, s *fleetpb.DaemonSettings, log logr.Logger) error {
+	set := metrics.New()
 	view := fleetview.New(log)
 	follower := &fleetrpc.Follower{
 		Name: s.Name, FailureDomain: s.FailureDomain, Sink: view, HTTP: fleetrpc.NewHTTPClient(), Log: log, StaleAfter: staleAfter,
@@ -98,8 +100,10 @@
 	server := proxy.New(proxy.Config{
 		Name: s.Name, FailureDomain: s.FailureDomain, View: view,
 		Dialer: platform.Dialer{Name: s.Name}, Texts: platform.Texts, Reporter: follower, Log: log,
-		ControlLost: follower.LostFor,
+		ControlLost: follower.LostFor, Metrics: set,
 	})
+	internal := http.NewServeMux()
+	internal.Handle("GET /metrics", set.Handler())
 	listener, err := netopt.ListenConfig().Listen(ctx, "tcp", s.Callers)
 	if err != nil {
 		return err
@@ -109,6 +113,7 @@
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { follower.Run(serving); return nil })
+	group.Go(func() error { return serveHTTP(serving, s.Internal, internal) })
 	group.Go(func() error { return serveHTTP(serving, s.Ready, platform.ReadyHandler(server.Ready)) })
 	group.Go(func() error { server.WatchIsolation(serving); return nil })
 	group.Go(func() error { return accept(serving, listener, server, log) })
--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -10,7 +10,8 @@
 const (
 	// limitInterval is the period over which lines of one message are counted.
 	limitInterval = 10 * time.Second
-	// limitLines is how many lines of one message are written in a period.
+	// limitLines is how many lines of one message are written in a period, unless
+	// the program asks for another number.
 	limitLines = 10
 	// limitMessages bounds the messages that are counted apart; all others share
 	// one count.
@@ -25,6 +26,11 @@
 // text, without its values; messages of different names and of errors are
 // counted apart.
 func Limit(logger logr.Logger, now func() time.Time) logr.Logger {
+	return LimitTo(limitLines, logger, now)
+}
+
+// LimitTo is Limit with another number of lines.
+func LimitTo(lines int, logger logr.Logger, now func() time.Time) logr.Logger {
 	sink := logger.GetSink()
 	if sink == nil {
 		return logger
@@ -33,7 +39,7 @@
 	if deep, ok := sink.(logr.CallDepthLogSink); ok {
 		sink = deep.WithCallDepth(1)
 	}
-	counts := &lineCounts{now: now, byMessage: make(map[messageKey]*lineCount)}
+	counts := &lineCounts{now: now, lines: lines, byMessage: make(map[messageKey]*lineCount)}
 	return logr.New(&limitSink{sink: sink, counts: counts})
 }
 
@@ -52,6 +58,8 @@
 // while mu is held.
 type lineCounts struct {
 	now func() time.Time
+	// lines is how many lines of one message are written in a period.
+	lines int
 
 	mu        sync.Mutex
 	byMessage map[messageKey]*lineCount
@@ -68,7 +76,7 @@
 		count.since = now
 		count.written = 0
 	}
-	if count.written >= limitLines {
+	if count.written >= c.lines {
 		count.suppressed++
 		return 0, false
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/boottime"
 	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/proxy/mark"
 	"hemlockmast/internal/proxy/pool"
@@ -64,6 +65,7 @@
 	Reporter      Reporter
 	// ControlLost returns for how long no current control daemon has answered.
 	ControlLost func() time.Duration
+	Metrics     *metrics.Set
 	Log         logr.Logger
 }
 
@@ -114,6 +116,7 @@
 // are closed, limits follow the number of entries, and watermarks of a former
 // primary are forgotten.
 func (s *Server) follow(p *fleetview.Picture) {
+	s.cfg.Metrics.Revision(p.Config.GetVersion(), true)
 	wanted := make(map[string]pool.Share)
 	for name, service := range p.Services() {
 		s.service(name).follow(service.Number)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -5,15 +5,18 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/platform"
@@ -29,6 +32,9 @@
 	address string
 
 	mu      sync.Mutex
+	log     logr.Logger
+	metrics *metrics.Set
+	lines   []string
 	lost    time.Duration
 	reports []*fleetpb.ReportRequest
 	config  *fleetpb.Configuration
@@ -52,10 +58,15 @@
 	group, err := standin.Start("svc", 3)
 	assert.NilError(t, err)
 	t.Cleanup(group.Close)
-	f := &fixture{t: t, group: group, view: fleetview.New(logr.Discard())}
+	f := &fixture{t: t, group: group, view: fleetview.New(logr.Discard()), metrics: metrics.New()}
+	f.log = funcr.NewJSON(func(line string) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.lines = append(f.lines, line)
+	}, funcr.Options{})
 	f.server = proxy.New(proxy.Config{
 		Name: "entry", FailureDomain: "a", View: f.view, Dialer: platform.Dialer{Name: "entry"},
-		Texts: platform.Texts, Reporter: f, ControlLost: f.controlLost, Log: logr.Discard(),
+		Texts: platform.Texts, Reporter: f, ControlLost: f.controlLost, Metrics: f.metrics, Log: f.log,
 	})
 	f.config = &fleetpb.Configuration{
 		Version: 1, IdleTransactionMs: 200,
@@ -501,3 +512,58 @@
 	wg.Wait()
 	f.session("session").ok("FETCH item")
 }
+
+// logged returns the line of this message about a request.
+func (f *fixture) logged(message, id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, line := range f.lines {
+		if strings.Contains(line, `"msg":"`+message+`"`) && strings.Contains(line, `"id":"`+id+`"`) {
+			return line
+		}
+	}
+	return ""
+}
+
+// TestFailedRequestIsExplainedByItsLine has the lines with which docs/OPERATIONS.md
+// explains three kinds of failed request.
+func TestFailedRequestIsExplainedByItsLine(t *testing.T) {
+	f := newFixture(t)
+	has := func(line string, fields ...string) {
+		t.Helper()
+		for _, field := range fields {
+			assert.Assert(t, strings.Contains(line, field), "%s in %s", field, line)
+		}
+	}
+	t.Run("write around a promotion", func(t *testing.T) {
+		f.session("session").ok("STORE item v")
+		f.group.Nodes()[0].Set(standin.Faults{Down: true})
+		f.session("session").query("STORE item v")
+		id, result, _ := f.session("session").queryID("STORE item v")
+		assert.Assert(t, strings.HasPrefix(result, "ERROR BUSY"), result)
+		has(f.logged("statement failed", id), `"code":"busy"`, `"primary":"svc-0"`, `"promoting":false`, `"endpoint":"svc-0"`)
+	})
+	t.Run("read refused for its age", func(t *testing.T) {
+		time.Sleep(350 * time.Millisecond)
+		f.mu.Lock()
+		f.lost = time.Second
+		f.mu.Unlock()
+		id, result, _ := f.session("bounded").queryID("FETCH item")
+		assert.Assert(t, strings.HasPrefix(result, "ERROR"), result)
+		has(f.logged("statement failed", id), `"level":"LEVEL_BOUNDED"`, `"cutOff":`, `"tries":`)
+	})
+	t.Run("refused under overload", func(t *testing.T) {
+		f.group.Nodes()[0].Set(standin.Faults{Busy: true})
+		isBack := func() bool {
+			result, _ := f.session("session").query("STORE item v")
+			return strings.HasPrefix(result, "ERROR BUSY svc-0")
+		}
+		assert.Assert(t, standin.WaitFor(3*time.Second, isBack))
+		id, _, _ := f.session("session").queryID("STORE item v")
+		has(f.logged("statement failed", id), `"code":"busy"`, `"detail":"svc-0"`, `"tries":`, `"elapsed":`)
+	})
+	// The counters tell the same.
+	w := httptest.NewRecorder()
+	f.metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	has(w.Body.String(), `hemlockmast_refusals_total{reason="busy",service="session"}`, `hemlockmast_config_revision 1`)
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -131,10 +131,12 @@
 		}
 		arrival := time.Now()
 		reply := ss.handle(st, arrival)
+		ss.observe(st, reply, time.Since(arrival))
 		if err := ss.caller.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
 			return
 		}
 		if ss.answerFailed(ss.caller.Answer(reply)) {
+			ss.observeAbandoned()
 			return
 		}
 	}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -59,13 +59,30 @@
 		reply = run.read()
 	}
 	if reply.Err != nil {
-		ss.server.log.Info("statement failed", "id", st.ID, "database", ss.database, "service", route.Service,
-			"kind", st.Kind.String(), "code", reply.Err.Code.String(), "detail", reply.Err.Detail,
-			"tries", run.tries, "elapsed", time.Since(arrival).String())
+		run.logFailure(st, reply.Err)
 	}
 	return reply
 }
 
+// logFailure writes what decided over a statement that failed.
+func (r *run) logFailure(st stmt.Statement, e *stmt.Error) {
+	server := r.ss.server
+	fields := []any{
+		"id", st.ID, "database", r.ss.database, "service", r.route.Service, "level", r.route.Level.String(),
+		"kind", st.Kind.String(), "code", e.Code.String(), "detail", e.Detail,
+		"tries", r.tries, "endpoint", r.last, "elapsed", time.Since(r.started).String(),
+		"cutOff", server.isolated(), "configuration", server.cfg.View.Picture().Config.GetVersion(),
+	}
+	if sv := server.cfg.View.Picture().Service(r.route.Service); sv != nil {
+		fields = append(fields, "primary", sv.PrimaryID, "primaryNumber", sv.Number,
+			"promoting", time.Now().Before(sv.PromotingUntil))
+	}
+	if !r.floor.IsZero() {
+		fields = append(fields, "floor", r.floor.String(), "maxStalenessMs", r.route.MaxStalenessMs)
+	}
+	server.log.Info("statement failed", fields...)
+}
+
 // run is one statement on its way.
 type run struct {
 	ss    *session
@@ -81,6 +98,9 @@
 	tried   map[string]bool
 	tries   int
 	pauses  int
+	// last is the endpoint tried last, floor what a read had to see there.
+	last  string
+	floor logpos.Pos
 }
 
 // mayHold reports whether there is time for another try.
@@ -125,6 +145,15 @@
 	return err == nil && !l.pool.IsDown()
 }
 
+// try notes a try at an endpoint.
+func (r *run) try(l lead) {
+	if r.tries > 0 {
+		r.ss.server.cfg.Metrics.Retry(r.route.Name, true)
+	}
+	r.tries++
+	r.last = l.endpoint.Id
+}
+
 // pause waits before the next try.
 func (r *run) pause() {
 	r.pauses++
@@ -142,7 +171,7 @@
 
 // writeAt tries the write at one primary; done is false if it surely did not run.
 func (r *run) writeAt(l lead) (reply stmt.Reply, done bool) {
-	r.tries++
+	r.try(l)
 	server := r.ss.server
 	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
 	if err != nil {
@@ -175,7 +204,7 @@
 // primary that was superseded refuses it, so that the read sees every commit
 // acknowledged before it arrived. done is false if it may be tried again.
 func (r *run) guardedReadAt(l lead) (reply stmt.Reply, done bool) {
-	r.tries++
+	r.try(l)
 	server := r.ss.server
 	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
 	if err != nil {
@@ -207,6 +236,7 @@
 		return reply, !reply.Err.Code.NotRun()
 	}
 	server.answered(l, reply.Pos, time.Since(sent))
+	server.observeRead(r.route.Name, l)
 	return reply, true
 }
 
@@ -257,6 +287,7 @@
 		if err != nil {
 			last = notRun(err)
 		} else {
+			r.floor = floor
 			reply, done := r.readOnce(floor)
 			if done {
 				return reply
@@ -287,7 +318,7 @@
 }
 
 func (r *run) readAt(l lead, floor logpos.Pos) (reply stmt.Reply, done bool) {
-	r.tries++
+	r.try(l)
 	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
 	if err != nil {
 		r.ss.server.failed(l, err)
@@ -307,6 +338,7 @@
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err == nil {
 		r.ss.server.answered(l, reply.Pos, time.Since(sent))
+		r.ss.server.observeRead(r.route.Name, l)
 		return reply, true
 	}
 	if reply.Err.Code == stmt.CodeLagging {
