Entries wait at control for a leader; first election sooner; 400 ms unacknowledged

A follower without a configuration is now answered once the daemon is current; a pre-vote at once does no harm where a leader is heard (agree.TestExplore, TestFaults pass).

--- a/internal/agree/node.go
+++ b/internal/agree/node.go
@@ -56,9 +56,9 @@
 		n.vote = IDOf(st.HardState.GetVote())
 	}
 	n.savedTerm, n.savedVote = n.term, n.vote
-	// A leader, if there is one, is heard within a heartbeat; after a restart of
-	// all members there is none to wait for.
-	n.electionWait = cfg.HeartbeatTicks + 1 + cfg.Rand(cfg.ElectionTicks)
+	// After a restart of all members there is no leader to wait for. Where there is
+	// one, those who hear it refuse the pre-vote, which changes nothing.
+	n.electionWait = 1 + cfg.Rand(cfg.ElectionTicks)
 	return n, nil
 }
 
--- a/internal/fleetctl/node.go
+++ b/internal/fleetctl/node.go
@@ -157,7 +157,11 @@
 			st := n.control.Status()
 			// A member without a vote may not have received the state yet.
 			if st.Leader.Name != "" && st.Stalled == nil && st.Voter {
+				wasCurrent := n.IsCurrent()
 				n.leaderSeen.Store(&now)
+				if !wasCurrent {
+					n.hub.Wake()
+				}
 			}
 			if st.Leader.Name != last {
 				n.log.Info("leader changed", "leader", st.Leader.Name, "term", st.Term, "self", st.Role.String())
--- a/internal/fleetd/fleetd_test.go
+++ b/internal/fleetd/fleetd_test.go
@@ -27,7 +27,6 @@
 type fleet struct {
 	t        *testing.T
 	group    *standin.Group
-	promoter *http.Server
 	port     uint32
 	daemons  map[string]*process
 	promotes string
--- a/internal/fleethub/hub.go
+++ b/internal/fleethub/hub.go
@@ -167,15 +167,28 @@
 	h.entriesAt[control] = entries
 }
 
+// Wake has waiting polls look again, as when this daemon has become current.
+func (h *Hub) Wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
 // Follow answers a poll once there is news for it, the wait is over, or this
-// daemon stopped being current.
+// daemon stopped being current. A follower that holds nothing yet waits for this
+// daemon to become current.
 func (h *Hub) Follow(ctx context.Context, r *fleetpb.FollowRequest) *fleetpb.FollowResponse {
 	end := h.now().Add(min(time.Duration(r.WaitMs)*time.Millisecond, MaxWait))
 	for {
 		answer, changed := h.answer(r)
 		hasNews := answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0
 		left := end.Sub(h.now())
-		if hasNews || !answer.Current || left <= 0 || ctx.Err() != nil {
+		isDone := hasNews || !answer.Current
+		if !answer.Current && r.IsEntry && r.ConfigurationVersion == 0 {
+			isDone = false
+		}
+		if isDone || left <= 0 || ctx.Err() != nil {
 			return answer
 		}
 		timer := time.NewTimer(min(left, currentCheck))
--- a/internal/fleetrpc/client.go
+++ b/internal/fleetrpc/client.go
@@ -28,6 +28,9 @@
 	// nearerAfter is how long a daemon elsewhere is followed before one in this
 	// failure domain is tried again.
 	nearerAfter = 3 * time.Second
+	// firstWait is how long a daemon that has no configuration waits at one control
+	// daemon for it to become current; an election takes about as long.
+	firstWait = 300 * time.Millisecond
 	// maxRemembered bounds the remembered addresses.
 	maxRemembered = 64
 	// callTimeout bounds a call that waits for nothing.
@@ -200,6 +203,9 @@
 // whether any answer was good.
 func (f *Follower) followOne(ctx context.Context, address string) bool {
 	request := &fleetpb.FollowRequest{Daemon: f.Name, FailureDomain: f.FailureDomain, IsEntry: true}
+	if f.Sink.ConfigurationVersion() == 0 {
+		request.WaitMs = uint32(firstWait.Milliseconds())
+	}
 	good := false
 	since := time.Now()
 	service := Client(f.HTTP, address)
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -13,7 +13,7 @@
 const (
 	// UnackedTimeout is how long sent bytes may stay unacknowledged. It is a few
 	// retransmissions on links of a few milliseconds.
-	UnackedTimeout = 500 * time.Millisecond
+	UnackedTimeout = 400 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find a peer that went
 	// silent while nothing was sent, within two seconds.
 	keepAliveIdle     = time.Second
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -123,7 +123,6 @@
 	t    *testing.T
 	conn net.Conn
 	r    *bufio.Reader
-	id   int
 }
 
 var callerNumbers sync.Mutex
