--- a/internal/fleetctl/watch.go
+++ b/internal/fleetctl/watch.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/promotion"
 	"hemlockmast/internal/stmt"
 )
@@ -27,6 +28,9 @@
 	// row confirm a suspicion.
 	probePause    = 50 * time.Millisecond
 	probeFailures = 2
+	// stallSample is the time between two looks at the replicas of a primary at
+	// which writes do not end. Replicas receive within milliseconds.
+	stallSample = 150 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed promotion.
 	firstRetry = 200 * time.Millisecond
 	maxRetry   = 1500 * time.Millisecond
@@ -48,9 +52,11 @@
 	// reported holds, by endpoint and failure domain, when an entry there last
 	// said that the endpoint does not serve.
 	reported map[string]map[string]time.Time
-	busy     map[string]bool
-	retryAt  map[string]time.Time
-	retry    map[string]time.Duration
+	// stalled is when an entry last said that writes do not end at an endpoint.
+	stalled map[string]time.Time
+	busy    map[string]bool
+	retryAt map[string]time.Time
+	retry   map[string]time.Duration
 }
 
 func newWatch(n *Node) *watch {
@@ -59,6 +65,7 @@
 		runner:   &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
 		heardAt:  make(map[string]time.Time),
 		reported: make(map[string]map[string]time.Time),
+		stalled:  make(map[string]time.Time),
 		busy:     make(map[string]bool),
 		retryAt:  make(map[string]time.Time),
 		retry:    make(map[string]time.Duration),
@@ -76,6 +83,10 @@
 		"by", r.Daemon, "suspicion", r.Suspicion.String())
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if r.Suspicion == fleetpb.Suspicion_SUSPICION_STALLED {
+		w.stalled[r.EndpointId] = time.Now()
+		return
+	}
 	if w.reported[r.EndpointId] == nil {
 		w.reported[r.EndpointId] = make(map[string]time.Time)
 	}
@@ -180,10 +191,71 @@
 		return func(ctx context.Context) bool { return w.promote(ctx, g, true) }
 	case w.isSuspected(g.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirm(ctx, g) }
+	case w.isStalled(g.primary.Id, now):
+		return func(ctx context.Context) bool { return w.confirmStall(ctx, g) }
 	}
 	return nil
 }
 
+func (w *watch) isStalled(id string, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.stalled[id]
+	return ok && now.Sub(at) < reportAge
+}
+
+// confirmStall replaces a primary that is alive and whose replicas receive nothing:
+// they are behind it, and stay where they are. Nothing that it committed since is
+// acknowledged, as no replica holds it.
+func (w *watch) confirmStall(ctx context.Context, g group) bool {
+	w.mu.Lock()
+	delete(w.stalled, g.primary.Id)
+	w.mu.Unlock()
+	first, ok := w.positions(ctx, g)
+	if !ok {
+		return true
+	}
+	sleep(ctx, stallSample)
+	second, ok := w.positions(ctx, g)
+	if !ok || !promotion.IsStalled(first, second) {
+		return true
+	}
+	w.log.Info("replicas receive nothing from the primary", "service", g.service, "endpoint", g.primary.Id)
+	return w.promote(ctx, g, false)
+}
+
+// positions asks the primary and its replicas for their state; ok is false if the
+// primary or all replicas do not answer.
+func (w *watch) positions(ctx context.Context, g group) (promotion.Sample, bool) {
+	sample := promotion.Sample{Replicas: make(map[string]logpos.Pos)}
+	status, err := w.status(ctx, g.primary)
+	if err != nil || status.Role != stmt.Primary {
+		return sample, false
+	}
+	sample.Primary = status.Received
+	for _, e := range g.others {
+		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			continue
+		}
+		if status, err := w.status(ctx, e); err == nil {
+			sample.Replicas[e.Id] = status.Received
+		}
+	}
+	return sample, len(sample.Replicas) > 0
+}
+
+// status asks an endpoint over a connection of its own.
+func (w *watch) status(ctx context.Context, e *fleetpb.Endpoint) (stmt.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := w.node.cfg.Dialer.Dial(ctx, address(e))
+	if err != nil {
+		return stmt.Status{}, err
+	}
+	defer conn.Close()
+	return conn.Status(time.Now().Add(probeTimeout))
+}
+
 func claimant(others []*fleetpb.Endpoint) *fleetpb.Endpoint {
 	for _, e := range others {
 		if e.Primary && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
@@ -253,21 +325,11 @@
 
 // probe reports whether the primary answers as one, or says that it is full.
 func (w *watch) probe(ctx context.Context, g group) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := w.node.cfg.Dialer.Dial(ctx, address(g.primary))
+	status, err := w.status(ctx, g.primary)
 	var refused *stmt.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Reply.Code == stmt.CodeTooMany || refused.Reply.Code == stmt.CodeBusy
 	}
-	if err != nil {
-		return false
-	}
-	defer conn.Close()
-	status, err := conn.Status(time.Now().Add(probeTimeout))
-	if errors.As(err, &refused) {
-		return refused.Reply.Code == stmt.CodeBusy
-	}
 	return err == nil && status.Role == stmt.Primary
 }
 
--- a/internal/fleetd/fleetd_test.go
+++ b/internal/fleetd/fleetd_test.go
@@ -279,6 +279,20 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// TestStalledPrimaryIsReplaced cuts a living primary off from its replicas, so that
+// nothing is acknowledged.
+func TestStalledPrimaryIsReplaced(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	f.group.Nodes()[2].Set(standin.Faults{Deaf: true})
+	f.eventually(0, "STORE item v1")
+	f.eventually(1, "STORE item v2")
+	assert.Assert(t, f.group.Primary().ID != "svc-0")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 1)
 	f.publish(configuration(5, 800))
--- a/internal/promotion/choose.go
+++ b/internal/promotion/choose.go
@@ -100,3 +100,22 @@
 	}
 	return true
 }
+
+// Sample is the positions of a service's endpoints at one moment.
+type Sample struct {
+	Primary logpos.Pos
+	// Replicas holds those that answered.
+	Replicas map[string]logpos.Pos
+}
+
+// IsStalled reports whether between two samples no replica received anything,
+// although each was behind what the primary held at the first.
+func IsStalled(first, second Sample) bool {
+	for id, before := range first.Replicas {
+		after, ok := second.Replicas[id]
+		if !ok || !before.Less(first.Primary) || after != before {
+			return false
+		}
+	}
+	return len(first.Replicas) > 0
+}
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -214,3 +214,22 @@
 	var none *promotion.NoCandidateError
 	assert.Assert(t, errors.As(err, &none), "%v", err)
 }
+
+func TestIsStalled(t *testing.T) {
+	at := func(n uint64) logpos.Pos { return logpos.Pos{Term: 1, Index: n} }
+	sample := func(primary, a, b uint64) promotion.Sample {
+		return promotion.Sample{Primary: at(primary), Replicas: map[string]logpos.Pos{"a": at(a), "b": at(b)}}
+	}
+	for name, row := range map[string]struct {
+		first, second promotion.Sample
+		want          bool
+	}{
+		"both stay behind":      {sample(9, 5, 6), sample(9, 5, 6), true},
+		"one receives":          {sample(9, 5, 6), sample(9, 5, 7), false},
+		"one held all at first": {sample(9, 5, 9), sample(12, 5, 9), false},
+		"one stopped answering": {sample(9, 5, 6), promotion.Sample{Primary: at(9), Replicas: map[string]logpos.Pos{"a": at(5)}}, false},
+		"nobody answered":       {promotion.Sample{Primary: at(9)}, promotion.Sample{Primary: at(9)}, false},
+	} {
+		assert.Equal(t, promotion.IsStalled(row.first, row.second), row.want, name)
+	}
+}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -184,11 +184,16 @@
 	}
 	asked := boottime.Now()
 	sent := time.Now()
+	ended := server.watchStall(l)
 	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	ended()
 	if err != nil {
 		l.pool.Discard(c)
 		return r.broken(l, err)
 	}
+	if reply.Err != nil && reply.Err.Code == stmt.CodeTimeout {
+		server.stalled(l, reply.Err)
+	}
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err != nil {
 		r.ss.server.answered(l, reply.Pos, 0)
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -240,7 +240,7 @@
 	deadline := ss.deadline(tx.route, arrival)
 	for {
 		asked := boottime.Now()
-		reply, err := tx.conn.Do(deadline, st.Text, st.ID, logpos.Pos{})
+		reply, err := ss.sendCommit(st, deadline)
 		if err != nil {
 			return ss.brokenCommit(st, err)
 		}
@@ -260,6 +260,14 @@
 	}
 }
 
+func (ss *session) sendCommit(st stmt.Statement, deadline time.Time) (stmt.Reply, error) {
+	tx := ss.tx
+	if tx.wrote {
+		defer ss.server.watchStall(tx.lead)()
+	}
+	return tx.conn.Do(deadline, st.Text, st.ID, logpos.Pos{})
+}
+
 func (ss *session) committed(asked time.Duration, reply stmt.Reply) {
 	tx := ss.tx
 	if !tx.wrote {
