--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -14,7 +14,7 @@
 	"hemlockmast/internal/cli/query"
 	"hemlockmast/internal/cli/state"
 	"hemlockmast/internal/cli/timeline"
-	"hemlockmast/internal/version"
+	"hemlockmast/internal/shared/version"
 )
 
 // exitFailure is the exit code of a failed command; 2 means wrong use.
--- a/cmd/hemlockmast-dev/main.go
+++ b/cmd/hemlockmast-dev/main.go
@@ -13,9 +13,9 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlockmast/internal/devcluster"
-	"hemlockmast/internal/logging"
-	"hemlockmast/internal/version"
+	"hemlockmast/internal/shared/logging"
+	"hemlockmast/internal/shared/version"
+	"hemlockmast/internal/testing/devcluster"
 )
 
 const (
--- a/cmd/hemlockmast-measure/main.go
+++ b/cmd/hemlockmast-measure/main.go
@@ -12,8 +12,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlockmast/internal/measure"
-	"hemlockmast/internal/version"
+	"hemlockmast/internal/shared/version"
+	"hemlockmast/internal/testing/measure"
 )
 
 const exitFailure = 1
--- a/cmd/hemlockmast-standin/main.go
+++ b/cmd/hemlockmast-standin/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/testing/standin"
 )
 
 // exitFailure is the exit code when the endpoint cannot start.
--- a/cmd/hemlockmastd/main.go
+++ b/cmd/hemlockmastd/main.go
@@ -9,8 +9,8 @@
 	"syscall"
 
 	"hemlockmast/internal/cli/daemoncmd"
-	"hemlockmast/internal/logging"
-	"hemlockmast/internal/version"
+	"hemlockmast/internal/shared/logging"
+	"hemlockmast/internal/shared/version"
 )
 
 func main() {
--- a/internal/cli/daemoncmd/daemoncmd.go
+++ b/internal/cli/daemoncmd/daemoncmd.go
@@ -11,9 +11,9 @@
 	"github.com/urfave/cli/v3"
 
 	"hemlockmast/internal/daemon"
-	"hemlockmast/internal/fleetd"
-	"hemlockmast/internal/logging"
-	"hemlockmast/internal/settings"
+	"hemlockmast/internal/fleet/fleetd"
+	"hemlockmast/internal/shared/logging"
+	"hemlockmast/internal/shared/settings"
 )
 
 // Exit codes of the daemon.
--- a/internal/cli/publish/client.go
+++ b/internal/cli/publish/client.go
@@ -14,8 +14,8 @@
 
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
-	"hemlockmast/internal/configstate"
-	spread "hemlockmast/internal/confspread"
+	"hemlockmast/internal/configuration/configstate"
+	spread "hemlockmast/internal/configuration/confspread"
 )
 
 const (
--- a/internal/cli/publish/commands.go
+++ b/internal/cli/publish/commands.go
@@ -9,7 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlockmast/internal/confspread"
+	"hemlockmast/internal/configuration/confspread"
 )
 
 // Exit codes besides 0 and those of hemlockctl.
--- a/internal/cli/publish/publish_test.go
+++ b/internal/cli/publish/publish_test.go
@@ -20,9 +20,9 @@
 
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
-	spread "hemlockmast/internal/confspread"
-	"hemlockmast/internal/servicefile"
-	"hemlockmast/internal/spreadstate"
+	spread "hemlockmast/internal/configuration/confspread"
+	"hemlockmast/internal/configuration/servicefile"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 // lostError is a lost answer, or a lost quorum.
--- a/internal/cli/publish/run.go
+++ b/internal/cli/publish/run.go
@@ -13,7 +13,7 @@
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/servicefile"
+	"hemlockmast/internal/configuration/servicefile"
 )
 
 const (
--- a/internal/cli/state/state.go
+++ b/internal/cli/state/state.go
@@ -14,8 +14,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 // exitUsage is the exit code of wrong use.
--- a/internal/cli/state/state_test.go
+++ b/internal/cli/state/state_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 // run runs the command and returns what it printed as JSON.
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	timelinepb "hemlockmast/api/timeline"
-	"hemlockmast/internal/timeline"
-	"hemlockmast/internal/timeline/timelinerpc"
+	"hemlockmast/internal/shared/timeline"
+	"hemlockmast/internal/shared/timeline/timelinerpc"
 )
 
 // defaultTimeout bounds the whole collection.
--- a/internal/cli/timeline/timeline_test.go
+++ b/internal/cli/timeline/timeline_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	timelinepb "hemlockmast/api/timeline"
-	"hemlockmast/internal/timeline"
-	"hemlockmast/internal/timeline/timelinerpc"
+	"hemlockmast/internal/shared/timeline"
+	"hemlockmast/internal/shared/timeline/timelinerpc"
 )
 
 func serve(t testing.TB, journal *timeline.Journal) string {
--- a/internal/confspread/bench_test.go
+++ b/internal/configuration/confspread/bench_test.go
@@ -19,7 +19,7 @@
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 const (
@@ -36,7 +36,7 @@
 // quantiles of that time, and what an idle daemon costs, both ends of its
 // connections and its share of relay and control included.
 //
-//	go test -run '^$' -bench Spread -benchtime 50x ./internal/confspread
+//	go test -run '^$' -bench Spread -benchtime 50x ./internal/configuration/confspread
 func BenchmarkSpread(b *testing.B) {
 	sizes := []struct{ domains, perDomain, groups int }{
 		{4, 0, 3}, {12, 10, 533}, {12, 25, 533}, {12, 50, 533}, {12, 100, 533},
--- a/internal/confspread/control.go
+++ b/internal/configuration/confspread/control.go
@@ -12,9 +12,9 @@
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/configstate"
-	"hemlockmast/internal/servicefile"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/configstate"
+	"hemlockmast/internal/configuration/servicefile"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 const (
--- a/internal/confspread/daemon.go
+++ b/internal/configuration/confspread/daemon.go
@@ -12,7 +12,7 @@
 
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 const (
--- a/internal/confspread/fakes_test.go
+++ b/internal/configuration/confspread/fakes_test.go
@@ -14,7 +14,7 @@
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 // patience is how long a test waits for a condition.
--- a/internal/confspread/group_test.go
+++ b/internal/configuration/confspread/group_test.go
@@ -18,11 +18,11 @@
 
 	agreepb "hemlockmast/api/agree"
 	"hemlockmast/api/confspread"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
-	"hemlockmast/internal/control"
-	"hemlockmast/internal/spreadstate"
-	"hemlockmast/internal/statemux"
+	"hemlockmast/internal/configuration/spreadstate"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
+	"hemlockmast/internal/controlgroup/control"
+	"hemlockmast/internal/controlgroup/statemux"
 )
 
 const (
--- a/internal/confspread/peers.go
+++ b/internal/configuration/confspread/peers.go
@@ -9,7 +9,7 @@
 	"net/http"
 
 	"hemlockmast/api/confspread"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 // Bounds of messages.
--- a/internal/confspread/size_bench_test.go
+++ b/internal/configuration/confspread/size_bench_test.go
@@ -14,7 +14,7 @@
 // BenchmarkConfiguration measures a whole configuration, which a daemon without
 // one is sent: encoded bytes and memory of a group with three services.
 //
-//	go test -run '^$' -bench 'Configuration$' -benchtime 20x ./internal/confspread
+//	go test -run '^$' -bench 'Configuration$' -benchtime 20x ./internal/configuration/confspread
 func BenchmarkConfiguration(b *testing.B) {
 	for _, groups := range []int{3, 30, 133, 533, 1600} {
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
--- a/internal/confspread/spread_test.go
+++ b/internal/configuration/confspread/spread_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/api/confspread"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 // TestFaults runs three failure domains of three daemons at revision 1, causes
--- a/internal/confspread/state.go
+++ b/internal/configuration/confspread/state.go
@@ -5,7 +5,7 @@
 
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/configstate"
+	"hemlockmast/internal/configuration/configstate"
 )
 
 // Published is the state machine of a control process. It is safe for
--- a/internal/confspread/store_test.go
+++ b/internal/configuration/confspread/store_test.go
@@ -10,7 +10,7 @@
 
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/spreadstate"
+	"hemlockmast/internal/configuration/spreadstate"
 )
 
 // TestDamagedFile starts a daemon on a damaged file: it says so, serves nobody
--- a/internal/spreadstate/follower.go
+++ b/internal/configuration/spreadstate/follower.go
@@ -10,7 +10,7 @@
 	configpb "hemlockmast/api/configstate"
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/configstate"
+	"hemlockmast/internal/configuration/configstate"
 )
 
 const (
--- a/internal/agreelog/backup.go
+++ b/internal/controlgroup/agreelog/backup.go
@@ -4,7 +4,7 @@
 	"path/filepath"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 // WriteBackup writes content as one log file at path, which must not be there
--- a/internal/agreelog/content.go
+++ b/internal/controlgroup/agreelog/content.go
@@ -4,7 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 // FormatVersion is the version of the file format.
--- a/internal/agreelog/log.go
+++ b/internal/controlgroup/agreelog/log.go
@@ -21,7 +21,7 @@
 	"strings"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 const (
--- a/internal/agreelog/log_test.go
+++ b/internal/controlgroup/agreelog/log_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 var testID = Identity{Group: 9, Self: agree.ID{Name: "a", Incarnation: 4}}
--- a/internal/control/calls.go
+++ b/internal/controlgroup/control/calls.go
@@ -4,7 +4,7 @@
 	"context"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 // outcome ends a proposal.
--- a/internal/control/control.go
+++ b/internal/controlgroup/control/control.go
@@ -14,8 +14,8 @@
 	"github.com/go-logr/logr"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 // StateMachine is the state that the group agrees on. Calls come from one
--- a/internal/control/control_test.go
+++ b/internal/controlgroup/control/control_test.go
@@ -20,8 +20,8 @@
 	"gotest.tools/v3/assert"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 const (
--- a/internal/control/errors.go
+++ b/internal/controlgroup/control/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 // NotLeaderError refuses a call that only the leader serves. The call had no
--- a/internal/control/join.go
+++ b/internal/controlgroup/control/join.go
@@ -10,7 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 const (
--- a/internal/control/members_bench_test.go
+++ b/internal/controlgroup/control/members_bench_test.go
@@ -42,7 +42,7 @@
 // processor time are those of all members, heartbeats between included. Reported
 // besides: what the group at rest costs, all members together.
 //
-//	go test -run '^$' -bench Members -benchtime 200x ./internal/control
+//	go test -run '^$' -bench Members -benchtime 200x ./internal/controlgroup/control
 func BenchmarkMembers(b *testing.B) {
 	for _, size := range []struct{ members, bytes int }{{3, 200}, {5, 200}, {7, 200}, {7, 2000}} {
 		b.Run(fmt.Sprintf("members=%d/bytes=%d", size.members, size.bytes), func(b *testing.B) {
--- a/internal/control/run.go
+++ b/internal/controlgroup/control/run.go
@@ -4,8 +4,8 @@
 	"context"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 // Run drives the member until ctx ends, then closes the folder. It returns nil
--- a/internal/control/steps_test.go
+++ b/internal/controlgroup/control/steps_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	agreepb "hemlockmast/api/agree"
-	"hemlockmast/internal/agree"
+	"hemlockmast/internal/controlgroup/agree"
 )
 
 type silence struct{}
--- a/internal/controlplane/leader.go
+++ b/internal/controlgroup/controlplane/leader.go
@@ -8,12 +8,12 @@
 	"github.com/go-logr/logr"
 
 	controlpb "hemlockmast/api/control"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/failover/driver"
-	"hemlockmast/internal/groupstate"
-	"hemlockmast/internal/slotview"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/controlgroup/failover/driver"
+	"hemlockmast/internal/controlgroup/groupstate"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/slotview"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 const (
--- a/internal/controlplane/member.go
+++ b/internal/controlgroup/controlplane/member.go
@@ -18,12 +18,12 @@
 
 	agreepb "hemlockmast/api/agree"
 	controlpb "hemlockmast/api/control"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
-	"hemlockmast/internal/confspread"
-	"hemlockmast/internal/control"
-	"hemlockmast/internal/groupstate"
-	"hemlockmast/internal/statemux"
+	"hemlockmast/internal/configuration/confspread"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
+	"hemlockmast/internal/controlgroup/control"
+	"hemlockmast/internal/controlgroup/groupstate"
+	"hemlockmast/internal/controlgroup/statemux"
 )
 
 // Numbers of the machines that share the log. They must never change.
--- a/internal/controlplane/records.go
+++ b/internal/controlgroup/controlplane/records.go
@@ -9,8 +9,8 @@
 	"github.com/go-logr/logr"
 
 	controlpb "hemlockmast/api/control"
-	"hemlockmast/internal/groupstate"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/groupstate"
+	"hemlockmast/internal/controlgroup/quorum"
 )
 
 // recordsRetry is the wait after a control daemon did not answer.
--- a/internal/controlplane/service.go
+++ b/internal/controlgroup/controlplane/service.go
@@ -9,8 +9,8 @@
 	"github.com/twitchtv/twirp"
 
 	controlpb "hemlockmast/api/control"
-	"hemlockmast/internal/control"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/control"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 // maxRequestBytes bounds a request to the service.
--- a/internal/failover/correct.go
+++ b/internal/controlgroup/failover/correct.go
@@ -1,8 +1,8 @@
 package failover
 
 import (
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // Current is the newest known primary of a group and the term's members.
--- a/internal/failover/driver/attempt.go
+++ b/internal/controlgroup/failover/driver/attempt.go
@@ -5,8 +5,8 @@
 	"errors"
 	"sync"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // attempt holds the connections of one promotion attempt, one a slot.
--- a/internal/failover/driver/driver.go
+++ b/internal/controlgroup/failover/driver/driver.go
@@ -14,10 +14,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 const (
--- a/internal/failover/driver/driver_test.go
+++ b/internal/controlgroup/failover/driver/driver_test.go
@@ -10,9 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // inBubble runs a test on virtual time, with drivers for group g0 that each see
--- a/internal/failover/driver/effects.go
+++ b/internal/controlgroup/failover/driver/effects.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 // carryOut does what the machine wants.
--- a/internal/failover/driver/fake_test.go
+++ b/internal/controlgroup/failover/driver/fake_test.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"hemlockmast/api/control"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/groupstate"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/controlgroup/groupstate"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/failover/driver/group.go
+++ b/internal/controlgroup/failover/driver/group.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 // message is what a group's goroutine takes from its queue.
--- a/internal/failover/driver/observer.go
+++ b/internal/controlgroup/failover/driver/observer.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 // Observer watches one endpoint over one connection and reports what it makes
--- a/internal/failover/driver/observer_bench_test.go
+++ b/internal/controlgroup/failover/driver/observer_bench_test.go
@@ -11,10 +11,10 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/pgcontrol"
-	"hemlockmast/internal/standin"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/pgcontrol"
+	"hemlockmast/internal/endpointside/suspect"
+	"hemlockmast/internal/testing/standin"
 )
 
 const (
@@ -27,7 +27,7 @@
 // BenchmarkObserver counts the statuses of one observer of a primary by rate of
 // writes, sent one at a time from one connection.
 //
-//	go test -run '^$' -bench Observer -benchtime 1x ./internal/failover/driver
+//	go test -run '^$' -bench Observer -benchtime 1x ./internal/controlgroup/failover/driver
 func BenchmarkObserver(b *testing.B) {
 	for _, rate := range []int{0, 10, 50, 100, 200, 400} {
 		b.Run(fmt.Sprintf("writes=%d", rate), func(b *testing.B) {
--- a/internal/failover/driver/record.go
+++ b/internal/controlgroup/failover/driver/record.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/endpointside/suspect"
 )
 
 // Kind says what happened.
--- a/internal/failover/driver/standin_test.go
+++ b/internal/controlgroup/failover/driver/standin_test.go
@@ -12,14 +12,14 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/commitack"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/pgcontrol"
-	"hemlockmast/internal/failover"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/standin"
-	"hemlockmast/internal/suspect"
+	"hemlockmast/internal/controlgroup/failover"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/commitack"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/pgcontrol"
+	"hemlockmast/internal/endpointside/suspect"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin"
 )
 
 const (
--- a/internal/failover/explore_test.go
+++ b/internal/controlgroup/failover/explore_test.go
@@ -15,11 +15,11 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/api/control"
-	"hemlockmast/internal/commitack"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/groupstate"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/groupstate"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/commitack"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // next calls yield with every world that can follow w.
--- a/internal/failover/failover.go
+++ b/internal/controlgroup/failover/failover.go
@@ -12,8 +12,8 @@
 import (
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // Timing holds the durations of an attempt.
--- a/internal/failover/failover_test.go
+++ b/internal/controlgroup/failover/failover_test.go
@@ -8,9 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // TestPreferredSlot gives the grants of equal logs in the order of each row;
--- a/internal/failover/messages.go
+++ b/internal/controlgroup/failover/messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // Event is something that a Machine is told.
--- a/internal/failover/model_test.go
+++ b/internal/controlgroup/failover/model_test.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"hemlockmast/internal/commitack"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/commitack"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const modelSlots = 3
--- a/internal/failover/table_test.go
+++ b/internal/controlgroup/failover/table_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/commitack"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/commitack"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // scene drives attempts over model endpoints, one command at a time.
--- a/internal/groupstate/bench_test.go
+++ b/internal/controlgroup/groupstate/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkRecords measures an allocation of a term, the snapshot of all records,
 // which is also what a daemon that starts is sent, and their memory.
 //
-//	go test -run '^$' -bench Records ./internal/groupstate
+//	go test -run '^$' -bench Records ./internal/controlgroup/groupstate
 func BenchmarkRecords(b *testing.B) {
 	for _, groups := range []int{10, 100, 533, 1600} {
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
--- a/internal/groupstate/groupstate.go
+++ b/internal/controlgroup/groupstate/groupstate.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hemlockmast/api/control"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
 )
 
 const (
--- a/internal/quorum/quorum.go
+++ b/internal/controlgroup/quorum/quorum.go
@@ -7,7 +7,7 @@
 // acknowledged before it.
 package quorum
 
-import "hemlockmast/internal/endpoint"
+import "hemlockmast/internal/endpointside/endpoint"
 
 // Member is a configured slot of a group and the incarnation of its endpoint
 // that may count. A Member that was true once stays true: a stale list makes
--- a/internal/quorum/quorum_test.go
+++ b/internal/controlgroup/quorum/quorum_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 func TestBook(t *testing.T) {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"net/http/pprof"
 
-	"hemlockmast/internal/session/directoryrpc"
-	"hemlockmast/internal/timeline/timelinerpc"
+	"hemlockmast/internal/entryside/session/directoryrpc"
+	"hemlockmast/internal/shared/timeline/timelinerpc"
 )
 
 func (d *Daemon) adminHandler() http.Handler {
--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -7,10 +7,10 @@
 	"github.com/go-faster/errors"
 
 	"hemlockmast/api/service"
-	"hemlockmast/internal/admission"
-	"hemlockmast/internal/entry"
-	"hemlockmast/internal/metrics"
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/entryside/admission"
+	"hemlockmast/internal/entryside/entry"
+	"hemlockmast/internal/shared/metrics"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // entryCapacity bounds the segments in progress on one daemon.
--- a/internal/daemon/catalog.go
+++ b/internal/daemon/catalog.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hemlockmast/api/service"
-	"hemlockmast/internal/entry"
+	"hemlockmast/internal/entryside/entry"
 )
 
 // catalog resolves callers to the services of the configuration in force.
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -4,8 +4,8 @@
 	"time"
 
 	timelinepb "hemlockmast/api/timeline"
-	"hemlockmast/internal/failover/driver"
-	"hemlockmast/internal/timeline"
+	"hemlockmast/internal/controlgroup/failover/driver"
+	"hemlockmast/internal/shared/timeline"
 )
 
 // recorder writes the driver's events to the time line.
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -8,11 +8,11 @@
 	"github.com/go-logr/logr"
 
 	"hemlockmast/api/service"
-	hlink "hemlockmast/internal/link"
+	"hemlockmast/internal/endpointside/slotview"
+	"hemlockmast/internal/endpointside/watch"
 	"hemlockmast/internal/membership"
-	"hemlockmast/internal/settings"
-	"hemlockmast/internal/slotview"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/shared/settings"
+	hlink "hemlockmast/internal/wire/link"
 )
 
 // peerRetry is the wait after a failed watch of a peer.
--- a/internal/daemon/supersede.go
+++ b/internal/daemon/supersede.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/holder"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/holder"
 )
 
 // primaries remembers the primary of the latest term of each group.
--- a/internal/daemon/watchers.go
+++ b/internal/daemon/watchers.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/pgcontrol"
-	"hemlockmast/internal/failover/driver"
-	"hemlockmast/internal/holder"
-	"hemlockmast/internal/suspect"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/controlgroup/failover/driver"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/pgcontrol"
+	"hemlockmast/internal/endpointside/holder"
+	"hemlockmast/internal/endpointside/suspect"
+	"hemlockmast/internal/endpointside/watch"
 )
 
 // runningWatcher is a watcher that waits to be started or runs.
--- a/internal/commitack/commitack.go
+++ b/internal/endpointside/commitack/commitack.go
@@ -9,9 +9,9 @@
 	"math"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // ID is the caller's name for a pending commit.
--- a/internal/commitack/commitack_test.go
+++ b/internal/endpointside/commitack/commitack_test.go
@@ -7,9 +7,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 var (
--- a/internal/commitack/errors.go
+++ b/internal/endpointside/commitack/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // SlotError reports a slot that is not configured in the group.
--- a/internal/endpoint/contracttest/cases.go
+++ b/internal/endpointside/endpoint/contracttest/cases.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const makeTable = "CREATE TABLE t (k int PRIMARY KEY, v text)"
--- a/internal/endpoint/contracttest/contracttest.go
+++ b/internal/endpointside/endpoint/contracttest/contracttest.go
@@ -13,9 +13,9 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/pgcontrol"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/pgcontrol"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpointside/endpoint/endpoint.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Role is what an endpoint believes it is. A superseded primary may still
--- a/internal/endpoint/pgcontrol/pgcontrol.go
+++ b/internal/endpointside/endpoint/pgcontrol/pgcontrol.go
@@ -11,8 +11,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/wire"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/wire"
 )
 
 // controlUser is the user name of a contract connection.
--- a/internal/endpoint/wire/wire.go
+++ b/internal/endpointside/endpoint/wire/wire.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Verbs of the contract, the second word of a command.
--- a/internal/holder/conn.go
+++ b/internal/endpointside/holder/conn.go
@@ -10,10 +10,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/pgwire"
-	"hemlockmast/internal/sockpeek"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/sockpeek"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 const (
--- a/internal/holder/exchange.go
+++ b/internal/endpointside/holder/exchange.go
@@ -8,8 +8,8 @@
 	"github.com/go-faster/errors"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 // local is an exchange on the holder's own pools.
--- a/internal/holder/expect.go
+++ b/internal/endpointside/holder/expect.go
@@ -1,6 +1,6 @@
 package holder
 
-import "hemlockmast/internal/pgwire"
+import "hemlockmast/internal/wire/pgwire"
 
 // expectKind says what is done with the reply to one message.
 type expectKind uint8
--- a/internal/holder/holder.go
+++ b/internal/endpointside/holder/holder.go
@@ -18,9 +18,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 const (
--- a/internal/holder/marked.go
+++ b/internal/endpointside/holder/marked.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // A request that may not be repeated carries an id. The holder writes the id
--- a/internal/holder/pool.go
+++ b/internal/endpointside/holder/pool.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/outcome"
 )
 
 const (
--- a/internal/holder/pool_test.go
+++ b/internal/endpointside/holder/pool_test.go
@@ -15,10 +15,10 @@
 	"pgregory.net/rapid"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // fakeDialer makes connections to nothing and counts those that are open.
--- a/internal/holder/run.go
+++ b/internal/endpointside/holder/run.go
@@ -10,11 +10,11 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 const (
--- a/internal/holder/segment.go
+++ b/internal/endpointside/holder/segment.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // plan is a segment made ready for one connection: the bytes to send and the
--- a/internal/slotview/bench_test.go
+++ b/internal/endpointside/slotview/bench_test.go
@@ -10,7 +10,7 @@
 
 	"hemlockmast/api/link"
 	"hemlockmast/api/service"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/endpointside/watch"
 )
 
 const benchSlots = 3
@@ -42,7 +42,7 @@
 // BenchmarkApply measures one status taken into the view, and the memory of the
 // view of each group, by number of groups of three slots.
 //
-//	go test -run '^$' -bench Apply ./internal/slotview
+//	go test -run '^$' -bench Apply ./internal/endpointside/slotview
 func BenchmarkApply(b *testing.B) {
 	for _, groups := range []int{1, 10, 100, 533, 1600} {
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
@@ -70,7 +70,7 @@
 // BenchmarkGroups measures the sorted list of all groups, which a leader of the
 // control group makes 20 times a second.
 //
-//	go test -run '^$' -bench Groups ./internal/slotview
+//	go test -run '^$' -bench Groups ./internal/endpointside/slotview
 func BenchmarkGroups(b *testing.B) {
 	for _, groups := range []int{10, 100, 533, 1600} {
 		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
--- a/internal/slotview/slotview.go
+++ b/internal/endpointside/slotview/slotview.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"hemlockmast/api/service"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/watch"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Endpoint is an endpoint's place in the network as it announced itself.
--- a/internal/watch/convert.go
+++ b/internal/endpointside/watch/convert.go
@@ -2,8 +2,8 @@
 
 import (
 	"hemlockmast/api/link"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // StatusFromWire returns the status that a message carries.
--- a/internal/watch/questions.go
+++ b/internal/endpointside/watch/questions.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // Question asks whether a connection to an endpoint runs a statement. Answer
--- a/internal/acks/acks.go
+++ b/internal/entryside/acks/acks.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"hemlockmast/internal/commitack"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/commitack"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // expiryInterval is the time between two looks at deadlines.
--- a/internal/acks/acks_test.go
+++ b/internal/entryside/acks/acks_test.go
@@ -7,10 +7,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/quorum"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // status returns what a slot says when it holds index of term.
--- a/internal/entry/attempt.go
+++ b/internal/entryside/entry/attempt.go
@@ -8,10 +8,10 @@
 	"github.com/go-faster/errors"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 const (
--- a/internal/entry/callerwatch.go
+++ b/internal/entryside/entry/callerwatch.go
@@ -4,7 +4,7 @@
 	"net"
 	"time"
 
-	"hemlockmast/internal/sockpeek"
+	"hemlockmast/internal/shared/sockpeek"
 )
 
 // callerWatch notices that a caller went away while its request runs. It looks
--- a/internal/entry/entry.go
+++ b/internal/entryside/entry/entry.go
@@ -19,10 +19,10 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 const (
--- a/internal/entry/fuzz_test.go
+++ b/internal/entryside/entry/fuzz_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // FuzzSegment reads arbitrary bytes of a caller: no panic, and every operation
--- a/internal/entry/local.go
+++ b/internal/entryside/entry/local.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // skip ignores a segment after a failure in a segment that ended with Flush;
--- a/internal/entry/retry.go
+++ b/internal/entryside/entry/retry.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-faster/errors"
 
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // mayRetry reports whether the segment may be sent again: nothing of a reply
--- a/internal/entry/segment.go
+++ b/internal/entryside/entry/segment.go
@@ -9,8 +9,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // maxStatements bounds the prepared statements of one session.
--- a/internal/entry/serve.go
+++ b/internal/entryside/entry/serve.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
 )
 
 const (
--- a/internal/entry/session.go
+++ b/internal/entryside/entry/session.go
@@ -12,10 +12,10 @@
 
 	"github.com/go-faster/errors"
 
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
-	"hemlockmast/internal/sockpeek"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/shared/sockpeek"
+	"hemlockmast/internal/wire/exchange"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 const (
--- a/internal/entry/startup.go
+++ b/internal/entryside/entry/startup.go
@@ -8,8 +8,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // Codes of the first message of a connection.
--- a/internal/route/age/age.go
+++ b/internal/entryside/route/age/age.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/route/age/age_test.go
+++ b/internal/entryside/route/age/age_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // The seed is fixed so that each run gives the same verdict; -rapid.seed
--- a/internal/route/choose.go
+++ b/internal/entryside/route/choose.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 // MinWait is the shortest wait that is asked for; shorter expectations are below
--- a/internal/route/choose_bench_test.go
+++ b/internal/entryside/route/choose_bench_test.go
@@ -8,15 +8,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // BenchmarkChoose measures the choice of an endpoint for a read with a floor that
 // all replicas meet, by slots of the group.
 //
-//	go test -run '^$' -bench Choose ./internal/route
+//	go test -run '^$' -bench Choose ./internal/entryside/route
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{3, 5, 9, 27} {
 		b.Run(fmt.Sprintf("slots=%d", count), func(b *testing.B) {
--- a/internal/route/read.go
+++ b/internal/entryside/route/read.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpointside/endpoint"
 )
 
 const (
--- a/internal/route/readshare_test.go
+++ b/internal/entryside/route/readshare_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/route"
-	"hemlockmast/internal/route/age"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/session/directory"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/entryside/route"
+	"hemlockmast/internal/entryside/route/age"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/entryside/session/directory"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // The model has one group of three slots in three of four failure domains, nine
--- a/internal/route/route_test.go
+++ b/internal/entryside/route/route_test.go
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // The seed is fixed so that each run gives the same verdict; -rapid.seed
--- a/internal/route/types.go
+++ b/internal/entryside/route/types.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Class is what is declared of a statement.
--- a/internal/routing/group.go
+++ b/internal/entryside/routing/group.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/route"
-	"hemlockmast/internal/route/age"
-	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/slotview"
+	"hemlockmast/internal/entryside/route"
+	"hemlockmast/internal/entryside/route/age"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/routing/router.go
+++ b/internal/entryside/routing/router.go
@@ -12,14 +12,14 @@
 
 	"github.com/go-faster/errors"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/entry"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/route"
-	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/slotview"
+	"hemlockmast/internal/entryside/entry"
+	"hemlockmast/internal/entryside/route"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 // maxWait bounds the wait of a read at a replica while there is a primary.
--- a/internal/routing/terms.go
+++ b/internal/entryside/routing/terms.go
@@ -9,14 +9,14 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/wire"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/pgwire"
-	"hemlockmast/internal/quorum"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/slotview"
+	"hemlockmast/internal/controlgroup/quorum"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/wire"
+	"hemlockmast/internal/endpointside/slotview"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // sessionFloor is a session's floor in one group.
--- a/internal/session/directory/bench_test.go
+++ b/internal/entryside/session/directory/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
 )
 
 // BenchmarkTable reports the time of a record in a full table, and the memory of
--- a/internal/session/directory/choose.go
+++ b/internal/entryside/session/directory/choose.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
 )
 
 // Copies is the number of daemons that keep each entry.
--- a/internal/session/directory/combine.go
+++ b/internal/entryside/session/directory/combine.go
@@ -1,6 +1,6 @@
 package directory
 
-import "hemlockmast/internal/session"
+import "hemlockmast/internal/entryside/session"
 
 // Knowledge is what the directory knows of a session as a whole.
 type Knowledge struct {
--- a/internal/session/directory/table.go
+++ b/internal/entryside/session/directory/table.go
@@ -12,7 +12,7 @@
 	"container/list"
 	"time"
 
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
 )
 
 // Limits bounds a table.
--- a/internal/session/directoryrpc/bench_test.go
+++ b/internal/entryside/session/directoryrpc/bench_test.go
@@ -12,13 +12,13 @@
 	"gotest.tools/v3/assert"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
 )
 
 // BenchmarkBatchBytes reports the encoded bytes of a record's operation with one
 // floor, by operations of a batch.
 //
-//	go test -run '^$' -bench BatchBytes -benchtime 100x ./internal/session/directoryrpc
+//	go test -run '^$' -bench BatchBytes -benchtime 100x ./internal/entryside/session/directoryrpc
 func BenchmarkBatchBytes(b *testing.B) {
 	for _, operations := range []int{1, 10, 100} {
 		b.Run(fmt.Sprintf("operations=%d", operations), func(b *testing.B) {
@@ -42,7 +42,7 @@
 // BenchmarkRecordCost reports the processor time of a record at both copies, the
 // client's included, by records at once.
 //
-//	go test -run '^$' -bench RecordCost -benchtime 5000x ./internal/session/directoryrpc
+//	go test -run '^$' -bench RecordCost -benchtime 5000x ./internal/entryside/session/directoryrpc
 func BenchmarkRecordCost(b *testing.B) {
 	for _, parallel := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
--- a/internal/session/directoryrpc/client.go
+++ b/internal/entryside/session/directoryrpc/client.go
@@ -7,8 +7,8 @@
 	"time"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/session/directory"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/entryside/session/directory"
 )
 
 // View is what a daemon knows of the members that keep the directory.
--- a/internal/session/directoryrpc/directoryrpc_test.go
+++ b/internal/entryside/session/directoryrpc/directoryrpc_test.go
@@ -14,9 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/session/directory"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/entryside/session/directory"
+	"hemlockmast/internal/shared/logpos"
 )
 
 var limits = directory.Limits{MaxEntries: 1 << 16, TTL: time.Hour}
--- a/internal/session/directoryrpc/errors.go
+++ b/internal/entryside/session/directoryrpc/errors.go
@@ -6,7 +6,7 @@
 	"time"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/session"
+	"hemlockmast/internal/entryside/session"
 )
 
 // BatchSizeError reports a call with too many operations.
--- a/internal/session/directoryrpc/member.go
+++ b/internal/entryside/session/directoryrpc/member.go
@@ -7,7 +7,7 @@
 	"time"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/session/directory"
+	"hemlockmast/internal/entryside/session/directory"
 )
 
 const (
--- a/internal/session/directoryrpc/server.go
+++ b/internal/entryside/session/directoryrpc/server.go
@@ -13,8 +13,8 @@
 	"github.com/twitchtv/twirp"
 
 	directorypb "hemlockmast/api/directory"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/session/directory"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/entryside/session/directory"
 )
 
 const (
--- a/internal/session/state.go
+++ b/internal/entryside/session/state.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Bounds on the state of one session.
--- a/internal/session/token.go
+++ b/internal/entryside/session/token.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	sessionpb "hemlockmast/api/session"
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Bounds and sizes of a token.
--- a/internal/sessions/sessions.go
+++ b/internal/entryside/sessions/sessions.go
@@ -8,11 +8,11 @@
 
 	"github.com/go-faster/errors"
 
-	"hemlockmast/internal/entry"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/session"
-	"hemlockmast/internal/session/directoryrpc"
+	"hemlockmast/internal/entryside/entry"
+	"hemlockmast/internal/entryside/session"
+	"hemlockmast/internal/entryside/session/directoryrpc"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // Directory keeps floors by session id. It is implemented by
--- a/internal/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -22,15 +22,15 @@
 
 	agreepb "hemlockmast/api/agree"
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/agreelog"
-	"hemlockmast/internal/catalog"
-	"hemlockmast/internal/control"
-	"hemlockmast/internal/fleethub"
-	"hemlockmast/internal/fleetrpc"
-	"hemlockmast/internal/fleetstate"
-	"hemlockmast/internal/promotion"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
+	"hemlockmast/internal/controlgroup/control"
+	"hemlockmast/internal/fleet/catalog"
+	"hemlockmast/internal/fleet/fleethub"
+	"hemlockmast/internal/fleet/fleetrpc"
+	"hemlockmast/internal/fleet/fleetstate"
+	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -6,10 +6,10 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/agree"
-	"hemlockmast/internal/control"
-	"hemlockmast/internal/fleethub"
-	"hemlockmast/internal/fleetrpc"
+	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/control"
+	"hemlockmast/internal/fleet/fleethub"
+	"hemlockmast/internal/fleet/fleetrpc"
 )
 
 const (
--- a/internal/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -9,9 +9,9 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/promotion"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -16,12 +16,12 @@
 	"golang.org/x/sync/errgroup"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/fleetctl"
-	"hemlockmast/internal/fleetrpc"
-	"hemlockmast/internal/metrics"
-	"hemlockmast/internal/netopt"
+	"hemlockmast/internal/fleet/fleetctl"
+	"hemlockmast/internal/fleet/fleetrpc"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
+	"hemlockmast/internal/shared/metrics"
+	"hemlockmast/internal/shared/netopt"
 	"hemlockmast/platform"
 )
 
--- a/internal/fleetd/settings.go
+++ b/internal/fleet/fleetd/settings.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/settings"
+	"hemlockmast/internal/shared/settings"
 )
 
 // Roles of a daemon.
--- a/internal/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -9,8 +9,8 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/catalog"
-	"hemlockmast/internal/registry"
+	"hemlockmast/internal/fleet/catalog"
+	"hemlockmast/internal/fleet/registry"
 )
 
 const (
--- a/internal/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -65,7 +65,7 @@
 }
 
 func TestWaitEndsWithNewsAndWithStaleness(t *testing.T) {
-	h, _, view := newHub()
+	h, agreed, view := newHub()
 	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
 	held := h.Follow(t.Context(), entry(0, 0, 0)).Version
 	start := time.Now()
@@ -75,7 +75,18 @@
 	assert.Assert(t, time.Since(start) < 500*time.Millisecond)
 	time.AfterFunc(30*time.Millisecond, func() { view.stale.Store(true) })
 	start = time.Now()
-	assert.Equal(t, h.Follow(t.Context(), entry(7, answer.Version, 0)).Current, false)
+	assert.Equal(t, h.Follow(t.Context(), entry(7, answer.Version, 3)).Current, false)
+	assert.Assert(t, time.Since(start) < 700*time.Millisecond)
+	// A follower that holds no configuration waits for the daemon to be current.
+	time.AfterFunc(50*time.Millisecond, func() {
+		agreed.config = &fleetpb.Configuration{Version: 3}
+		view.stale.Store(false)
+		h.Refresh()
+	})
+	start = time.Now()
+	first := h.Follow(t.Context(), entry(7, answer.Version, 0))
+	assert.Equal(t, first.Current, true)
+	assert.Equal(t, first.Configuration.Changed.Version, uint64(3))
 	assert.Assert(t, time.Since(start) < 700*time.Millisecond)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/internal/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -15,8 +15,8 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/fleethub"
-	"hemlockmast/internal/netopt"
+	"hemlockmast/internal/fleet/fleethub"
+	"hemlockmast/internal/shared/netopt"
 )
 
 const (
--- a/internal/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/registry"
+	"hemlockmast/internal/fleet/registry"
 )
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore come
--- a/internal/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -14,8 +14,8 @@
 	"cmp"
 	"slices"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // Member is an endpoint of the service as a promotion found it.
--- a/internal/promotion/explore_test.go
+++ b/internal/fleet/promotion/explore_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // world is one state of a small model: a primary with two replicas, commits, and
--- a/internal/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -10,9 +10,9 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/promotion"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform"
 	"hemlockmast/platform/standin"
 )
--- a/internal/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-logr/logr"
 
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/membership/runner/runner_test.go
+++ b/internal/membership/runner/runner_test.go
@@ -14,7 +14,7 @@
 	"hemlockmast/internal/membership"
 	"hemlockmast/internal/membership/announcer"
 	"hemlockmast/internal/membership/runner"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/testing/standin"
 )
 
 // testDeadline bounds a wait; no verdict depends on it.
--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"time"
 
-	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // anyFit suits what depends on no session value.
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -7,7 +7,7 @@
 	"syscall"
 
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/stmt"
 )
 
 func asRefused(err error, target **stmt.RefusedError) bool { return errors.As(err, target) }
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -10,8 +10,8 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/catalog"
-	"hemlockmast/internal/registry"
+	"hemlockmast/internal/fleet/catalog"
+	"hemlockmast/internal/fleet/registry"
 )
 
 // promotingTime is how long a promotion may take: the platform needs up to a
--- a/internal/proxy/mark/mark.go
+++ b/internal/proxy/mark/mark.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/proxy/mark/mark_test.go
+++ b/internal/proxy/mark/mark_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 func at(n uint64) logpos.Pos { return logpos.Pos{Term: 1, Index: n} }
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"hemlockmast/internal/metrics"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/metrics"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // observe counts an answer by the route that it came through.
--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 const (
--- a/internal/proxy/place/place_test.go
+++ b/internal/proxy/place/place_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 func TestChoose(t *testing.T) {
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,13 +17,13 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/boottime"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/proxy/mark"
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/boottime"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/metrics"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,9 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/metrics"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
+	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/platform"
 	"hemlockmast/platform/standin"
 )
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -7,9 +7,9 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/boottime"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/boottime"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -6,11 +6,11 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/boottime"
-	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/proxy/place"
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/boottime"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -4,10 +4,10 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/boottime"
-	"hemlockmast/internal/logpos"
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/stmt"
+	"hemlockmast/internal/shared/boottime"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // transaction is a caller's. It takes a connection at its first statement, so
--- a/internal/stmt/stmt.go
+++ b/internal/shared/stmt/stmt.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"hemlockmast/internal/logpos"
+	"hemlockmast/internal/shared/logpos"
 )
 
 // Kind is what a statement does.
--- a/internal/timeline/timelinerpc/collect.go
+++ b/internal/shared/timeline/timelinerpc/collect.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	timelinepb "hemlockmast/api/timeline"
-	"hemlockmast/internal/timeline"
+	"hemlockmast/internal/shared/timeline"
 )
 
 const (
--- a/internal/timeline/timelinerpc/rpc.go
+++ b/internal/shared/timeline/timelinerpc/rpc.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	timelinepb "hemlockmast/api/timeline"
-	"hemlockmast/internal/timeline"
+	"hemlockmast/internal/shared/timeline"
 )
 
 // StampHeader carries a hybrid logical clock's stamp on requests and answers.
--- a/internal/devcluster/bench_test.go
+++ b/internal/testing/devcluster/bench_test.go
@@ -28,7 +28,7 @@
 // daemon, its part of the endpoints included, by daemons and groups of three
 // slots.
 //
-//	go test -run '^$' -bench Idle -benchtime 1x ./internal/devcluster
+//	go test -run '^$' -bench Idle -benchtime 1x ./internal/testing/devcluster
 func BenchmarkIdle(b *testing.B) {
 	for _, size := range []struct{ perDomain, groups int }{{1, 3}, {2, 3}, {4, 3}, {8, 3}, {2, 12}, {2, 24}, {2, 48}} {
 		b.Run(fmt.Sprintf("daemons=%d/groups=%d", size.perDomain*4, size.groups), func(b *testing.B) {
--- a/internal/devcluster/callers_bench_test.go
+++ b/internal/testing/devcluster/callers_bench_test.go
@@ -23,7 +23,7 @@
 // and idle, by number of callers of four daemons. Both ends are counted; the
 // callers' keeps no buffer.
 //
-//	go test -run '^$' -bench IdleCallers -benchtime 1x ./internal/devcluster
+//	go test -run '^$' -bench IdleCallers -benchtime 1x ./internal/testing/devcluster
 func BenchmarkIdleCallers(b *testing.B) {
 	for _, callers := range []int{400, 1000, 2000, 4000} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
--- a/internal/devcluster/devcluster.go
+++ b/internal/testing/devcluster/devcluster.go
@@ -17,11 +17,11 @@
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
 	pb "hemlockmast/api/settings"
+	"hemlockmast/internal/configuration/servicefile"
 	"hemlockmast/internal/daemon"
-	"hemlockmast/internal/delay"
-	"hemlockmast/internal/servicefile"
-	"hemlockmast/internal/settings"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/shared/delay"
+	"hemlockmast/internal/shared/settings"
+	"hemlockmast/internal/testing/standin"
 )
 
 // Config describes the processes to start.
--- a/internal/e2e/clients_test.go
+++ b/internal/testing/e2e/clients_test.go
@@ -20,7 +20,7 @@
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/devcluster"
+	"hemlockmast/internal/testing/devcluster"
 )
 
 // clusterPorts is how many ports a cluster may take.
--- a/internal/e2e/failover_test.go
+++ b/internal/testing/e2e/failover_test.go
@@ -11,10 +11,10 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/devcluster"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/timeline"
-	"hemlockmast/internal/timeline/timelinerpc"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/timeline"
+	"hemlockmast/internal/shared/timeline/timelinerpc"
+	"hemlockmast/internal/testing/devcluster"
 )
 
 // primarySlot returns the slot of the primary with the latest term.
--- a/internal/e2e/leaving_test.go
+++ b/internal/testing/e2e/leaving_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/devcluster"
+	"hemlockmast/internal/testing/devcluster"
 )
 
 // TestLeavingEndpointGetsNoNewWork stops a replica from showing records, so that
--- a/internal/e2e/outcomes_test.go
+++ b/internal/testing/e2e/outcomes_test.go
@@ -15,8 +15,8 @@
 
 	pb "hemlockmast/api/settings"
 	"hemlockmast/internal/daemon"
-	"hemlockmast/internal/settings"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/shared/settings"
+	"hemlockmast/internal/testing/standin"
 )
 
 // path is an entry, a holder and three endpoints with a proxy at each hop.
--- a/internal/e2e/processes_test.go
+++ b/internal/testing/e2e/processes_test.go
@@ -27,7 +27,7 @@
 func buildPrograms(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	cmd := exec.Command("go", "build", "-o", dir+"/", "../../cmd/hemlockmastd", "../../cmd/hemlockmast-standin")
+	cmd := exec.Command("go", "build", "-o", dir+"/", "../../../cmd/hemlockmastd", "../../../cmd/hemlockmast-standin")
 	out, err := cmd.CombinedOutput()
 	assert.NilError(t, err, string(out))
 	return dir
--- a/internal/e2e/sessions_test.go
+++ b/internal/testing/e2e/sessions_test.go
@@ -10,7 +10,7 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/devcluster"
+	"hemlockmast/internal/testing/devcluster"
 )
 
 // awaitReplicas waits until every endpoint but those of the slots in except shows
--- a/internal/e2e/silence_test.go
+++ b/internal/testing/e2e/silence_test.go
@@ -12,8 +12,8 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/holder"
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/endpointside/holder"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 // TestSilentConnectionsAreReplaced makes every open connection of one hop go
--- a/internal/measure/failover.go
+++ b/internal/testing/measure/failover.go
@@ -11,9 +11,9 @@
 	"github.com/go-logr/logr"
 	"github.com/jackc/pgx/v5"
 
-	"hemlockmast/internal/devcluster"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/testing/devcluster"
+	"hemlockmast/internal/testing/standin"
 )
 
 const (
--- a/internal/measure/load.go
+++ b/internal/testing/measure/load.go
@@ -15,7 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"golang.org/x/sync/errgroup"
 
-	"hemlockmast/internal/pgwire"
+	"hemlockmast/internal/wire/pgwire"
 )
 
 const (
--- a/internal/measure/outcome.go
+++ b/internal/testing/measure/outcome.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // isNotRun reports whether a caller was told that its statement was not run.
--- a/internal/measure/reads.go
+++ b/internal/testing/measure/reads.go
@@ -15,10 +15,10 @@
 	"github.com/go-logr/logr"
 	"github.com/jackc/pgx/v5"
 
-	"hemlockmast/internal/devcluster"
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/devcluster"
+	"hemlockmast/internal/testing/standin"
 )
 
 const (
--- a/internal/standin/bench_test.go
+++ b/internal/testing/standin/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/testing/standin"
 )
 
 // BenchmarkStatements is the baseline for what a proxy adds: statements over
--- a/internal/standin/contract.go
+++ b/internal/testing/standin/contract.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/endpoint/wire"
-	"hemlockmast/internal/standin/exec"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/endpointside/endpoint/wire"
+	"hemlockmast/internal/testing/standin/exec"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // verbFault switches faults; it is no part of the contract.
--- a/internal/standin/contract_test.go
+++ b/internal/testing/standin/contract_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"hemlockmast/internal/endpoint/contracttest"
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/endpointside/endpoint/contracttest"
+	"hemlockmast/internal/testing/standin"
 )
 
 // TestContract runs the contract against the stand-in, with each kind of disk.
--- a/internal/standin/disk/disk.go
+++ b/internal/testing/standin/disk/disk.go
@@ -7,8 +7,8 @@
 	"slices"
 	"sync"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // Meta is the durable state beside the log.
--- a/internal/standin/disk/file.go
+++ b/internal/testing/standin/disk/file.go
@@ -10,7 +10,7 @@
 	"os"
 	"path/filepath"
 
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 const (
--- a/internal/standin/disk/file_test.go
+++ b/internal/testing/standin/disk/file_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 func record(i uint64) store.Record {
--- a/internal/standin/endpoint.go
+++ b/internal/testing/standin/endpoint.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"hemlockmast/internal/endpoint"
+	"hemlockmast/internal/endpointside/endpoint"
 	"hemlockmast/internal/membership/announcer"
-	"hemlockmast/internal/standin/disk"
-	"hemlockmast/internal/standin/node"
+	"hemlockmast/internal/testing/standin/disk"
+	"hemlockmast/internal/testing/standin/node"
 )
 
 // Config describes an endpoint. Group and Slot are required.
--- a/internal/standin/exec/change.go
+++ b/internal/testing/standin/exec/change.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strconv"
 
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // changes collects the outcome of a data change.
--- a/internal/standin/exec/exec.go
+++ b/internal/testing/standin/exec/exec.go
@@ -6,8 +6,8 @@
 	"context"
 	"strconv"
 
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // Conn is what a statement needs of the connection that it runs on.
--- a/internal/standin/exec/expr.go
+++ b/internal/testing/standin/exec/expr.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // maxRepeat bounds the length of repeat()'s result in bytes.
--- a/internal/standin/exec/query.go
+++ b/internal/testing/standin/exec/query.go
@@ -5,8 +5,8 @@
 	"slices"
 	"strconv"
 
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 func (sc *scope) useTable(name string) error {
--- a/internal/standin/exec/value.go
+++ b/internal/testing/standin/exec/value.go
@@ -5,8 +5,8 @@
 	"math"
 	"strconv"
 
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // Object identifiers of PostgreSQL's types.
--- a/internal/standin/extended.go
+++ b/internal/testing/standin/extended.go
@@ -6,9 +6,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/standin/exec"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/exec"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 func (s *session) parse(m *pgproto3.Parse) error {
--- a/internal/standin/fault_test.go
+++ b/internal/testing/standin/fault_test.go
@@ -12,7 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/testing/standin"
 )
 
 // silence is how long a test listens for an answer that must not come.
--- a/internal/standin/node/node.go
+++ b/internal/testing/standin/node/node.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/disk"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/disk"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // Node is one endpoint's state. All methods may be called concurrently; mu is
--- a/internal/standin/node/replicate.go
+++ b/internal/testing/standin/node/replicate.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // stopped is the refusal to serve or take replication.
--- a/internal/standin/node/safety_test.go
+++ b/internal/testing/standin/node/safety_test.go
@@ -8,10 +8,10 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/disk"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/disk"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 const (
--- a/internal/standin/replicate.go
+++ b/internal/testing/standin/replicate.go
@@ -10,10 +10,10 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/node"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/node"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 const (
--- a/internal/standin/session.go
+++ b/internal/testing/standin/session.go
@@ -11,11 +11,11 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/endpoint"
-	"hemlockmast/internal/sockpeek"
-	"hemlockmast/internal/standin/exec"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/endpointside/endpoint"
+	"hemlockmast/internal/shared/sockpeek"
+	"hemlockmast/internal/testing/standin/exec"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 const (
--- a/internal/standin/sql_test.go
+++ b/internal/testing/standin/sql_test.go
@@ -12,7 +12,7 @@
 	_ "github.com/jackc/pgx/v5/stdlib"
 	"gotest.tools/v3/assert"
 
-	"hemlockmast/internal/standin"
+	"hemlockmast/internal/testing/standin"
 )
 
 // testDeadline bounds a test; no verdict depends on it.
--- a/internal/standin/statement.go
+++ b/internal/testing/standin/statement.go
@@ -7,10 +7,10 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/standin/exec"
-	"hemlockmast/internal/standin/node"
-	"hemlockmast/internal/standin/sqltext"
-	"hemlockmast/internal/standin/store"
+	"hemlockmast/internal/testing/standin/exec"
+	"hemlockmast/internal/testing/standin/node"
+	"hemlockmast/internal/testing/standin/sqltext"
+	"hemlockmast/internal/testing/standin/store"
 )
 
 // simpleQuery runs the statements of one Query message as one transaction,
--- a/internal/standin/store/store.go
+++ b/internal/testing/standin/store/store.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"sync"
 
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/standin/sqltext"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/testing/standin/sqltext"
 )
 
 // Value is one column's value in PostgreSQL text form.
--- a/internal/standin/store/tx.go
+++ b/internal/testing/standin/store/tx.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"hemlockmast/internal/standin/sqltext"
+	"hemlockmast/internal/testing/standin/sqltext"
 )
 
 // SQLSTATE codes of this package.
--- a/internal/exchange/exchange.go
+++ b/internal/wire/exchange/exchange.go
@@ -9,8 +9,8 @@
 	"io"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/logpos"
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // Result is the end of a segment that the endpoint answered.
--- a/internal/link/bench_test.go
+++ b/internal/wire/link/bench_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/endpointside/watch"
 )
 
 // quietPeriod is how long the streams are measured without statuses.
@@ -104,7 +104,7 @@
 // and what a stream costs without statuses, by number of slots and of peers.
 // Bytes are those of both directions above TCP; processor time is both ends'.
 //
-//	go test -run '^$' -bench Watch -benchtime 200x ./internal/link
+//	go test -run '^$' -bench Watch -benchtime 200x ./internal/wire/link
 func BenchmarkWatch(b *testing.B) {
 	for _, size := range []struct{ slots, peers int }{{1, 8}, {4, 8}, {16, 8}, {4, 32}, {4, 128}, {4, 256}} {
 		b.Run(fmt.Sprintf("slots=%d/peers=%d", size.slots, size.peers), func(b *testing.B) {
--- a/internal/link/peer.go
+++ b/internal/wire/link/peer.go
@@ -13,9 +13,9 @@
 	"github.com/hashicorp/yamux"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/endpointside/watch"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 const (
--- a/internal/link/server.go
+++ b/internal/wire/link/server.go
@@ -17,9 +17,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
-	"hemlockmast/internal/outcome"
-	"hemlockmast/internal/watch"
+	"hemlockmast/internal/endpointside/watch"
+	"hemlockmast/internal/shared/outcome"
+	"hemlockmast/internal/wire/exchange"
 )
 
 const (
--- a/internal/link/stream_test.go
+++ b/internal/wire/link/stream_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/api/link"
-	"hemlockmast/internal/exchange"
+	"hemlockmast/internal/wire/exchange"
 )
 
 // endless is an exchange whose answer never ends. It counts those that run.
--- a/internal/pgwire/messages.go
+++ b/internal/wire/pgwire/messages.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"hemlockmast/internal/outcome"
+	"hemlockmast/internal/shared/outcome"
 )
 
 // Type bytes of the messages that callers send.
