--- a/internal/configuration/servicefile/servicefile_test.go
+++ b/internal/configuration/servicefile/servicefile_test.go
@@ -189,7 +189,7 @@
 func TestExamples(t *testing.T) {
 	for folder, limit := range map[string]uint32{"eisgrund": 20, "sankofa": 45} {
 		t.Run(folder, func(t *testing.T) {
-			cfg, problems := Load(filepath.Join("..", "..", "examples", folder))
+			cfg, problems := Load(filepath.Join("..", "..", "..", "examples", folder))
 			assert.NilError(t, problems.Err())
 			assert.Equal(t, len(cfg.Groups), 3)
 			assert.Equal(t, len(cfg.Services), 9)
