--- /dev/null
+++ b/internal/proxy/export_test.go
@@ -0,0 +1,9 @@
+package proxy
+
+// MarkCount returns how many watermarks of a service are kept.
+func (s *Server) MarkCount(service string) int {
+	st := s.service(service)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.marks.Len()
+}
--- a/internal/proxy/mark/mark.go
+++ b/internal/proxy/mark/mark.go
@@ -61,5 +61,16 @@
 	return Mark{}, false
 }
 
+// Len returns the number of marks kept.
+func (h *History) Len() int { return len(h.marks) }
+
+// Newest returns when the question of the newest mark was sent; 0 without one.
+func (h *History) Newest() time.Duration {
+	if len(h.marks) == 0 {
+		return 0
+	}
+	return h.marks[len(h.marks)-1].Asked
+}
+
 // Reset forgets all marks. A new primary may have rolled back what they name.
 func (h *History) Reset() { h.marks = nil }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,6 +39,12 @@
 	// stallTime is how long a write may take before its primary is suspected: many
 	// times what writes take, within the deadlines that callers have.
 	stallTime = 350 * time.Millisecond
+	// denseInterval is the greatest distance of watermarks while replicas lag, and
+	// denseTime how long they are kept so after a replica lacked one.
+	denseInterval = 120 * time.Millisecond
+	denseTime     = 2 * time.Second
+	// refreshPriority goes before every route: one watermark serves many reads.
+	refreshPriority = -1
 	// reportTimeout bounds one report.
 	reportTimeout = 2 * time.Second
 )
@@ -98,6 +104,10 @@
 	mu     sync.Mutex
 	number uint64
 	marks  mark.History
+	// lagUntil is until when marks are kept dense because replicas lag, refreshing
+	// whether that is being done.
+	lagUntil   time.Time
+	refreshing bool
 	// asking is the question to the primary that is on its way, if any.
 	asking *question
 }
@@ -217,6 +227,42 @@
 	return st.marks.Since(t)
 }
 
+// lagged notes that a replica lacked a watermark. Where marks are far apart, the
+// oldest one that is young enough may be much younger than need be, and replicas
+// that could serve a read lack it; so marks are kept dense for a while.
+func (s *Server) lagged(service string) {
+	st := s.service(service)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.lagUntil = time.Now().Add(denseTime)
+	if !st.refreshing {
+		st.refreshing = true
+		go s.refresh(service, st)
+	}
+}
+
+// refresh asks the primary for marks until replicas have not lagged for denseTime.
+func (s *Server) refresh(service string, st *serviceState) {
+	for {
+		time.Sleep(denseInterval)
+		st.mu.Lock()
+		if time.Now().After(st.lagUntil) {
+			st.refreshing = false
+			st.mu.Unlock()
+			return
+		}
+		newest := st.marks.Newest()
+		st.mu.Unlock()
+		now := boottime.Now()
+		if now-newest < denseInterval {
+			continue
+		}
+		if _, err := s.markSince(service, now, time.Now().Add(denseInterval), refreshPriority); err != nil {
+			s.log.V(1).Info("watermark not refreshed", "service", service, "error", err.Error())
+		}
+	}
+}
+
 // question is a question for the primary's position, shared by all who may use
 // its answer.
 type question struct {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -234,6 +234,24 @@
 	assert.Assert(t, strings.HasPrefix(f.session("bounded").ok("FETCH item"), "ROW new|"))
 }
 
+// TestMarksAreDenseWhileReplicasLag has a single read find the replicas behind: the
+// watermarks of the time after it must let later reads use all of their staleness.
+func TestMarksAreDenseWhileReplicasLag(t *testing.T) {
+	f := newFixture(t)
+	// The endpoint in the entry's failure domain is a replica.
+	f.promote(1)
+	c := f.session("bounded")
+	c.ok("FETCH item")
+	f.group.Nodes()[0].Set(standin.Faults{Late: true})
+	f.group.Nodes()[2].Set(standin.Faults{Late: true})
+	f.session("session").ok("STORE item v")
+	time.Sleep(350 * time.Millisecond)
+	c.ok("FETCH item")
+	before := f.server.MarkCount("svc")
+	time.Sleep(time.Second)
+	assert.Assert(t, f.server.MarkCount("svc") >= before+5)
+}
+
 func TestBoundedReadWithoutPrimaryIsRefusedOnceTooOld(t *testing.T) {
 	f := newFixture(t)
 	c := f.session("bounded")
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -348,6 +348,7 @@
 	}
 	if reply.Err.Code == stmt.CodeLagging {
 		l.pool.Lagging(reply.Pos)
+		r.ss.server.lagged(r.route.Service)
 	}
 	return reply, !reply.Err.Code.NotRun()
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -156,6 +156,7 @@
 	if reply.Err != nil {
 		if reply.Err.Code == stmt.CodeLagging {
 			l.pool.Lagging(reply.Pos)
+			ss.server.lagged(tx.route.Service)
 		}
 		ss.giveBack(l.pool, c, reply)
 		return reply.Err
