Where there are more entries than connections, each is open only while used

An entry without a share opens a connection when needed and closes it 300 ms after; borrowed connections are now closed by a timer too.

--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -72,8 +72,8 @@
 			sleep(ctx, peerPause)
 			continue
 		}
-		request.Source, request.Version = answer.Source, answer.Version
-		request.WaitMs = uint32(fleethub.MaxWait.Milliseconds())
+		request.Source, request.Version, request.Entries = answer.Source, answer.Version, answer.Entries
+		request.WaitMs = uint32(fleethub.MaxPeerWait.Milliseconds())
 		n.hub.CountEntriesAt(address, answer.Entries)
 		n.mu.Lock()
 		n.domains[address] = answer.FailureDomain
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -20,8 +20,11 @@
 	// followerTimeout is how long a follower counts after its last poll. Polls
 	// end within MaxWait.
 	followerTimeout = 3 * time.Second
-	// MaxWait bounds the wait of one poll.
+	// MaxWait bounds the wait of an entry's poll.
 	MaxWait = time.Second
+	// MaxPeerWait bounds the wait of another control daemon, which learns of changes
+	// from the agreed state as well.
+	MaxPeerWait = 5 * time.Second
 	// currentCheck is how often a waiting poll looks whether control is still
 	// current; a follower leaves a daemon that is not.
 	currentCheck = 200 * time.Millisecond
@@ -179,10 +182,15 @@
 // daemon stopped being current. A follower that holds nothing yet waits for this
 // daemon to become current.
 func (h *Hub) Follow(ctx context.Context, r *fleetpb.FollowRequest) *fleetpb.FollowResponse {
-	end := h.now().Add(min(time.Duration(r.WaitMs)*time.Millisecond, MaxWait))
+	most := MaxWait
+	if !r.IsEntry {
+		most = MaxPeerWait
+	}
+	end := h.now().Add(min(time.Duration(r.WaitMs)*time.Millisecond, most))
 	for {
 		answer, changed := h.answer(r)
-		hasNews := answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0
+		hasNews := answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0 ||
+			!r.IsEntry && answer.Entries != r.Entries
 		left := end.Sub(h.now())
 		isDone := hasNews || !answer.Current
 		if !answer.Current && r.IsEntry && r.ConfigurationVersion == 0 {
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -33,6 +33,11 @@
 	idleTime = 4 * time.Second
 	// borrowedTime is the same for one beyond the share.
 	borrowedTime = 100 * time.Millisecond
+	// sharedTime is the same where there are more daemons than connections: each
+	// opens one when needed, and most are unused at any moment.
+	sharedTime = 300 * time.Millisecond
+	// sweepDelay lets a timer find a connection that has just become stale.
+	sweepDelay = time.Millisecond
 	// refusedTime is how long an endpoint that lacked a position counts as behind.
 	refusedTime = 60 * time.Millisecond
 	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
@@ -91,8 +96,8 @@
 
 // Share is a daemon's part of an endpoint's connections.
 type Share struct {
-	// Keep connections may stay open. The sum over all daemons is within the
-	// endpoint's limit.
+	// Keep connections may stay open, 0 where there are more daemons than
+	// connections. The sum over all daemons is within the endpoint's limit.
 	Keep int
 	// Most connections may be open while statements wait. What daemons borrow in
 	// this way beyond the endpoint's limit is refused there.
@@ -234,11 +239,8 @@
 // closeStale closes connections beyond the first that were unused for long. mu
 // must be held.
 func (p *Pool) closeStale() {
-	for len(p.idle) > 0 && p.open > 1 {
-		keep := idleTime
-		if p.open > p.share {
-			keep = borrowedTime
-		}
+	for len(p.idle) > 0 && (p.open > 1 || p.share == 0) {
+		keep := p.keepTime()
 		if time.Since(p.idle[0].idleSince) < keep {
 			return
 		}
@@ -248,6 +250,25 @@
 	}
 }
 
+// keepTime is how long the connection unused for longest may stay open. mu must
+// be held.
+func (p *Pool) keepTime() time.Duration {
+	switch {
+	case p.share == 0:
+		return sharedTime
+	case p.open > p.share:
+		return borrowedTime
+	}
+	return idleTime
+}
+
+// sweep closes what was unused for too long.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeStale()
+}
+
 // dial opens a connection that take has counted. A statement's deadline must not
 // decide whether the endpoint counts as reached, so the attempt goes on in the
 // background after it; what it opens is then kept.
@@ -330,6 +351,10 @@
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 	p.closeStale()
+	if p.open > p.share {
+		// Nobody else may come by for long.
+		time.AfterFunc(p.keepTime()+sweepDelay, p.sweep)
+	}
 }
 
 // Discard closes a lent connection: an exchange on it failed, or a transaction
--- /dev/null
+++ b/internal/proxy/pool/pool_test.go
@@ -0,0 +1,163 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
+)
+
+// endpoint counts its connections and refuses those beyond its limit.
+type endpoint struct {
+	open  atomic.Int64
+	most  atomic.Int64
+	dials atomic.Int64
+	limit int64
+	down  atomic.Bool
+}
+
+type conn struct {
+	e    *endpoint
+	once sync.Once
+}
+
+func (e *endpoint) Dial(context.Context, stmt.Endpoint) (stmt.Conn, error) {
+	e.dials.Add(1)
+	if e.down.Load() {
+		return nil, &stmt.BrokenError{Cause: context.DeadlineExceeded}
+	}
+	open := e.open.Add(1)
+	if open > e.limit {
+		e.open.Add(-1)
+		return nil, &stmt.RefusedError{Reply: &stmt.Error{Code: stmt.CodeTooMany}}
+	}
+	for most := e.most.Load(); open > most && !e.most.CompareAndSwap(most, open); most = e.most.Load() {
+	}
+	return &conn{e: e}, nil
+}
+
+func (c *conn) Do(time.Time, string, string, logpos.Pos) (stmt.Reply, error) {
+	return stmt.Reply{}, nil
+}
+func (c *conn) Status(time.Time) (stmt.Status, error)           { return stmt.Status{}, nil }
+func (c *conn) Pause(time.Time, uint64) (stmt.Status, error)    { return stmt.Status{}, nil }
+func (c *conn) Resume(time.Time) (stmt.Status, error)           { return stmt.Status{}, nil }
+func (c *conn) StepDown(time.Time, uint64) (stmt.Status, error) { return stmt.Status{}, nil }
+func (c *conn) Close()                                          { c.once.Do(func() { c.e.open.Add(-1) }) }
+
+func any0(*Conn) int { return 0 }
+
+func newPool(e *endpoint, share Share) *Pool {
+	return New(stmt.Endpoint{ID: "x"}, e, share, func(error) {})
+}
+
+// getInTime asks again while the endpoint has no room, as statements do.
+func getInTime(p *Pool, d time.Duration) *Conn {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if c, err := p.Get(end, 0, any0); err == nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// TestManyDaemonsShareFewConnections has 80 daemons before an endpoint with 50
+// connections, each with a statement now and then, as on the grown deployment.
+func TestManyDaemonsShareFewConnections(t *testing.T) {
+	e := &endpoint{limit: 50}
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range 80 {
+		p := newPool(e, Share{Keep: 0, Most: 2})
+		wg.Go(func() {
+			for range 8 {
+				c := getInTime(p, 500*time.Millisecond)
+				if c == nil {
+					refused.Add(1)
+					continue
+				}
+				time.Sleep(20 * time.Millisecond)
+				p.Put(c)
+				time.Sleep(600 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, refused.Load(), int64(0))
+	time.Sleep(sharedTime + 50*time.Millisecond)
+	assert.Equal(t, e.open.Load(), int64(0))
+}
+
+// TestBorrowedConnectionsAreReturned has a burst open more than the share.
+func TestBorrowedConnectionsAreReturned(t *testing.T) {
+	e := &endpoint{limit: 50}
+	p := newPool(e, Share{Keep: 2, Most: 4})
+	var list []*Conn
+	for range 4 {
+		c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+		assert.NilError(t, err)
+		list = append(list, c)
+	}
+	_, err := p.Get(time.Now().Add(30*time.Millisecond), 0, any0)
+	var full *FullError
+	assert.Assert(t, errors.As(err, &full))
+	for _, c := range list {
+		p.Put(c)
+	}
+	time.Sleep(borrowedTime + 50*time.Millisecond)
+	assert.Equal(t, e.open.Load(), int64(2))
+	assert.Equal(t, e.most.Load(), int64(4))
+}
+
+// TestWaitersAreServedByPriority has two wait for one connection.
+func TestWaitersAreServedByPriority(t *testing.T) {
+	p := newPool(&endpoint{limit: 1}, Share{Keep: 1, Most: 1})
+	c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	order := make(chan int32, 2)
+	var wg sync.WaitGroup
+	for _, priority := range []int32{5, 1} {
+		wg.Go(func() {
+			got, err := p.Get(time.Now().Add(time.Second), priority, any0)
+			assert.Check(t, err)
+			order <- priority
+			p.Put(got)
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.Put(c)
+	wg.Wait()
+	assert.Equal(t, <-order, int32(1))
+}
+
+// TestDownEndpointIsLookedForInTheBackground fails statements at once meanwhile.
+func TestDownEndpointIsLookedForInTheBackground(t *testing.T) {
+	e := &endpoint{limit: 5}
+	p := newPool(e, Share{Keep: 2, Most: 2})
+	e.down.Store(true)
+	_, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.Assert(t, err != nil)
+	start := time.Now()
+	_, err = p.Get(time.Now().Add(time.Second), 0, any0)
+	var down *DownError
+	assert.Assert(t, errors.As(err, &down))
+	assert.Assert(t, time.Since(start) < 50*time.Millisecond)
+	e.down.Store(false)
+	time.Sleep(2 * probePause)
+	assert.Assert(t, !p.IsDown())
+	c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	p.Put(c)
+	p.Close()
+	assert.Equal(t, e.open.Load(), int64(0))
+	_, err = p.Get(time.Now().Add(time.Second), 0, any0)
+	var closed *ClosedError
+	assert.Assert(t, errors.As(err, &closed))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,6 +32,8 @@
 	reservedConnections = 3
 	// borrowedPercent of its share may an entry borrow.
 	borrowedPercent = 100
+	// leastBorrowed connections may it borrow in any case.
+	leastBorrowed = 2
 	// leastEntries is the number of entries that a part is computed for at least.
 	leastEntries = 4
 	// reportInterval is the least time between two reports about one endpoint.
@@ -162,8 +164,8 @@
 func share(maxConnections uint32, entries int) pool.Share {
 	// Before the others are counted, as after a restart of all, a part is small.
 	entries = max(entries, leastEntries)
-	keep := max(1, (int(maxConnections)-reservedConnections)/entries)
-	return pool.Share{Keep: keep, Most: keep + max(1, keep*borrowedPercent/100)}
+	keep := max(0, (int(maxConnections)-reservedConnections)/entries)
+	return pool.Share{Keep: keep, Most: keep + max(leastBorrowed, keep*borrowedPercent/100)}
 }
 
 func (s *Server) service(name string) *serviceState {
