--- a/internal/configuration/confspread/daemon.go
+++ b/internal/configuration/confspread/daemon.go
@@ -13,6 +13,7 @@
 	"hemlockmast/api/confspread"
 	"hemlockmast/api/service"
 	"hemlockmast/internal/configuration/spreadstate"
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -216,7 +217,7 @@
 			backoff = firstBackoff
 			continue
 		}
-		pause(ctx, backoff)
+		wait.For(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -408,15 +409,6 @@
 	d.upstream = upstream
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // wake makes a waiting loop run once more.
 func wake(ch chan struct{}) {
 	select {
--- a/internal/configuration/confspread/relay.go
+++ b/internal/configuration/confspread/relay.go
@@ -7,6 +7,8 @@
 	"github.com/twitchtv/twirp"
 
 	"hemlockmast/api/confspread"
+
+	"hemlockmast/internal/shared/wait"
 )
 
 // Poll answers a daemon of the failure domain, or a relay of another one that
@@ -91,7 +93,7 @@
 			return
 		case <-ticker.C:
 		case <-d.news:
-			pause(ctx, reportDelay)
+			wait.For(ctx, reportDelay)
 		}
 		d.report(ctx)
 	}
--- a/internal/controlgroup/control/errors.go
+++ b/internal/controlgroup/control/errors.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 
 	"hemlockmast/internal/controlgroup/agree"
@@ -97,3 +98,13 @@
 func (e *NoGroupError) Error() string {
 	return fmt.Sprintf("control: %s has not joined a group yet", e.Name)
 }
+
+// LeaderElsewhere returns the leader's address when err says that only the leader
+// serves the call, and where it is.
+func LeaderElsewhere(err error) (address string, ok bool) {
+	var notLeader *NotLeaderError
+	if !errors.As(err, &notLeader) || notLeader.Address == "" {
+		return "", false
+	}
+	return notLeader.Address, true
+}
--- /dev/null
+++ b/internal/controlgroup/control/number.go
@@ -0,0 +1,17 @@
+package control
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+)
+
+// RandomNumber draws a number that is not 0, for Config.NewNumber.
+func RandomNumber() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:])
+		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
+			return n
+		}
+	}
+}
--- a/internal/controlgroup/controlplane/member.go
+++ b/internal/controlgroup/controlplane/member.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -90,7 +88,7 @@
 		Transport: control.NewPeers(ctx, &http.Client{}, "http"),
 		Ticks:     m.ticker.C,
 		Rand:      mathrand.IntN,
-		NewNumber: newNumber,
+		NewNumber: control.RandomNumber,
 		Log:       cfg.Log,
 	})
 	if err != nil {
@@ -100,17 +98,6 @@
 	return m, nil
 }
 
-// newNumber draws a number that is not 0.
-func newNumber() uint64 {
-	var b [8]byte
-	for {
-		_, _ = rand.Read(b[:])
-		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
-			return n
-		}
-	}
-}
-
 // Run drives the member until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
 	defer m.stop()
@@ -138,7 +125,7 @@
 // command to the one that does.
 func (m *Member) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
 	result, err := m.Control.Propose(ctx, cmd)
-	address, ok := elsewhere(err)
+	address, ok := control.LeaderElsewhere(err)
 	if !ok {
 		return result, err
 	}
@@ -153,7 +140,7 @@
 // the leader and waits until it has applied as much.
 func (m *Member) ReadBarrier(ctx context.Context) error {
 	err := m.Control.ReadBarrier(ctx)
-	address, ok := elsewhere(err)
+	address, ok := control.LeaderElsewhere(err)
 	if !ok {
 		return err
 	}
@@ -171,16 +158,6 @@
 	return nil
 }
 
-// elsewhere returns the leader's address when err says that only the leader
-// serves the call.
-func elsewhere(err error) (address string, ok bool) {
-	var notLeader *control.NotLeaderError
-	if !errors.As(err, &notLeader) || notLeader.Address == "" {
-		return "", false
-	}
-	return notLeader.Address, true
-}
-
 func (m *Member) leader(address string) controlpb.Control {
 	return controlpb.NewControlProtobufClient("http://"+address, m.client)
 }
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -14,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
@@ -94,7 +91,7 @@
 func Open(ctx context.Context, cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick), domains: make(map[string]string)}
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
-	n.hub = fleethub.New(newNumber(), n.machine, n, time.Now)
+	n.hub = fleethub.New(control.RandomNumber(), n.machine, n, time.Now)
 	n.watch = newWatch(n)
 	peers := make([]control.Peer, 0, len(cfg.Seeds))
 	for _, address := range cfg.Seeds {
@@ -106,7 +103,7 @@
 		Name: cfg.Address, Address: cfg.Address, Peers: peers, JoinOnly: !cfg.MayFound,
 		FS: agreelog.OS{}, Dir: filepath.Join(cfg.DataFolder, logFolder),
 		Machine: n.machine, Transport: control.NewPeers(ctx, fleetrpc.NewHTTPClient(), "http"),
-		Ticks: n.ticker.C, Rand: mathrand.IntN, NewNumber: newNumber, Log: cfg.Log,
+		Ticks: n.ticker.C, Rand: mathrand.IntN, NewNumber: control.RandomNumber, Log: cfg.Log,
 		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 	})
 	if err != nil {
@@ -116,17 +113,6 @@
 	return n, nil
 }
 
-// newNumber draws a number that is not 0.
-func newNumber() uint64 {
-	var b [8]byte
-	for {
-		_, _ = rand.Read(b[:])
-		if n := binary.BigEndian.Uint64(b[:]); n != 0 {
-			return n
-		}
-	}
-}
-
 // Run drives the daemon until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.ticker.Stop()
@@ -260,7 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	encoded, err := n.control.Propose(ctx, data)
-	if address, ok := leaderElsewhere(err); ok {
+	if address, ok := control.LeaderElsewhere(err); ok {
 		var response *fleetpb.ProposeResponse
 		response, err = fleetrpc.Client(n.http, address).Propose(ctx, &fleetpb.ProposeRequest{Command: data})
 		encoded = response.GetResult()
@@ -275,7 +261,7 @@
 // barrier returns once this member has applied all that was committed before.
 func (n *Node) barrier(ctx context.Context) error {
 	err := n.control.ReadBarrier(ctx)
-	address, ok := leaderElsewhere(err)
+	address, ok := control.LeaderElsewhere(err)
 	if !ok {
 		return err
 	}
@@ -296,14 +282,6 @@
 // applyPoll is the interval at which a follower looks whether it caught up.
 const applyPoll = 2 * time.Millisecond
 
-func leaderElsewhere(err error) (address string, ok bool) {
-	var notLeader *control.NotLeaderError
-	if !errors.As(err, &notLeader) || notLeader.Address == "" {
-		return "", false
-	}
-	return notLeader.Address, true
-}
-
 // Announce takes an endpoint's announcement and returns where it should
 // announce itself next: at the leader, which judges whether it lives.
 func (n *Node) Announce(e *fleetpb.Endpoint) string {
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -10,6 +10,7 @@
 	"hemlockmast/internal/controlgroup/control"
 	"hemlockmast/internal/fleet/fleethub"
 	"hemlockmast/internal/fleet/fleetrpc"
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -69,7 +70,7 @@
 		cancel()
 		if err != nil {
 			n.hub.CountEntriesAt(address, 0)
-			sleep(ctx, peerPause)
+			wait.For(ctx, peerPause)
 			continue
 		}
 		request.Source, request.Version, request.Entries = answer.Source, answer.Version, answer.Entries
@@ -82,21 +83,12 @@
 			n.logChanges(n.hub.Merge(e))
 		}
 		if !answer.Current {
-			sleep(ctx, peerPause)
+			wait.For(ctx, peerPause)
 		}
 	}
 	n.hub.CountEntriesAt(address, 0)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // removeSilent takes out a voter whose VM was replaced: the group then has more
 // voters than usual, and one of them is silent for long.
 func (n *Node) removeSilent(ctx context.Context, st control.Status) {
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -12,6 +12,7 @@
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -215,7 +216,7 @@
 	if !ok {
 		return true
 	}
-	sleep(ctx, stallSample)
+	wait.For(ctx, stallSample)
 	second, ok := w.positions(ctx, g)
 	if !ok || !promotion.IsStalled(first, second) {
 		return true
@@ -317,7 +318,7 @@
 			w.mu.Unlock()
 			return true
 		}
-		sleep(ctx, probePause)
+		wait.For(ctx, probePause)
 	}
 	w.log.Info("primary does not answer", "service", g.service, "endpoint", g.primary.Id)
 	return w.promote(ctx, g, false)
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -17,6 +17,7 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleethub"
 	"hemlockmast/internal/shared/netopt"
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -169,12 +170,7 @@
 				return
 			}
 		}
-		timer := time.NewTimer(pause + rand.N(pause))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		wait.For(ctx, pause+rand.N(pause))
 		pause = min(2*pause, maxPause)
 	}
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -85,7 +87,7 @@
 			quiet = 0
 		}
 		s.endIdle(isLate, quiet)
-		sleepUntil(ctx, time.Now().Add(drainPoll))
+		wait.For(ctx, drainPoll)
 	}
 	s.log.Info("drain ended", "sessions", s.countSessions())
 }
@@ -94,7 +96,7 @@
 // stated time: nobody may be asking.
 func (s *Server) awaitNotice(ctx context.Context, until time.Time) {
 	for ctx.Err() == nil && time.Now().Before(until) && !s.misses.hasLeft() {
-		sleepUntil(ctx, time.Now().Add(drainPoll))
+		wait.For(ctx, drainPoll)
 	}
 }
 
@@ -121,12 +123,3 @@
 		})
 	}
 }
-
-func sleepUntil(ctx context.Context, t time.Time) {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,10 +18,7 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/proxy/fleetview"
-	"hemlockmast/internal/proxy/mark"
 	"hemlockmast/internal/proxy/pool"
-	"hemlockmast/internal/shared/boottime"
-	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
@@ -36,19 +33,6 @@
 	leastBorrowed = 2
 	// leastEntries is the number of entries that a part is computed for at least.
 	leastEntries = 4
-	// reportInterval is the least time between two reports about one endpoint.
-	reportInterval = 300 * time.Millisecond
-	// stallTime is how long a write may take before its primary is suspected: many
-	// times what writes take, within the deadlines that callers have.
-	stallTime = 350 * time.Millisecond
-	// denseInterval is the greatest distance of watermarks while replicas lag, and
-	// denseTime how long they are kept so after a replica lacked one.
-	denseInterval = 120 * time.Millisecond
-	denseTime     = 2 * time.Second
-	// refreshPriority goes before every route: one watermark serves many reads.
-	refreshPriority = -1
-	// reportTimeout bounds one report.
-	reportTimeout = 2 * time.Second
 )
 
 // Texts writes the statements that the proxy issues itself.
@@ -100,20 +84,6 @@
 	misses misses
 }
 
-// serviceState is what this entry knows of a service's log.
-type serviceState struct {
-	// mu guards the fields below; nothing else is locked under it.
-	mu     sync.Mutex
-	number uint64
-	marks  mark.History
-	// lagUntil is until when marks are kept dense because replicas lag, refreshing
-	// whether that is being done.
-	lagUntil   time.Time
-	refreshing bool
-	// asking is the question to the primary that is on its way, if any.
-	asking *question
-}
-
 // New returns a server that follows its view.
 func New(cfg Config) *Server {
 	s := &Server{
@@ -197,195 +167,6 @@
 	return p
 }
 
-func (st *serviceState) follow(number uint64) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if number != st.number {
-		st.number = number
-		st.marks.Reset()
-	}
-}
-
-// learn takes a position that a primary told in answer to what was sent at asked.
-// number is the primary's, so that an answer of a former one is not used.
-func (st *serviceState) learn(number uint64, asked time.Duration, pos logpos.Pos) {
-	if !pos.IsZero() {
-		st.add(number, mark.Mark{Asked: asked, Pos: pos})
-	}
-}
-
-// add takes a mark in; one with no position says that the log was empty.
-func (st *serviceState) add(number uint64, m mark.Mark) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if number == st.number {
-		st.marks.Add(m)
-	}
-}
-
-func (st *serviceState) since(t time.Duration) (mark.Mark, bool) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.marks.Since(t)
-}
-
-// lagged notes that a replica lacked a watermark. Where marks are far apart, the
-// oldest one that is young enough may be much younger than need be, and replicas
-// that could serve a read lack it; so marks are kept dense for a while.
-func (s *Server) lagged(service string) {
-	st := s.service(service)
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.lagUntil = time.Now().Add(denseTime)
-	if !st.refreshing {
-		st.refreshing = true
-		go s.refresh(service, st)
-	}
-}
-
-// refresh asks the primary for marks until replicas have not lagged for denseTime.
-func (s *Server) refresh(service string, st *serviceState) {
-	for {
-		time.Sleep(denseInterval)
-		st.mu.Lock()
-		if time.Now().After(st.lagUntil) {
-			st.refreshing = false
-			st.mu.Unlock()
-			return
-		}
-		newest := st.marks.Newest()
-		st.mu.Unlock()
-		now := boottime.Now()
-		if now-newest < denseInterval {
-			continue
-		}
-		if _, err := s.markSince(service, now, time.Now().Add(denseInterval), refreshPriority); err != nil {
-			s.log.V(1).Info("watermark not refreshed", "service", service, "error", err.Error())
-		}
-	}
-}
-
-// question is a question for the primary's position, shared by all who may use
-// its answer.
-type question struct {
-	asked time.Duration
-	done  chan struct{}
-	err   error
-}
-
-// markSince returns a watermark that covers every commit acknowledged before t.
-// If none is known, the primary is asked.
-func (s *Server) markSince(service string, t time.Duration, deadline time.Time, priority int32) (mark.Mark, error) {
-	st := s.service(service)
-	for {
-		if m, ok := st.since(t); ok {
-			return m, nil
-		}
-		st.mu.Lock()
-		q := st.asking
-		if q == nil {
-			q = &question{asked: boottime.Now(), done: make(chan struct{})}
-			st.asking = q
-			st.mu.Unlock()
-			q.err = s.ask(service, st, q, deadline, priority)
-			st.mu.Lock()
-			st.asking = nil
-			st.mu.Unlock()
-			close(q.done)
-		} else {
-			st.mu.Unlock()
-			select {
-			case <-q.done:
-			case <-time.After(time.Until(deadline)):
-				return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
-			}
-		}
-		if q.asked >= t {
-			m, ok := st.since(t)
-			switch {
-			case ok:
-				return m, nil
-			case q.err != nil:
-				return mark.Mark{}, q.err
-			}
-			// The primary changed while it was asked.
-			return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary changed"}
-		}
-		if !time.Now().Before(deadline) {
-			return mark.Mark{}, &stmt.Error{Code: stmt.CodeLagging, Detail: "primary not asked in time"}
-		}
-	}
-}
-
-// ask asks the primary for its position.
-func (s *Server) ask(service string, st *serviceState, q *question, deadline time.Time, priority int32) error {
-	lead, err := s.primary(service)
-	if err != nil {
-		return err
-	}
-	c, err := lead.pool.Get(deadline, priority, anyFit)
-	if err != nil {
-		s.failed(lead, err)
-		return notRun(err)
-	}
-	reply, asked, err := s.guard(lead, c, deadline)
-	if err != nil {
-		return &stmt.Error{Code: stmt.CodeLagging, Detail: "primary does not answer"}
-	}
-	q.asked = asked
-	if reply.Err != nil {
-		lead.pool.Put(c)
-		return reply.Err
-	}
-	if reply.Pos.IsZero() {
-		s.askEmpty(lead, c, st, deadline)
-	}
-	s.endGuard(lead, c, deadline)
-	return nil
-}
-
-// askEmpty asks a primary that told no position whether its log is empty.
-func (s *Server) askEmpty(l lead, c *pool.Conn, st *serviceState, deadline time.Time) {
-	asked := boottime.Now()
-	status, err := c.Status(deadline)
-	if err != nil {
-		s.log.Info("primary told no position", "endpoint", l.endpoint.Id, "error", err.Error())
-		return
-	}
-	if status.Role == stmt.Primary {
-		st.add(l.number, mark.Mark{Asked: asked, Pos: status.Received})
-	}
-}
-
-// guard opens a transaction of the proxy's own, which only a primary does: its
-// answer tells a position that covers every commit acknowledged before asked.
-// Unlike a question for the status it takes none of the endpoint's places. On an
-// error the connection is given up; after a refusal no transaction is open.
-func (s *Server) guard(l lead, c *pool.Conn, deadline time.Time) (reply stmt.Reply, asked time.Duration, err error) {
-	asked = boottime.Now()
-	reply, err = c.Do(deadline, s.cfg.Texts.Begin(false), "", logpos.Pos{})
-	if err != nil {
-		l.pool.Discard(c)
-		s.failed(l, err)
-		return reply, asked, err
-	}
-	if reply.Err == nil {
-		s.service(l.endpoint.Service).learn(l.number, asked, reply.Pos)
-		s.answered(l, reply.Pos, 0)
-	}
-	return reply, asked, nil
-}
-
-// endGuard rolls the proxy's own transaction back and returns the connection.
-func (s *Server) endGuard(l lead, c *pool.Conn, deadline time.Time) {
-	reply, err := c.Do(deadline, s.cfg.Texts.Rollback(), "", logpos.Pos{})
-	if err != nil || reply.State != stmt.Idle {
-		l.pool.Discard(c)
-		return
-	}
-	l.pool.Put(c)
-}
-
 // lead is a service's primary as this entry knows it.
 type lead struct {
 	endpoint *fleetpb.Endpoint
@@ -407,64 +188,6 @@
 	return lead{}, &stmt.Error{Code: stmt.CodeReadOnly, Detail: "no primary is known"}
 }
 
-// failed notes that an endpoint did not serve and tells control.
-func (s *Server) failed(l lead, err error) {
-	if !isFailure(err) {
-		return
-	}
-	l.pool.Failed()
-	s.reach.failed(s.isFar(l.endpoint), time.Now())
-	s.report(l.endpoint, fleetpb.Suspicion_SUSPICION_UNREACHABLE, err)
-}
-
-// watchStall reports a primary at which a write takes much longer than writes do.
-// The caller calls the function that it returns once the write has ended.
-func (s *Server) watchStall(l lead) (ended func()) {
-	timer := time.AfterFunc(stallTime, func() { s.stalled(l, &stalledError{}) })
-	return func() { timer.Stop() }
-}
-
-// stalled tells control that writes do not end at a primary.
-func (s *Server) stalled(l lead, cause error) {
-	s.report(l.endpoint, fleetpb.Suspicion_SUSPICION_STALLED, cause)
-}
-
-// stalledError says that a write has not ended.
-type stalledError struct{}
-
-func (*stalledError) Error() string { return "write has not ended after " + stallTime.String() }
-
-// answered notes an answer of an endpoint.
-func (s *Server) answered(l lead, pos logpos.Pos, took time.Duration) {
-	l.pool.Answered(pos, took)
-	s.reach.answered(s.isFar(l.endpoint), time.Now())
-}
-
-// report tells control, not more often than reportInterval for one endpoint.
-func (s *Server) report(e *fleetpb.Endpoint, suspicion fleetpb.Suspicion, cause error) {
-	now := time.Now()
-	s.mu.Lock()
-	if now.Sub(s.reported[e.Id]) < reportInterval {
-		s.mu.Unlock()
-		return
-	}
-	s.reported[e.Id] = now
-	s.mu.Unlock()
-	s.log.Info("endpoint does not serve", "endpoint", e.Id, "service", e.Service,
-		"suspicion", suspicion.String(), "error", cause.Error())
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-		defer cancel()
-		err := s.cfg.Reporter.Report(ctx, &fleetpb.ReportRequest{
-			Daemon: s.cfg.Name, FailureDomain: s.cfg.FailureDomain, Service: e.Service,
-			EndpointId: e.Id, Suspicion: suspicion,
-		})
-		if err != nil {
-			s.log.Info("report not delivered", "endpoint", e.Id, "error", err.Error())
-		}
-	}()
-}
-
 // Ready answers whether new callers should be sent here, and counts the answers.
 func (s *Server) Ready() bool {
 	ready := s.isReady()
