--- a/internal/cli/daemoncmd/daemoncmd.go
+++ b/internal/cli/daemoncmd/daemoncmd.go
@@ -55,8 +55,14 @@
 				},
 			},
 			{
-				Name: "check", Usage: "check the settings without starting", Flags: []cli.Flag{file},
+				Name: "check", Usage: "check the settings without starting",
+				Flags: []cli.Flag{file, &cli.BoolFlag{
+					Name: "serve", Usage: "the file is one for the command serve",
+				}},
 				Action: func(_ context.Context, cmd *cli.Command) error {
+					if cmd.Bool("serve") {
+						return checkServe(cmd)
+					}
 					s, err := load(cmd.String("settings"))
 					if err != nil {
 						return err
@@ -114,3 +120,13 @@
 	}
 	return nil
 }
+
+// checkServe checks a settings file of the command serve.
+func checkServe(cmd *cli.Command) error {
+	s, err := fleetd.Load(cmd.String("settings"))
+	if err != nil {
+		return cli.Exit(err.Error(), ExitSettings)
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "settings of %s (role %s) are valid\n", s.Name, s.Role)
+	return err
+}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -97,8 +97,20 @@
 }
 
 func (ss *session) logFailure(st stmt.Statement, e *stmt.Error) {
-	ss.server.log.Info("statement failed in a transaction", "id", st.ID, "begin", ss.tx.begin.ID,
-		"database", ss.database, "kind", st.Kind.String(), "code", e.Code.String(), "detail", e.Detail)
+	tx := ss.tx
+	service := tx.route.GetService()
+	fields := []any{
+		"id", st.ID, "begin", tx.begin.ID, "database", ss.database, "service", service,
+		"kind", st.Kind.String(), "code", e.Code.String(), "detail", e.Detail, "cutOff", ss.server.isolated(),
+	}
+	if tx.lead.endpoint != nil {
+		fields = append(fields, "endpoint", tx.lead.endpoint.Id)
+	}
+	if sv := ss.server.cfg.View.Picture().Service(service); sv != nil {
+		fields = append(fields, "primary", sv.PrimaryID, "primaryNumber", sv.Number,
+			"promoting", time.Now().Before(sv.PromotingUntil))
+	}
+	ss.server.log.Info("statement failed in a transaction", fields...)
 }
 
 // start opens the transaction at an endpoint. It is tried again while nothing of
