--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -158,22 +158,14 @@
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		for i, n := range f.group.Nodes() {
 			f.mu.Lock()
-			state := "ready"
-			if f.leaving[n.ID] {
-				state = "draining"
-			}
+			leaving := f.leaving[n.ID]
 			f.mu.Unlock()
 			if n.IsDown() {
 				continue
 			}
-			role := "replica"
-			if f.group.Primary() == n {
-				role = "primary"
-			}
-			body := fmt.Sprintf(`{"Backend":"svc","Address":%q,"Zone":%q,"Slots":3,"State":%q,"DbRole":%q,"Sequence":%d,"born":%d}`,
-				n.Address, string(rune('a'+i)), state, role, sequence, f.born)
+			body := n.Beat(string(rune('a'+i)), leaving, sequence, f.born)
 			for c := range 4 {
-				url := fmt.Sprintf("http://127.0.1.%d:%d/hemlockmast/instances/%s/heartbeat", c+1, f.port+1, n.ID)
+				url := fmt.Sprintf("http://127.0.1.%d:%d%s", c+1, f.port+1, standin.BeatPath(n.ID))
 				response, err := client.Post(url, "application/json", strings.NewReader(body))
 				if err == nil {
 					_ = response.Body.Close()
@@ -185,12 +177,6 @@
 	}
 }
 
-func configuration(version int, timeoutMs int) string {
-	return fmt.Sprintf(`{"Version":%d,"Routes":[{"Name":"r","Database":"db","PathPrefix":"/","Type":"read_your_writes",
-"TimeoutMs":%d,"Backend":"svc","MaxStalenessMs":1500}],"Services":[{"Name":"svc","MaxConnections":40,"SyncReplicas":1}],
-"Limits":{"TxIdleMs":3000}}`, version, timeoutMs)
-}
-
 // operate sends a request to one control daemon and returns the status and body.
 func (f *fleet) operate(i int, method, path, body string) (int, string) {
 	client := &http.Client{Timeout: 2 * time.Second}
@@ -212,7 +198,7 @@
 	i := 0
 	acknowledged := standin.WaitFor(10*time.Second, func() bool {
 		i++
-		status, _ := f.operate(i%4, "POST", "/hemlockmast/config/replace", body)
+		status, _ := f.operate(i%4, "POST", standin.PublishPath, body)
 		return status == http.StatusOK
 	})
 	assert.Assert(f.t, acknowledged)
@@ -248,29 +234,29 @@
 
 func TestCalmPath(t *testing.T) {
 	f := newFleet(t, 4, 2)
-	f.publish(configuration(5, 800))
+	f.publish(standin.Configuration(5, 800))
 	for entry := range 2 {
 		f.eventually(entry, "STORE item v")
 		f.eventually(entry, "FETCH item")
 	}
-	const replace, get = "/hemlockmast/config/replace", "/hemlockmast/config/get"
-	status, _ := f.operate(0, "POST", replace, configuration(6, 0))
+	const replace, get = standin.PublishPath, standin.ReadPath
+	status, _ := f.operate(0, "POST", replace, standin.Configuration(6, 0))
 	assert.Equal(t, status, http.StatusBadRequest)
-	status, _ = f.operate(1, "POST", replace, configuration(4, 10))
+	status, _ = f.operate(1, "POST", replace, standin.Configuration(4, 10))
 	assert.Equal(t, status, http.StatusOK)
 	// Other content under the version held is acknowledged and changes nothing.
-	status, _ = f.operate(1, "POST", replace, configuration(5, 10))
+	status, _ = f.operate(1, "POST", replace, standin.Configuration(5, 10))
 	assert.Equal(t, status, http.StatusOK)
 	for i := range 4 {
 		status, body := f.operate(i, "GET", get, "")
 		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, body, configuration(5, 800))
+		assert.Equal(t, body, standin.Configuration(5, 800))
 	}
 }
 
 func TestCrashedPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 2)
-	f.publish(configuration(5, 800))
+	f.publish(standin.Configuration(5, 800))
 	f.eventually(0, "STORE item v0")
 	f.group.Nodes()[0].Set(standin.Faults{Down: true})
 	f.eventually(0, "STORE item v1")
@@ -283,7 +269,7 @@
 // nothing is acknowledged.
 func TestStalledPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 2)
-	f.publish(configuration(5, 800))
+	f.publish(standin.Configuration(5, 800))
 	f.eventually(0, "STORE item v0")
 	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
 	f.group.Nodes()[2].Set(standin.Faults{Deaf: true})
@@ -295,7 +281,7 @@
 
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 1)
-	f.publish(configuration(5, 800))
+	f.publish(standin.Configuration(5, 800))
 	f.eventually(0, "STORE item v0")
 	f.mu.Lock()
 	f.leaving["svc-0"] = true
@@ -310,8 +296,8 @@
 // then replaces the disk of one and loses another right after.
 func TestControlSurvives(t *testing.T) {
 	f := newFleet(t, 4, 1)
-	f.publish(configuration(5, 800))
-	f.publish(configuration(6, 800))
+	f.publish(standin.Configuration(5, 800))
+	f.publish(standin.Configuration(6, 800))
 	var all []*fleetpb.DaemonSettings
 	for i := range 4 {
 		all = append(all, f.stop(fmt.Sprintf("control-%d", i)))
@@ -321,8 +307,8 @@
 		f.start(s)
 	}
 	holds := func(i int, version int) bool {
-		status, body := f.operate(i, "GET", "/hemlockmast/config/get", "")
-		return status == http.StatusOK && body == configuration(version, 800)
+		status, body := f.operate(i, "GET", standin.ReadPath, "")
+		return status == http.StatusOK && body == standin.Configuration(version, 800)
 	}
 	for i := range 4 {
 		assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(i, 6) }), "control %d", i)
@@ -332,7 +318,7 @@
 	f.start(wiped)
 	assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(1, 6) }))
 	f.stop("control-2")
-	f.publish(configuration(7, 800))
+	f.publish(standin.Configuration(7, 800))
 	for _, i := range []int{0, 1, 3} {
 		assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(i, 7) }), "control %d", i)
 	}
@@ -342,7 +328,7 @@
 func TestAcknowledgedNeedsCopies(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	time.Sleep(500 * time.Millisecond)
-	status, _ := f.operate(0, "POST", "/hemlockmast/config/replace", configuration(5, 800))
+	status, _ := f.operate(0, "POST", standin.PublishPath, standin.Configuration(5, 800))
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
 
@@ -350,7 +336,7 @@
 // daemon that starts then serves nobody, until control says what is in force.
 func TestRestartedEntryWaitsForAConfiguration(t *testing.T) {
 	f := newFleet(t, 4, 1)
-	f.publish(configuration(5, 800))
+	f.publish(standin.Configuration(5, 800))
 	f.eventually(0, "STORE item v")
 	var stopped []*fleetpb.DaemonSettings
 	for i := range 2 {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -76,7 +76,7 @@
 		"current": fleetpb.Level_LEVEL_CURRENT, "bounded": fleetpb.Level_LEVEL_BOUNDED, "session": fleetpb.Level_LEVEL_SESSION,
 	} {
 		f.config.Routes = append(f.config.Routes, &fleetpb.Route{
-			Name: name, Database: name, Service: "svc", Level: level, MaxStalenessMs: 300, TimeoutMs: 600,
+			Name: name, Database: name, Service: "svc", Level: level, StalenessLimitMs: 300, TimeoutMs: 600,
 		})
 	}
 	answer := &fleetpb.FollowResponse{Current: true, Entries: 1, Configuration: &fleetpb.ConfigurationUpdate{Changed: f.config}}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -78,7 +78,7 @@
 			"promoting", time.Now().Before(sv.PromotingUntil))
 	}
 	if !r.floor.IsZero() {
-		fields = append(fields, "floor", r.floor.String(), "maxStalenessMs", r.route.MaxStalenessMs)
+		fields = append(fields, "floor", r.floor.String(), "stalenessLimitMs", r.route.StalenessLimitMs)
 	}
 	server.log.Info("statement failed", fields...)
 }
@@ -272,7 +272,7 @@
 func (ss *session) floor(route *fleetpb.Route, arrived time.Duration, deadline time.Time) (logpos.Pos, error) {
 	since := arrived
 	if route.Level != fleetpb.Level_LEVEL_CURRENT {
-		since -= time.Duration(route.MaxStalenessMs) * time.Millisecond
+		since -= time.Duration(route.StalenessLimitMs) * time.Millisecond
 	}
 	m, err := ss.server.markSince(route.Service, since, deadline, route.Priority)
 	if err != nil {
