--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -61,11 +61,9 @@
 	MayFound   bool
 	DataFolder string
 	Heartbeat  time.Duration
-	// OperatorAddress is where endpoints may announce themselves directly.
-	OperatorAddress string
-	Dialer          stmt.Dialer
-	Promoter        promotion.Promoter
-	Log             logr.Logger
+	Dialer     stmt.Dialer
+	Promoter   promotion.Promoter
+	Log        logr.Logger
 }
 
 // Node is a control daemon.
@@ -79,7 +77,7 @@
 	ticker  *time.Ticker
 	watch   *watch
 
-	// leaderSeen is when a leader was known last, as nanoseconds of time.Time.
+	// leaderSeen is when this member, as a voter, knew a leader last.
 	leaderSeen atomic.Pointer[time.Time]
 
 	// mu guards domains: the failure domains that other control daemons told.
@@ -282,9 +280,9 @@
 // applyPoll is the interval at which a follower looks whether it caught up.
 const applyPoll = 2 * time.Millisecond
 
-// Announce takes an endpoint's announcement and returns where it should
-// announce itself next: at the leader, which judges whether it lives.
-func (n *Node) Announce(e *fleetpb.Endpoint) string {
+// Announce takes an endpoint's announcement. It names no address for later ones:
+// any control daemon may be called.
+func (n *Node) Announce(e *fleetpb.Endpoint) (next string) {
 	n.watch.heard(e.Id)
 	n.remember(n.hub.Merge(e))
 	return ""
--- a/internal/fleet/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -57,11 +57,10 @@
 		Name: s.Name, FailureDomain: s.FailureDomain, Address: s.Internal,
 		Seeds:    fleetrpc.SamePort(s.Seeds, controlPort(s)),
 		MayFound: s.MayFound, DataFolder: s.DataFolder,
-		Heartbeat:       time.Duration(s.HeartbeatMs) * time.Millisecond,
-		OperatorAddress: s.Operators,
-		Dialer:          platform.Dialer{Name: s.Name},
-		Promoter:        &platform.Promoter{Address: s.Promoter, Holder: s.Name, Client: fleetrpc.NewHTTPClient()},
-		Log:             log,
+		Heartbeat: time.Duration(s.HeartbeatMs) * time.Millisecond,
+		Dialer:    platform.Dialer{Name: s.Name},
+		Promoter:  &platform.Promoter{Address: s.Promoter, Holder: s.Name, Client: fleetrpc.NewHTTPClient()},
+		Log:       log,
 	})
 	if err != nil {
 		return err
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -55,8 +55,9 @@
 
 // Sink takes what a control daemon tells.
 type Sink interface {
-	// Versions returns what the next poll should ask after.
+	// ConfigurationVersion returns the version held; 0 asks for the whole.
 	ConfigurationVersion() uint64
+	// Take is called with each answer, also of a daemon that is not current.
 	Take(answer *fleetpb.FollowResponse)
 }
 
@@ -83,7 +84,7 @@
 	started time.Time
 }
 
-// Learn adds addresses of control daemons; those learnt first are asked first.
+// Learn adds addresses of control daemons.
 func (f *Follower) Learn(addresses []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -133,10 +133,9 @@
 	}
 }
 
-// Get lends a connection: an idle one with the highest fit, a new one, or the
-// next that is returned. fit returns how well a connection suits; one below 0 is
-// closed rather than lent. Errors: *FullError, *ClosedError, *DownError, those of
-// the dialer.
+// Get lends a connection: the idle one with the highest fit, a new one, or the next
+// that is returned. Errors: *FullError, *ClosedError, *DownError, those of the
+// dialer.
 func (p *Pool) Get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
 	p.inFlight.Add(1)
 	c, err := p.get(deadline, priority, fit)
@@ -156,16 +155,9 @@
 			return p.dial(deadline)
 		}
 		c, err = p.await(wait, deadline)
-		if err != nil {
-			return nil, err
-		}
-		if c == nil || fit(c) >= 0 {
-			if c != nil {
-				return c, nil
-			}
-			continue
+		if c != nil || err != nil {
+			return c, err
 		}
-		p.discard(c)
 	}
 }
 
@@ -183,7 +175,7 @@
 	p.closeStale()
 	best, bestFit := -1, -1
 	for i, c := range p.idle {
-		if f := fit(c); f >= bestFit && f >= 0 {
+		if f := fit(c); f >= bestFit {
 			best, bestFit = i, f
 		}
 	}
@@ -192,12 +184,6 @@
 		p.idle = slices.Delete(p.idle, best, best+1)
 		return c, nil, nil
 	}
-	if p.open >= p.limit && len(p.idle) > 0 {
-		// The connection unused for longest makes room for one that suits.
-		p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
 	if p.open < p.limit && p.dialing < maxDials && time.Now().After(p.fullUntil) {
 		p.open++
 		p.dialing++
--- a/internal/proxy/pool/state.go
+++ b/internal/proxy/pool/state.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"hemlockmast/internal/shared/logpos"
@@ -43,18 +42,18 @@
 	Known         logpos.Pos
 	InFlight      int
 	Usual         time.Duration
-	// HasFit is set when an idle connection suits at once.
-	HasFit bool
+	// HasIdle is set when a connection can be had at once.
+	HasIdle bool
 }
 
 // State returns what is known of the endpoint.
-func (p *Pool) State(fit func(*Conn) int) State {
+func (p *Pool) State() State {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return State{
 		Down: p.down, RefusedLately: now.Before(p.refused),
 		Known: p.known, InFlight: int(p.inFlight.Load()), Usual: p.usual,
-		HasFit: slices.ContainsFunc(p.idle, func(c *Conn) bool { return fit(c) >= 0 }),
+		HasIdle: len(p.idle) > 0,
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -130,7 +130,7 @@
 }
 
 // share is this entry's part of an endpoint's connections. Load is uneven, since
-// the platform leads callers by a hash, so that half of the part may be borrowed.
+// the platform leads callers by a hash, so that as many again may be borrowed.
 func share(maxConnections uint32, entries int) pool.Share {
 	// Before the others are counted, as after a restart of all, a part is small.
 	entries = max(entries, leastEntries)
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -310,7 +310,7 @@
 	clear(r.tried)
 	reply = r.failed(&stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"})
 	for {
-		l, ok := r.ss.server.choose(r.route.Service, floor, r.tried, r.ss.fit(r.r.shape))
+		l, ok := r.ss.server.choose(r.route.Service, floor, r.tried)
 		if !ok {
 			return reply, false
 		}
@@ -354,7 +354,7 @@
 }
 
 // choose returns the endpoint that should answer a read first.
-func (s *Server) choose(service string, floor logpos.Pos, tried map[string]bool, fit func(*pool.Conn) int) (lead, bool) {
+func (s *Server) choose(service string, floor logpos.Pos, tried map[string]bool) (lead, bool) {
 	sv := s.cfg.View.Picture().Service(service)
 	if sv == nil {
 		return lead{}, false
@@ -367,12 +367,12 @@
 			continue
 		}
 		p := s.pool(e)
-		state := p.State(fit)
+		state := p.State()
 		ready = append(ready, e)
 		pools = append(pools, p)
 		candidates = append(candidates, place.Candidate{
 			ID: e.Id, Primary: e.Id == sv.PrimaryID, Near: e.FailureDomain == s.cfg.FailureDomain,
-			Down: state.Down, HasConnection: state.HasFit, Known: state.Known, RefusedLately: state.RefusedLately,
+			Down: state.Down, HasConnection: state.HasIdle, Known: state.Known, RefusedLately: state.RefusedLately,
 			InFlight: state.InFlight, Slots: int(e.Slots), Time: state.Usual,
 		})
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -143,7 +143,7 @@
 
 func (ss *session) startOnce(shape *stmt.Shape, tried map[string]bool, holdEnd, deadline time.Time) *stmt.Error {
 	tx := ss.tx
-	l, floor, refusal := ss.startTarget(shape, tried, holdEnd)
+	l, floor, refusal := ss.startTarget(tried, holdEnd)
 	if refusal != nil {
 		return refusal
 	}
@@ -182,7 +182,7 @@
 }
 
 // startTarget returns where the transaction goes and what it must see there.
-func (ss *session) startTarget(shape *stmt.Shape, tried map[string]bool, holdEnd time.Time) (lead, logpos.Pos, *stmt.Error) {
+func (ss *session) startTarget(tried map[string]bool, holdEnd time.Time) (lead, logpos.Pos, *stmt.Error) {
 	tx := ss.tx
 	if !tx.readsOnly() {
 		l, err := ss.server.primary(tx.route.Service)
@@ -195,7 +195,7 @@
 	if err != nil {
 		return lead{}, logpos.Pos{}, notRun(err)
 	}
-	l, ok := ss.server.choose(tx.route.Service, floor, tried, ss.fit(shape))
+	l, ok := ss.server.choose(tx.route.Service, floor, tried)
 	if !ok {
 		clear(tried)
 		return lead{}, logpos.Pos{}, &stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"}
