An ended replica counts for promotions until it is covered

Cause: a failure domain was cut off with the primary and the leaving former primary inside it; commits were acknowledged by these two; the leaving one ended, the primary crashed, and the third endpoint was promoted without those commits, since ended replicas were left out. Now they count as out of reach until control has seen a replica that stays hold what the primary held after their end; that is agreed on, so that the next leader knows. Without such a proof nobody is promoted until the primary is back (or has ended too). fleetd.TestEndedReplicaMayHoldTheLastCommit failed before and passes; TestCoveredReplicaIsNotWaitedFor shows that service goes on.

--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -29,6 +29,9 @@
 	// row confirm a suspicion.
 	probePause    = 50 * time.Millisecond
 	probeFailures = 2
+	// coverTries is how often the replicas are asked, stallSample apart, whether one
+	// holds what the primary held.
+	coverTries = 4
 	// stallSample is the time between two looks at the replicas of a primary at
 	// which writes do not end. Replicas receive within milliseconds.
 	stallSample = 150 * time.Millisecond
@@ -118,7 +121,11 @@
 	record  *fleetpb.Primary
 	// primary is the endpoint of the record; nil when it is unknown.
 	primary *fleetpb.Endpoint
-	others  []*fleetpb.Endpoint
+	// others are the endpoints that run, as far as known.
+	others []*fleetpb.Endpoint
+	// ended are replicas that have ended and are not covered: an acknowledged commit
+	// may have been at one of them and the primary alone.
+	ended []*fleetpb.Endpoint
 }
 
 func (w *watch) groups() []group {
@@ -131,10 +138,13 @@
 	for _, s := range config.GetServices() {
 		g := group{service: s.Name, record: w.node.machine.Primary(s.Name)}
 		for _, e := range byService[s.Name] {
-			if e.Id == g.record.EndpointId {
+			switch {
+			case e.Id == g.record.EndpointId:
 				g.primary = e
-			} else {
+			case e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE:
 				g.others = append(g.others, e)
+			case !w.node.machine.IsCovered(e.Id):
+				g.ended = append(g.ended, e)
 			}
 		}
 		list = append(list, g)
@@ -194,10 +204,47 @@
 		return func(ctx context.Context) bool { return w.confirm(ctx, g) }
 	case w.isStalled(g.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, g) }
+	case len(g.ended) > 0:
+		return func(ctx context.Context) bool { return w.cover(ctx, g) }
 	}
 	return nil
 }
 
+// cover makes sure that replicas which have ended are needed no more: a replica that
+// stays holds what the primary held after their end. It reports whether that is so.
+func (w *watch) cover(ctx context.Context, g group) bool {
+	held, err := w.status(ctx, g.primary)
+	if err != nil || held.Role != stmt.Primary {
+		return false
+	}
+	for range coverTries {
+		for _, e := range g.others {
+			status, err := w.status(ctx, e)
+			if err == nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY && !status.Received.Less(held.Received) {
+				return w.recordCover(ctx, g, e.Id, held.Received)
+			}
+		}
+		wait.For(ctx, stallSample)
+	}
+	w.log.Info("ended replicas are not covered yet", "service", g.service, "position", held.Received.String())
+	return false
+}
+
+func (w *watch) recordCover(ctx context.Context, g group, by string, pos logpos.Pos) bool {
+	cover := &fleetpb.Cover{}
+	for _, e := range g.ended {
+		cover.EndpointIds = append(cover.EndpointIds, e.Id)
+	}
+	cmd := &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: cover}}
+	if _, err := w.node.propose(ctx, cmd); err != nil {
+		w.log.Info("cover of ended replicas not recorded", "service", g.service, "error", err.Error())
+		return false
+	}
+	w.log.Info("ended replicas are covered", "service", g.service, "endpoints", cover.EndpointIds,
+		"by", by, "position", pos.String())
+	return true
+}
+
 func (w *watch) isStalled(id string, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -235,9 +282,6 @@
 	}
 	sample.Primary = status.Received
 	for _, e := range g.others {
-		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			continue
-		}
 		if status, err := w.status(ctx, e); err == nil {
 			sample.Replicas[e.Id] = status.Received
 		}
@@ -259,7 +303,7 @@
 
 func claimant(others []*fleetpb.Endpoint) *fleetpb.Endpoint {
 	for _, e := range others {
-		if e.Primary && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		if e.Primary {
 			return e
 		}
 	}
@@ -340,6 +384,9 @@
 
 // promote replaces the primary of g.
 func (w *watch) promote(ctx context.Context, g group, serves bool) bool {
+	if serves && len(g.ended) > 0 && w.cover(ctx, g) {
+		g.ended = nil
+	}
 	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
 		AllocateToken: &fleetpb.AllocateToken{Service: g.service, Holder: w.node.cfg.Name},
 	}}
@@ -366,9 +413,6 @@
 	defer w.mu.Unlock()
 	var list []promotion.Replica
 	for _, e := range g.others {
-		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			continue
-		}
 		heard, ok := w.heardAt[e.Id]
 		list = append(list, promotion.Replica{
 			Endpoint:          address(e),
@@ -376,6 +420,13 @@
 			OutlivedByPrimary: ok && w.heardAt[g.primary.Id].Sub(heard) > outlived,
 		})
 	}
+	if g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		// No log is left to wait for.
+		return list
+	}
+	for _, e := range g.ended {
+		list = append(list, promotion.Replica{Endpoint: address(e), Leaving: true, Ended: true})
+	}
 	return list
 }
 
--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -295,6 +295,51 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// TestEndedReplicaMayHoldTheLastCommit is the finding of a hunt (day file
+// primary-lost-while-control-moves, seed 139129557736): the only replica that
+// received a commit ends, then the primary crashes. Nobody may be promoted before
+// the primary is back.
+func TestEndedReplicaMayHoldTheLastCommit(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	nodes := f.group.Nodes()
+	nodes[1].Set(standin.Faults{Deaf: true})
+	f.eventually(0, "STORE item v1")
+	status, _ := f.operate(0, "POST", standin.LeavePath(nodes[2].ID), "")
+	assert.Equal(t, status, http.StatusOK)
+	nodes[2].Set(standin.Faults{Down: true})
+	nodes[0].Set(standin.Faults{Down: true})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		f.query(0, "STORE item v2")
+		assert.Equal(t, f.group.Primary().ID, "svc-0")
+	}
+	nodes[1].Set(standin.Faults{})
+	nodes[0].Set(standin.Faults{})
+	f.eventually(0, "STORE item v3")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
+// TestCoveredReplicaIsNotWaitedFor has a replica end while the primary and another
+// one go on.
+func TestCoveredReplicaIsNotWaitedFor(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	nodes := f.group.Nodes()
+	nodes[2].Set(standin.Faults{Down: true})
+	status, _ := f.operate(0, "POST", standin.LeavePath(nodes[2].ID), "")
+	assert.Equal(t, status, http.StatusOK)
+	time.Sleep(time.Second)
+	nodes[0].Set(standin.Faults{Down: true})
+	promoted := standin.WaitFor(5*time.Second, func() bool {
+		f.query(0, "STORE item v1")
+		return f.group.Primary().ID == "svc-1"
+	})
+	assert.Assert(t, promoted)
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
 // TestStalledPrimaryIsReplaced cuts a living primary off from its replicas, so that
 // nothing is acknowledged.
 func TestStalledPrimaryIsReplaced(t *testing.T) {
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -4,6 +4,7 @@
 package fleetstate
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	// endpoints outlive a restart of every control daemon, so that entries need
 	// not wait for the next announcements.
 	endpoints *registry.Table
+	// covered holds endpoints that have ended and are needed for no promotion.
+	covered map[string]bool
 }
 
 // New returns the empty state. onChange may be nil.
@@ -36,6 +39,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
+		covered: make(map[string]bool),
 	}
 }
 
@@ -70,6 +74,15 @@
 		result.Taken = m.setPrimary(kind.SetPrimary)
 	case *fleetpb.Command_Announce:
 		result.Taken = len(m.endpoints.Merge(kind.Announce)) > 0
+		if kind.Announce.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			// It may have started again under its id.
+			delete(m.covered, kind.Announce.Id)
+		}
+	case *fleetpb.Command_Cover:
+		for _, id := range kind.Cover.EndpointIds {
+			m.covered[id] = true
+		}
+		result.Taken = true
 	}
 	result.Version = m.config.GetConfiguration().GetVersion()
 	return result
@@ -117,7 +130,8 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sorted(), Endpoints: m.endpoints.All()})
+	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sorted(), Endpoints: m.endpoints.All(),
+		Covered: slices.Sorted(maps.Keys(m.covered))})
 }
 
 // Restore implements control.StateMachine.
@@ -136,6 +150,10 @@
 	for _, e := range state.Endpoints {
 		m.endpoints.Merge(e)
 	}
+	m.covered = make(map[string]bool)
+	for _, id := range state.Covered {
+		m.covered[id] = true
+	}
 	m.mu.Unlock()
 	m.onChange()
 	return nil
@@ -163,6 +181,13 @@
 	return m.endpoints.All()
 }
 
+// IsCovered reports whether an endpoint that has ended is needed for no promotion.
+func (m *Machine) IsCovered(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.covered[id]
+}
+
 // Primary returns the record of one service; an empty one if there is none.
 func (m *Machine) Primary(service string) *fleetpb.Primary {
 	m.mu.Lock()
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -41,6 +41,9 @@
 type Replica struct {
 	stmt.Endpoint
 	Leaving bool
+	// Ended is set when the endpoint has ended and its log with it, while it is not
+	// known that no acknowledged commit was there alone beside the primary.
+	Ended bool
 	// OutlivedByPrimary is set when the primary announced itself well after this
 	// endpoint's last announcement.
 	OutlivedByPrimary bool
@@ -137,6 +140,9 @@
 	a.each(func(i int, r Replica) {
 		m := &a.members[i]
 		m.ID, m.Leaving = r.ID, r.Leaving
+		if r.Ended {
+			return
+		}
 		dialCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 		defer cancel()
 		conn, err := a.Dialer.Dial(dialCtx, r.Endpoint)
