The stand-in group answers the platform's promotion call itself

The test of whole daemons had decoded the platform's header and body on its own; names of the platform now stand in platform/ only. No code of the daemons changed.

--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -121,19 +121,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	f.promotes = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var token uint64
-		_, _ = fmt.Sscan(r.Header.Get("X-Fencing-Token"), &token)
-		body := make([]byte, 200)
-		n, _ := r.Body.Read(body)
-		for _, node := range f.group.Nodes() {
-			if strings.Contains(string(body[:n]), `"`+node.ID+`"`) {
-				w.WriteHeader(f.group.Promote(node.ID, token))
-				return
-			}
-		}
-		w.WriteHeader(http.StatusBadRequest)
-	})}
+	server := &http.Server{Handler: f.group}
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 }
