A lagging replica is promoted where the primary alone can answer reads

Change: entries report a primary without room while replicas lag; the leader asks the replicas and promotes the one furthest behind if its lag is 2 s or more. By the contract it leads with all that it received, and the former primary, which holds its own log, answers reads as a replica. Nothing is cut: the way of a planned replacement. Ruled out: slow replication (STATUS: received is level, only the lag grows).

--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -58,6 +58,11 @@
 	reported map[string]map[string]time.Time
 	// stalled is when an entry last said that writes do not end at an endpoint.
 	stalled map[string]time.Time
+	// overloaded is when an entry last said that a service's primary has no room
+	// since replicas lag, relieved when that was looked into last.
+	overloaded map[string]time.Time
+	relieved   map[string]time.Time
+
 	busy    map[string]bool
 	retryAt map[string]time.Time
 	retry   map[string]time.Duration
@@ -66,13 +71,14 @@
 func newWatch(n *Node) *watch {
 	return &watch{
 		node: n, log: n.log.WithName("watch"),
-		runner:   &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
-		heardAt:  make(map[string]time.Time),
-		reported: make(map[string]map[string]time.Time),
-		stalled:  make(map[string]time.Time),
-		busy:     make(map[string]bool),
-		retryAt:  make(map[string]time.Time),
-		retry:    make(map[string]time.Duration),
+		runner:     &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
+		heardAt:    make(map[string]time.Time),
+		reported:   make(map[string]map[string]time.Time),
+		stalled:    make(map[string]time.Time),
+		overloaded: make(map[string]time.Time), relieved: make(map[string]time.Time),
+		busy:    make(map[string]bool),
+		retryAt: make(map[string]time.Time),
+		retry:   make(map[string]time.Duration),
 	}
 }
 
@@ -87,9 +93,13 @@
 		"by", r.Daemon, "suspicion", r.Suspicion.String())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Suspicion == fleetpb.Suspicion_SUSPICION_STALLED {
+	switch r.Suspicion {
+	case fleetpb.Suspicion_SUSPICION_STALLED:
 		w.stalled[r.EndpointId] = time.Now()
 		return
+	case fleetpb.Suspicion_SUSPICION_OVERLOADED:
+		w.overloaded[r.Service] = time.Now()
+		return
 	}
 	if w.reported[r.EndpointId] == nil {
 		w.reported[r.EndpointId] = make(map[string]time.Time)
@@ -197,15 +207,17 @@
 	case g.primary == nil:
 		return nil
 	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE:
-		return func(ctx context.Context) bool { return w.promote(ctx, g, false) }
+		return func(ctx context.Context) bool { return w.promote(ctx, g, replacement{}) }
 	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING && hasReady(g.others):
-		return func(ctx context.Context) bool { return w.promote(ctx, g, true) }
+		return func(ctx context.Context) bool { return w.promote(ctx, g, replacement{primaryServes: true}) }
 	case w.isSuspected(g.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirm(ctx, g) }
 	case w.isStalled(g.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, g) }
 	case len(g.ended) > 0:
 		return func(ctx context.Context) bool { return w.cover(ctx, g) }
+	case w.isOverloaded(g.service, now):
+		return func(ctx context.Context) bool { return w.relieve(ctx, g) }
 	}
 	return nil
 }
@@ -269,7 +281,7 @@
 		return true
 	}
 	w.log.Info("replicas receive nothing from the primary", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, false)
+	return w.promote(ctx, g, replacement{})
 }
 
 // positions asks the primary and its replicas for their state; ok is false if the
@@ -365,7 +377,7 @@
 		wait.For(ctx, probePause)
 	}
 	w.log.Info("primary does not answer", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, false)
+	return w.promote(ctx, g, replacement{})
 }
 
 // probe reports whether the primary answers as one, or says that it is full.
@@ -382,9 +394,17 @@
 	return stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
 }
 
+// replacement says how a primary is to be replaced.
+type replacement struct {
+	// primaryServes is set when the primary is alive and serves until it is replaced.
+	primaryServes bool
+	// preferred, if not empty, is the replica to promote.
+	preferred string
+}
+
 // promote replaces the primary of g.
-func (w *watch) promote(ctx context.Context, g group, serves bool) bool {
-	if serves && len(g.ended) > 0 && w.cover(ctx, g) {
+func (w *watch) promote(ctx context.Context, g group, how replacement) bool {
+	if how.primaryServes && len(g.ended) > 0 && w.cover(ctx, g) {
 		g.ended = nil
 	}
 	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
@@ -396,8 +416,8 @@
 		return false
 	}
 	plan := promotion.Plan{
-		Service: g.service, Primary: address(g.primary), PrimaryServes: serves,
-		Replicas: w.replicas(g), Token: result.Token,
+		Service: g.service, Primary: address(g.primary), PrimaryServes: how.primaryServes,
+		Preferred: how.preferred, Replicas: w.replicas(g), Token: result.Token,
 	}
 	leader, err := w.runner.Run(ctx, plan)
 	if err != nil {
--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -342,6 +342,25 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// TestOverloadedPrimaryIsRelieved has replicas that receive everything and apply it
+// far too late, so that the primary alone could answer reads, and it has no room.
+func TestOverloadedPrimaryIsRelieved(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(standin.Configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	nodes := f.group.Nodes()
+	nodes[1].Set(standin.Faults{Late: true, LagMs: 5000})
+	nodes[2].Set(standin.Faults{Late: true, LagMs: 9000})
+	f.eventually(0, "STORE item v1")
+	// Reads may be older by as much as the route allows; afterwards they must see v1.
+	time.Sleep(1600 * time.Millisecond)
+	nodes[0].Set(standin.Faults{Busy: true})
+	f.eventually(1, "FETCH item")
+	assert.Equal(t, f.query(1, "FETCH item"), "ROW v1\r\n")
+	assert.Equal(t, f.group.Primary().ID, "svc-2")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 1)
 	f.publish(standin.Configuration(5, 800))
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -13,11 +13,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 )
 
+// reliefLag is the least lag for which a replica is promoted to relieve the primary.
+// What a replica has not applied takes about as long as its lag; a promotion is over
+// within a second.
+const reliefLag = 2 * time.Second
+
 // Member is an endpoint of the service as a promotion found it.
 type Member struct {
 	ID string
@@ -73,13 +79,33 @@
 	return -1
 }
 
-// Successor returns the replica to promote while the primary still serves: one
-// that stays, with the latest log. ok is false without any.
-func Successor(replicas []Member) (Member, bool) {
+// Successor returns the replica to promote while the primary still serves: the
+// preferred one if it can be, else one that stays, with the latest log. ok is false
+// without any.
+func Successor(replicas []Member, preferred string) (Member, bool) {
 	staying := slices.DeleteFunc(slices.Clone(replicas), func(m Member) bool { return m.Leaving })
+	i := slices.IndexFunc(staying, func(m Member) bool { return m.ID == preferred && m.Reached })
+	if i >= 0 {
+		return staying[i], true
+	}
 	return Latest(staying)
 }
 
+// Relief returns the replica to promote where replicas have received the primary's
+// log but apply it so late that the primary alone can answer reads: the one furthest
+// behind. It leads with all that it received, while the former primary holds its own
+// log and goes on answering reads as a replica. ok is false if no replica is far
+// enough behind.
+func Relief(replicas []Member) (id string, ok bool) {
+	lag := reliefLag
+	for _, m := range replicas {
+		if m.Reached && !m.Leaving && m.Status.Lag >= lag {
+			id, ok, lag = m.ID, true, m.Status.Lag
+		}
+	}
+	return id, ok
+}
+
 // AllPaused reports whether no replica other than except can receive a commit.
 func AllPaused(replicas []Member, except string) bool {
 	for _, m := range replicas {
--- a/internal/fleet/promotion/explore_test.go
+++ b/internal/fleet/promotion/explore_test.go
@@ -92,7 +92,7 @@
 			n.reached[i], n.seen[i] = true, n.logs[i]
 		}
 		if planned {
-			successor, _ := Successor(n.members(true))
+			successor, _ := Successor(n.members(true), "")
 			n.chosen = int(successor.ID[0] - '0')
 		}
 		n.step = 1
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -233,3 +233,38 @@
 		assert.Equal(t, promotion.IsStalled(row.first, row.second), row.want, name)
 	}
 }
+
+func TestRelief(t *testing.T) {
+	replica := func(id string, lag time.Duration) promotion.Member {
+		return promotion.Member{ID: id, Reached: true, Status: stmt.Status{Lag: lag}}
+	}
+	leaving := replica("leaving", time.Minute)
+	leaving.Leaving = true
+	unreached := replica("unreached", time.Minute)
+	unreached.Reached = false
+	for name, row := range map[string]struct {
+		replicas []promotion.Member
+		want     string
+	}{
+		"furthest behind":          {[]promotion.Member{replica("a", 3*time.Second), replica("b", 9*time.Second)}, "b"},
+		"soon level by itself":     {[]promotion.Member{replica("a", time.Second), replica("b", 0)}, ""},
+		"not one that leaves":      {[]promotion.Member{leaving, replica("a", 0)}, ""},
+		"not one without a status": {[]promotion.Member{unreached}, ""},
+	} {
+		got, ok := promotion.Relief(row.replicas)
+		assert.Equal(t, got, row.want, name)
+		assert.Equal(t, ok, row.want != "", name)
+	}
+}
+
+// TestPreferredReplicaIsPromoted has two replicas that hold the same.
+func TestPreferredReplicaIsPromoted(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	plan := f.plan(1, true)
+	plan.Preferred = "svc-2"
+	leader, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-2")
+	f.nothingLost()
+}
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -56,7 +56,9 @@
 	Primary stmt.Endpoint
 	// PrimaryServes is set when the primary is alive and only to be replaced.
 	PrimaryServes bool
-	Replicas      []Replica
+	// Preferred, if not empty, is the replica to promote while the primary serves.
+	Preferred string
+	Replicas  []Replica
 	// Token is allocated for this plan alone.
 	Token uint64
 }
@@ -114,7 +116,7 @@
 // the endpoint that it returns.
 func (a *attempt) candidate(ctx context.Context) (Member, error) {
 	if a.plan.PrimaryServes {
-		candidate, ok := Successor(a.members)
+		candidate, ok := Successor(a.members, a.plan.Preferred)
 		if !ok {
 			return Member{}, &NoCandidateError{Service: a.plan.Service}
 		}
--- a/internal/proxy/reports.go
+++ b/internal/proxy/reports.go
@@ -5,7 +5,9 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/proxy/pool"
 	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 const (
@@ -20,6 +22,10 @@
 
 // failed notes that an endpoint did not serve and tells control.
 func (s *Server) failed(l lead, err error) {
+	var full *pool.FullError
+	if asFull(err, &full) {
+		s.noRoom(l, err)
+	}
 	if !isFailure(err) {
 		return
 	}
@@ -75,3 +81,23 @@
 		}
 	}()
 }
+
+// refused notes an endpoint's refusal of a statement.
+func (s *Server) refused(l lead, e *stmt.Error) {
+	switch e.Code {
+	case stmt.CodeLagging:
+		s.lagged(l.endpoint.Service)
+	case stmt.CodeBusy, stmt.CodeTooMany:
+		s.noRoom(l, e)
+	}
+}
+
+// noRoom notes that an endpoint refused a statement since it has no room. Where
+// replicas lag, only the primary can answer, and control can change that.
+func (s *Server) noRoom(l lead, cause error) {
+	sv := s.cfg.View.Picture().Service(l.endpoint.Service)
+	isPrimary := sv != nil && sv.PrimaryID == l.endpoint.Id
+	if isPrimary && s.service(l.endpoint.Service).isLagging(time.Now()) {
+		s.report(l.endpoint, fleetpb.Suspicion_SUSPICION_OVERLOADED, cause)
+	}
+}
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -196,7 +196,8 @@
 	}
 	r.ss.giveBack(l.pool, c, reply)
 	if reply.Err != nil {
-		r.ss.server.answered(l, reply.Pos, 0)
+		server.answered(l, reply.Pos, 0)
+		server.refused(l, reply.Err)
 		return reply, !reply.Err.Code.NotRun()
 	}
 	r.ss.server.answered(l, reply.Pos, time.Since(sent))
@@ -238,6 +239,7 @@
 	server.endGuard(l, c, r.deadline)
 	reply.State = stmt.Idle
 	if reply.Err != nil {
+		server.refused(l, reply.Err)
 		return reply, !reply.Err.Code.NotRun()
 	}
 	server.answered(l, reply.Pos, time.Since(sent))
@@ -346,9 +348,9 @@
 		r.ss.server.observeRead(r.route.Name, l)
 		return reply, true
 	}
+	r.ss.server.refused(l, reply.Err)
 	if reply.Err.Code == stmt.CodeLagging {
 		l.pool.Lagging(reply.Pos)
-		r.ss.server.lagged(r.route.Service)
 	}
 	return reply, !reply.Err.Code.NotRun()
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -166,9 +166,9 @@
 		return notRun(err)
 	}
 	if reply.Err != nil {
+		ss.server.refused(l, reply.Err)
 		if reply.Err.Code == stmt.CodeLagging {
 			l.pool.Lagging(reply.Pos)
-			ss.server.lagged(tx.route.Service)
 		}
 		ss.giveBack(l.pool, c, reply)
 		return reply.Err
@@ -225,6 +225,7 @@
 			}
 			return reply
 		}
+		ss.server.refused(tx.lead, reply.Err)
 		isOpen := reply.State == stmt.InTransaction
 		if isOpen && reply.Err.Code == stmt.CodeBusy && time.Now().Add(retryPause).Before(deadline) {
 			time.Sleep(retryPause)
--- a/internal/proxy/watermarks.go
+++ b/internal/proxy/watermarks.go
@@ -66,6 +66,13 @@
 	return st.marks.Since(t)
 }
 
+// isLagging reports whether a replica lacked a watermark of late.
+func (st *serviceState) isLagging(now time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return now.Before(st.lagUntil)
+}
+
 // lagged notes that a replica lacked a watermark. Where marks are far apart, the
 // oldest one that is young enough may be much younger than need be, and replicas
 // that could serve a read lack it; so marks are kept dense for a while.
