Nothing is sent to a full endpoint for a pause; reads pass over endpoints that lag

Change: a refusal for want of room stops the pool for 4 to 64 ms, doubling; statements wait for its end by priority, then go one at a time until one runs. place.Choose asks a hindered endpoint (busy, lagging, down) only where all others are hindered as much. A statement whose time ends meanwhile is told the endpoint's own refusal.

--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -15,8 +15,6 @@
 	farPenalty = 40 * time.Millisecond
 	// primaryPenalty keeps reads off the endpoint that alone can write.
 	primaryPenalty = 15 * time.Millisecond
-	// laggingPenalty is for an endpoint that may have to refuse.
-	laggingPenalty = 25 * time.Millisecond
 	// openPenalty is what a new connection takes, and about what it keeps others
 	// at the endpoint waiting.
 	openPenalty = 15 * time.Millisecond
@@ -32,6 +30,8 @@
 	Near bool
 	// Down is set while the endpoint is not reached.
 	Down bool
+	// Busy is set while the endpoint has no room.
+	Busy bool
 	// HasConnection is set when a connection can be had at once.
 	HasConnection bool
 	// Known is the last position that the endpoint told.
@@ -46,23 +46,54 @@
 	Time time.Duration
 }
 
+// hindrance orders candidates by what keeps them from answering now.
+type hindrance int
+
+const (
+	none hindrance = iota
+	// busy: it has no room; a place becomes free within a statement's time.
+	busy
+	// lagging: it lacked what the read must see a moment ago.
+	lagging
+	// down: it is not reached, or was tried.
+	down
+)
+
+func hindranceOf(c Candidate, floor logpos.Pos) hindrance {
+	switch {
+	case c.Down:
+		return down
+	case c.RefusedLately && c.Known.Less(floor):
+		return lagging
+	case c.Busy:
+		return busy
+	}
+	return none
+}
+
 // Choose returns the index of the candidate that should answer first, or -1.
-// floor is the position that the read must see.
+// floor is the position that the read must see. One that is hindered is asked only
+// where all others are hindered as much: it would refuse, and a full one be kept from
+// its work.
 func Choose(candidates []Candidate, floor logpos.Pos, tried func(id string) bool) int {
+	least := down
+	for _, c := range candidates {
+		least = min(least, hindranceOf(c, floor))
+	}
 	best := -1
 	var bestCost time.Duration
 	for i, c := range candidates {
-		if tried(c.ID) || c.Down {
+		if tried(c.ID) || c.Down || hindranceOf(c, floor) > least {
 			continue
 		}
-		if cost := cost(c, floor); best < 0 || cost < bestCost {
+		if cost := cost(c); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-func cost(c Candidate, floor logpos.Pos) time.Duration {
+func cost(c Candidate) time.Duration {
 	usual := c.Time
 	if usual == 0 {
 		usual = usualTime
@@ -78,8 +109,5 @@
 	if !c.HasConnection {
 		total += openPenalty
 	}
-	if c.RefusedLately && c.Known.Less(floor) {
-		total += laggingPenalty
-	}
 	return total
 }
--- a/internal/proxy/place/place_test.go
+++ b/internal/proxy/place/place_test.go
@@ -37,6 +37,23 @@
 			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 1, Index: 99} }),
 			with(near, func(c *Candidate) { c.ID = "other"; c.Known = floor }),
 		}, "", "other"},
+		"primary before a lagging one": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
+			with(primary, func(c *Candidate) { c.InFlight = 30 }),
+		}, "", "primary"},
+		"lagging ones are not asked after a primary that refused": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
+			primary,
+		}, "primary", ""},
+		"lagging rather than none": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
+			with(primary, func(c *Candidate) { c.Down = true }),
+		}, "", "near"},
+		"busy moves away": {[]Candidate{with(near, func(c *Candidate) { c.Busy = true }), far}, "", "far"},
+		"busy before lagging": {[]Candidate{
+			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
+			with(primary, func(c *Candidate) { c.Busy = true }),
+		}, "", "primary"},
 		"nobody left": {[]Candidate{near}, "near", ""},
 	} {
 		got := ""
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -40,6 +40,11 @@
 	sweepDelay = time.Millisecond
 	// refusedTime is how long an endpoint that lacked a position counts as behind.
 	refusedTime = 60 * time.Millisecond
+	// firstBusyPause is how long nothing is sent to an endpoint without room: a
+	// fraction of a usual statement, in which a place may become free. It doubles up
+	// to maxBusyPause, so that many daemons do not keep a full endpoint refusing.
+	firstBusyPause = 4 * time.Millisecond
+	maxBusyPause   = 64 * time.Millisecond
 	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
 	timeWeight = 8
 )
@@ -77,10 +82,16 @@
 	waiters   []*waiter
 	fullUntil time.Time
 	// down is set from a failure until the endpoint has been reached again.
-	down    bool
-	refused time.Time
-	known   logpos.Pos
-	usual   time.Duration
+	down bool
+	// busyUntil is until when no statement is sent since the endpoint had no room
+	// for one, busyPause how long that was after the last refusal.
+	busyUntil time.Time
+	busyPause time.Duration
+	// busyWith is the last refusal for want of room; nil since a statement ran.
+	busyWith *stmt.Error
+	refused  time.Time
+	known    logpos.Pos
+	usual    time.Duration
 }
 
 type waiter struct {
@@ -134,8 +145,8 @@
 }
 
 // Get lends a connection: the idle one with the highest fit, a new one, or the next
-// that is returned. Errors: *FullError, *ClosedError, *DownError, those of the
-// dialer.
+// that is returned. Errors: *FullError, *ClosedError, *DownError, *stmt.RefusedError
+// while the endpoint has no room, those of the dialer.
 func (p *Pool) Get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
 	p.inFlight.Add(1)
 	c, err := p.get(deadline, priority, fit)
@@ -146,8 +157,9 @@
 }
 
 func (p *Pool) get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
+	woken := false
 	for {
-		c, wait, err := p.take(priority, fit)
+		c, wait, err := p.take(priority, fit, woken)
 		if c != nil || err != nil {
 			return c, err
 		}
@@ -158,12 +170,14 @@
 		if c != nil || err != nil {
 			return c, err
 		}
+		woken = true
 	}
 }
 
 // take returns an idle connection, or a place in the queue, or neither when a
-// connection is to be opened; the count then includes it.
-func (p *Pool) take(priority int32, fit func(*Conn) int) (*Conn, *waiter, error) {
+// connection is to be opened; the count then includes it. woken is set for one that
+// has had a place in the queue and goes before those behind it.
+func (p *Pool) take(priority int32, fit func(*Conn) int, woken bool) (*Conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -173,6 +187,10 @@
 		return nil, nil, &DownError{Endpoint: p.Endpoint.ID}
 	}
 	p.closeStale()
+	isBehind := !woken && len(p.waiters) > 0 && p.waiters[0].priority <= priority
+	if isBehind || time.Now().Before(p.busyUntil) {
+		return nil, p.enqueue(priority), nil
+	}
 	best, bestFit := -1, -1
 	for i, c := range p.idle {
 		if f := fit(c); f >= bestFit {
@@ -189,13 +207,18 @@
 		p.dialing++
 		return nil, nil, nil
 	}
+	return nil, p.enqueue(priority), nil
+}
+
+// enqueue adds a waiter behind those of the same priority. mu must be held.
+func (p *Pool) enqueue(priority int32) *waiter {
 	w := &waiter{priority: priority, ready: make(chan *Conn, 1)}
 	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.priority > priority })
 	if at < 0 {
 		at = len(p.waiters)
 	}
 	p.waiters = slices.Insert(p.waiters, at, w)
-	return nil, w, nil
+	return w
 }
 
 // await returns a connection that was handed over, or nil to look again.
@@ -210,16 +233,20 @@
 	}
 	p.mu.Lock()
 	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
+	busyWith := p.busyWith
 	p.mu.Unlock()
 	select {
 	case c := <-w.ready:
 		return c, nil
 	default:
 	}
-	if !time.Now().Before(deadline) {
-		return nil, &FullError{Endpoint: p.Endpoint.ID}
+	switch {
+	case time.Now().Before(deadline):
+		return nil, nil
+	case busyWith != nil:
+		return nil, &stmt.RefusedError{Reply: busyWith}
 	}
-	return nil, nil
+	return nil, &FullError{Endpoint: p.Endpoint.ID}
 }
 
 // closeStale closes connections beyond the first that were unused for long. mu
@@ -328,7 +355,7 @@
 		p.open--
 		return
 	}
-	if len(p.waiters) > 0 {
+	if len(p.waiters) > 0 && time.Now().After(p.busyUntil) {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		w.ready <- c
--- a/internal/proxy/pool/pool_test.go
+++ b/internal/proxy/pool/pool_test.go
@@ -161,3 +161,64 @@
 	var closed *ClosedError
 	assert.Assert(t, errors.As(err, &closed))
 }
+
+// TestFullEndpointIsAskedByOneAtATime has many daemons with many statements each before
+// an endpoint that has room for few, as a primary whose replicas lag: all are served in
+// time, those that go first first, and few are refused there.
+func TestFullEndpointIsAskedByOneAtATime(t *testing.T) {
+	const daemons, statements, room = 20, 12, 6
+	e := &endpoint{limit: 1000}
+	var running, refused, late atomic.Int64
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	waited := make(map[int32]time.Duration)
+	for range daemons {
+		p := newPool(e, Share{Keep: 4, Most: 4})
+		for i := range statements {
+			priority := int32(i % 2)
+			wg.Go(func() {
+				start := time.Now()
+				for {
+					c, err := p.Get(start.Add(2*time.Second), priority, any0)
+					if err != nil {
+						late.Add(1)
+						return
+					}
+					if running.Add(1) > room {
+						running.Add(-1)
+						refused.Add(1)
+						p.Busy(&stmt.Error{Code: stmt.CodeBusy})
+						p.Put(c)
+						continue
+					}
+					time.Sleep(10 * time.Millisecond)
+					running.Add(-1)
+					p.Answered(logpos.Pos{}, 10*time.Millisecond)
+					p.Put(c)
+					mu.Lock()
+					waited[priority] += time.Since(start)
+					mu.Unlock()
+					return
+				}
+			})
+		}
+	}
+	wg.Wait()
+	assert.Equal(t, late.Load(), int64(0))
+	assert.Assert(t, refused.Load() < 5*daemons*statements, "%d refusals", refused.Load())
+	assert.Assert(t, waited[0] < waited[1], "%v", waited)
+}
+
+// TestBusyEndpointIsNamedAsTheReason has no room until the time is over.
+func TestBusyEndpointIsNamedAsTheReason(t *testing.T) {
+	p := newPool(&endpoint{limit: 5}, Share{Keep: 2, Most: 2})
+	refusal := &stmt.Error{Code: stmt.CodeBusy, Detail: "x"}
+	p.Busy(refusal)
+	_, err := p.Get(time.Now().Add(time.Millisecond), 0, any0)
+	var said *stmt.Error
+	assert.Assert(t, errors.As(err, &said), "%v", err)
+	assert.Equal(t, said, refusal)
+	c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	p.Put(c)
+}
--- a/internal/proxy/pool/state.go
+++ b/internal/proxy/pool/state.go
@@ -1,9 +1,11 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // Answered notes an answer: the position told and the time taken.
@@ -14,12 +16,36 @@
 	if took <= 0 {
 		return
 	}
+	p.busyPause, p.busyUntil, p.busyWith = 0, time.Time{}, nil
+	if len(p.idle) > 0 {
+		p.wakeOne()
+	}
 	if p.usual == 0 {
 		p.usual = took
 	}
 	p.usual += (took - p.usual) / timeWeight
 }
 
+// Busy notes that the endpoint had no room for a statement, with its refusal. Nothing
+// is sent to it for a pause; statements wait for its end in their order.
+func (p *Pool) Busy(refusal *stmt.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busyWith = refusal
+	now := time.Now()
+	if now.Before(p.busyUntil) {
+		return
+	}
+	p.busyPause = min(max(2*p.busyPause, firstBusyPause), maxBusyPause)
+	pause := p.busyPause/2 + rand.N(p.busyPause/2)
+	p.busyUntil = now.Add(pause)
+	time.AfterFunc(pause+sweepDelay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.wakeOne()
+	})
+}
+
 // Lagging notes that the endpoint lacked a position; pos is what it has.
 func (p *Pool) Lagging(pos logpos.Pos) {
 	p.mu.Lock()
@@ -42,6 +68,8 @@
 	Known         logpos.Pos
 	InFlight      int
 	Usual         time.Duration
+	// Busy is set while nothing is sent to the endpoint since it had no room.
+	Busy bool
 	// HasIdle is set when a connection can be had at once.
 	HasIdle bool
 }
@@ -54,6 +82,6 @@
 	return State{
 		Down: p.down, RefusedLately: now.Before(p.refused),
 		Known: p.known, InFlight: int(p.inFlight.Load()), Usual: p.usual,
-		HasIdle: len(p.idle) > 0,
+		Busy: now.Before(p.busyUntil), HasIdle: len(p.idle) > 0,
 	}
 }
--- a/internal/proxy/reports.go
+++ b/internal/proxy/reports.go
@@ -87,7 +87,8 @@
 	switch e.Code {
 	case stmt.CodeLagging:
 		s.lagged(l.endpoint.Service)
-	case stmt.CodeBusy, stmt.CodeTooMany:
+	case stmt.CodeBusy:
+		l.pool.Busy(e)
 		s.noRoom(l, e)
 	}
 }
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -374,7 +374,7 @@
 		pools = append(pools, p)
 		candidates = append(candidates, place.Candidate{
 			ID: e.Id, Primary: e.Id == sv.PrimaryID, Near: e.FailureDomain == s.cfg.FailureDomain,
-			Down: state.Down, HasConnection: state.HasIdle, Known: state.Known, RefusedLately: state.RefusedLately,
+			Down: state.Down, Busy: state.Busy, HasConnection: state.HasIdle, Known: state.Known, RefusedLately: state.RefusedLately,
 			InFlight: state.InFlight, Slots: int(e.Slots), Time: state.Usual,
 		})
 	}
