Positions of primaries through control; no connection opened where that takes long

Change: after an opening that took over 40 ms a pool opens none beside one that it has. Without a connection to the primary an entry asks the control daemon that it follows, which asks once for all (fleet/marker).

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -26,6 +26,7 @@
 	"hemlockmast/internal/fleet/fleethub"
 	"hemlockmast/internal/fleet/fleetrpc"
 	"hemlockmast/internal/fleet/fleetstate"
+	"hemlockmast/internal/fleet/marker"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/stmt"
 )
@@ -62,6 +63,7 @@
 	DataFolder string
 	Heartbeat  time.Duration
 	Dialer     stmt.Dialer
+	Texts      marker.Texts
 	Promoter   promotion.Promoter
 	Log        logr.Logger
 }
@@ -76,6 +78,7 @@
 	http    *http.Client
 	ticker  *time.Ticker
 	watch   *watch
+	marker  *marker.Marker
 
 	// leaderSeen is when this member, as a voter, knew a leader last.
 	leaderSeen atomic.Pointer[time.Time]
@@ -91,6 +94,7 @@
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
 	n.hub = fleethub.New(control.RandomNumber(), n.machine, n, time.Now)
 	n.watch = newWatch(n)
+	n.marker = marker.New(cfg.Dialer, cfg.Texts)
 	peers := make([]control.Peer, 0, len(cfg.Seeds))
 	for _, address := range cfg.Seeds {
 		peers = append(peers, control.Peer{Name: address, Address: address})
@@ -332,6 +336,19 @@
 	return &fleetpb.ReportResponse{}, nil
 }
 
+// Position implements fleetpb.Fleet. Whether the endpoint leads, it says itself.
+func (s *service) Position(ctx context.Context, r *fleetpb.PositionRequest) (*fleetpb.PositionResponse, error) {
+	e := s.node.hub.Endpoint(r.EndpointId)
+	if e == nil {
+		return nil, twirp.NotFoundError("endpoint is not known")
+	}
+	pos, err := s.node.marker.Position(ctx, address(e))
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &fleetpb.PositionResponse{Term: pos.Term, Index: pos.Index}, nil
+}
+
 // Propose implements fleetpb.Fleet.
 func (s *service) Propose(ctx context.Context, r *fleetpb.ProposeRequest) (*fleetpb.ProposeResponse, error) {
 	result, err := s.node.control.Propose(ctx, r.Command)
--- a/internal/fleet/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -58,9 +58,9 @@
 		Seeds:    fleetrpc.SamePort(s.Seeds, controlPort(s)),
 		MayFound: s.MayFound, DataFolder: s.DataFolder,
 		Heartbeat: time.Duration(s.HeartbeatMs) * time.Millisecond,
-		Dialer:    platform.Dialer{Name: s.Name},
-		Promoter:  &platform.Promoter{Address: s.Promoter, Holder: s.Name, Client: fleetrpc.NewHTTPClient()},
-		Log:       log,
+		Dialer:    platform.Dialer{Name: s.Name}, Texts: platform.Texts,
+		Promoter: &platform.Promoter{Address: s.Promoter, Holder: s.Name, Client: fleetrpc.NewHTTPClient()},
+		Log:      log,
 	})
 	if err != nil {
 		return err
@@ -98,7 +98,7 @@
 	follower.Learn(fleetrpc.SamePort(s.Seeds, controlPort(s)))
 	server := proxy.New(proxy.Config{
 		Name: s.Name, FailureDomain: s.FailureDomain, View: view,
-		Dialer: platform.Dialer{Name: s.Name}, Texts: platform.Texts, Reporter: follower, Log: log,
+		Dialer: platform.Dialer{Name: s.Name}, Texts: platform.Texts, Reporter: follower, Positions: follower, Log: log,
 		ControlLost: follower.LostFor, Metrics: set,
 	})
 	internal := http.NewServeMux()
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// Endpoint returns the endpoint of this id, or nil.
+func (h *Hub) Endpoint(id string) *fleetpb.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Get(id)
+}
+
 // Endpoints returns all records. They may not be changed.
 func (h *Hub) Endpoints() []*fleetpb.Endpoint {
 	h.mu.Lock()
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -16,6 +16,7 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleethub"
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/netopt"
 	"hemlockmast/internal/shared/wait"
 )
@@ -291,6 +292,27 @@
 	return last
 }
 
+// Position asks the control daemon that is followed for the position of a primary's
+// log. Errors: *NotFollowedError, twirp's.
+func (f *Follower) Position(ctx context.Context, endpointID string) (logpos.Pos, error) {
+	f.mu.Lock()
+	address := f.current
+	f.mu.Unlock()
+	if address == "" {
+		return logpos.Pos{}, &NotFollowedError{}
+	}
+	answer, err := Client(f.HTTP, address).Position(ctx, &fleetpb.PositionRequest{EndpointId: endpointID})
+	if err != nil {
+		return logpos.Pos{}, err
+	}
+	return logpos.Pos{Term: answer.Term, Index: answer.Index}, nil
+}
+
+// NotFollowedError reports that no current control daemon is known.
+type NotFollowedError struct{}
+
+func (*NotFollowedError) Error() string { return "no current control daemon is known" }
+
 // SamePort returns addresses of the hosts of list at port.
 func SamePort(list []string, port string) []string {
 	out := make([]string, 0, len(list))
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -25,6 +25,12 @@
 	// probePause is the time between two attempts to reach an endpoint that
 	// failed; statements are not used for it.
 	probePause = 250 * time.Millisecond
+	// slowDial is what opening a connection takes where the endpoint has no place free:
+	// a few times of what it takes otherwise. For slowTime after it no further
+	// connection is opened beside one that is open: it would wait with the statements
+	// that wait there already, and take a place from them.
+	slowDial = 40 * time.Millisecond
+	slowTime = time.Second
 	// maxDials bounds the connections that are being opened at once: an endpoint
 	// spends a place on each, and drops attempts beyond its queue.
 	maxDials = 2
@@ -81,6 +87,8 @@
 	closed    bool
 	waiters   []*waiter
 	fullUntil time.Time
+	// slowUntil is until when the endpoint counts as slow to open connections.
+	slowUntil time.Time
 	// down is set from a failure until the endpoint has been reached again.
 	down bool
 	// busyUntil is until when no statement is sent since the endpoint had no room
@@ -202,7 +210,7 @@
 		p.idle = slices.Delete(p.idle, best, best+1)
 		return c, nil, nil
 	}
-	if p.open < p.limit && p.dialing < maxDials && time.Now().After(p.fullUntil) {
+	if p.mayDial(time.Now()) {
 		p.open++
 		p.dialing++
 		return nil, nil, nil
@@ -210,6 +218,14 @@
 	return nil, p.enqueue(priority), nil
 }
 
+// mayDial reports whether another connection may be opened. mu must be held.
+func (p *Pool) mayDial(now time.Time) bool {
+	if p.open >= p.limit || p.dialing >= maxDials || now.Before(p.fullUntil) {
+		return false
+	}
+	return p.open == 0 || now.After(p.slowUntil)
+}
+
 // enqueue adds a waiter behind those of the same priority. mu must be held.
 func (p *Pool) enqueue(priority int32) *waiter {
 	w := &waiter{priority: priority, ready: make(chan *Conn, 1)}
@@ -315,12 +331,16 @@
 func (p *Pool) establish() (*Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	started := time.Now()
 	raw, err := p.dialer.Dial(ctx, p.Endpoint)
 	var refused *stmt.RefusedError
 	isFull := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	if time.Since(started) > slowDial {
+		p.slowUntil = time.Now().Add(slowTime)
+	}
 	if err == nil {
 		p.wakeOne()
 		return &Conn{Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string)}, nil
--- a/internal/proxy/pool/pool_test.go
+++ b/internal/proxy/pool/pool_test.go
@@ -21,6 +21,19 @@
 	dials atomic.Int64
 	limit int64
 	down  atomic.Bool
+	// places, if not nil, holds what runs at once; opening a connection takes one for
+	// dialTime.
+	places chan struct{}
+}
+
+// dialTime is what an endpoint spends on a new connection.
+const dialTime = 12 * time.Millisecond
+
+// occupy takes one of the endpoint's places for d.
+func (e *endpoint) occupy(d time.Duration) {
+	e.places <- struct{}{}
+	time.Sleep(d)
+	<-e.places
 }
 
 type conn struct {
@@ -33,6 +46,9 @@
 	if e.down.Load() {
 		return nil, &stmt.BrokenError{Cause: context.DeadlineExceeded}
 	}
+	if e.places != nil {
+		e.occupy(dialTime)
+	}
 	open := e.open.Add(1)
 	if open > e.limit {
 		e.open.Add(-1)
@@ -222,3 +238,28 @@
 	assert.NilError(t, err)
 	p.Put(c)
 }
+
+// TestConnectionsAreNotOpenedAtABusyEndpoint has all daemons start at once with many
+// statements each, as after a loss of power. Connections take the places that
+// statements need, so that each daemon must get along with few.
+func TestConnectionsAreNotOpenedAtABusyEndpoint(t *testing.T) {
+	const daemons, statements = 30, 8
+	e := &endpoint{limit: 1000, places: make(chan struct{}, 3)}
+	var wg sync.WaitGroup
+	for range daemons {
+		p := newPool(e, Share{Keep: 2, Most: 4})
+		for range statements {
+			wg.Go(func() {
+				c, err := p.Get(time.Now().Add(10*time.Second), 0, any0)
+				assert.Check(t, err)
+				e.occupy(10 * time.Millisecond)
+				p.Put(c)
+			})
+		}
+	}
+	wg.Wait()
+	// Each opens two at once before the first has told how long it takes. The places
+	// serve some quickly, after which their daemons may open two more.
+	quick := int64(cap(e.places)) * int64(slowDial/dialTime)
+	assert.Assert(t, e.dials.Load() <= 2*daemons+2*quick, "%d connections", e.dials.Load())
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/proxy/pool"
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
@@ -50,6 +51,12 @@
 	Report(ctx context.Context, r *fleetpb.ReportRequest) error
 }
 
+// Positions asks control for the position of a primary's log. It covers every commit
+// acknowledged before the call.
+type Positions interface {
+	Position(ctx context.Context, endpointID string) (logpos.Pos, error)
+}
+
 // Config is what a Server needs.
 type Config struct {
 	Name          string
@@ -58,6 +65,7 @@
 	Dialer        stmt.Dialer
 	Texts         Texts
 	Reporter      Reporter
+	Positions     Positions
 	// ControlLost returns for how long no current control daemon has answered.
 	ControlLost func() time.Duration
 	Metrics     *metrics.Set
@@ -134,7 +142,7 @@
 func share(maxConnections uint32, entries int) pool.Share {
 	// Before the others are counted, as after a restart of all, a part is small.
 	entries = max(entries, leastEntries)
-	keep := max(0, (int(maxConnections)-reservedConnections)/entries)
+	keep := max(0, (int(maxConnections)-reservedConnections)/2/entries)
 	return pool.Share{Keep: keep, Most: keep + max(leastBorrowed, keep*borrowedPercent/100)}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,7 +17,9 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/metrics"
+	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform"
 	"hemlockmast/platform/standin"
 )
@@ -38,6 +40,17 @@
 	reports []*fleetpb.ReportRequest
 	config  *fleetpb.Configuration
 	number  uint64
+	// position is what control tells; nil where it tells nothing.
+	position func() (logpos.Pos, error)
+}
+
+func (f *fixture) Position(context.Context, string) (logpos.Pos, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.position == nil {
+		return logpos.Pos{}, context.DeadlineExceeded
+	}
+	return f.position()
 }
 
 func (f *fixture) Report(_ context.Context, r *fleetpb.ReportRequest) error {
@@ -65,7 +78,7 @@
 	}, funcr.Options{})
 	f.server = proxy.New(proxy.Config{
 		Name: "entry", FailureDomain: "a", View: f.view, Dialer: platform.Dialer{Name: "entry"},
-		Texts: platform.Texts, Reporter: f, ControlLost: f.controlLost, Metrics: f.metrics, Log: f.log,
+		Texts: platform.Texts, Reporter: f, Positions: f, ControlLost: f.controlLost, Metrics: f.metrics, Log: f.log,
 	})
 	f.config = &fleetpb.Configuration{
 		Version: 1, IdleTransactionMs: 200,
@@ -251,6 +264,34 @@
 	assert.Assert(t, f.server.MarkCount("svc") >= before+5)
 }
 
+// TestPrimaryWithoutRoomIsAskedThroughControl has an entry that gets no connection to
+// the primary, as after all entries lost power and left theirs open there. What
+// control tells is enough for a read at a replica.
+func TestPrimaryWithoutRoomIsAskedThroughControl(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[0].Set(standin.Faults{MaxConnections: 1})
+	nodes := f.group.Nodes()
+	held, err := platform.Dialer{Name: "other"}.Dial(t.Context(),
+		stmt.Endpoint{ID: nodes[0].ID, Service: "svc", Address: nodes[0].Address})
+	assert.NilError(t, err)
+	defer held.Close()
+	written, err := held.Do(time.Now().Add(time.Second), "STORE item v1", "w", logpos.Pos{})
+	assert.NilError(t, err)
+	f.session("bounded").fails("FETCH item", "")
+	f.mu.Lock()
+	f.position = func() (logpos.Pos, error) { return written.Pos, nil }
+	f.mu.Unlock()
+	assert.Assert(t, strings.HasPrefix(f.session("bounded").ok("FETCH item"), "ROW v1"))
+	assert.Assert(t, strings.HasPrefix(f.session("session").ok("FETCH item"), "ROW v1"))
+	// What control tells is a floor: a replica that lacks it is not used.
+	nodes[1].Set(standin.Faults{Late: true})
+	nodes[2].Set(standin.Faults{Late: true})
+	written, err = held.Do(time.Now().Add(time.Second), "STORE item v2", "w2", logpos.Pos{})
+	assert.NilError(t, err)
+	time.Sleep(350 * time.Millisecond)
+	f.session("bounded").fails("FETCH item", "")
+}
+
 func TestBoundedReadWithoutPrimaryIsRefusedOnceTooOld(t *testing.T) {
 	f := newFixture(t)
 	c := f.session("bounded")
--- a/internal/proxy/watermarks.go
+++ b/internal/proxy/watermarks.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	// denseTime how long they are kept so after a replica lacked one.
 	denseInterval = 120 * time.Millisecond
 	denseTime     = 2 * time.Second
+	// controlQuestion is how long control may take to tell a position before the
+	// primary is asked directly: a few round trips and a new connection.
+	controlQuestion = 120 * time.Millisecond
 	// refreshPriority goes before every route: one watermark serves many reads.
 	refreshPriority = -1
 )
@@ -161,12 +165,16 @@
 	}
 }
 
-// ask asks the primary for its position.
+// ask asks the primary for its position: over a connection that is open anyway, else
+// through control, which asks for many entries at once.
 func (s *Server) ask(service string, st *serviceState, q *question, deadline time.Time, priority int32) error {
 	lead, err := s.primary(service)
 	if err != nil {
 		return err
 	}
+	if !lead.pool.State().HasIdle && s.askControl(lead, st, q, deadline) {
+		return nil
+	}
 	c, err := lead.pool.Get(deadline, priority, anyFit)
 	if err != nil {
 		s.failed(lead, err)
@@ -188,6 +196,29 @@
 	return nil
 }
 
+// askControl asks for the primary's position through control; it reports whether an
+// answer came.
+func (s *Server) askControl(l lead, st *serviceState, q *question, deadline time.Time) bool {
+	if s.cfg.ControlLost() > 0 {
+		return false
+	}
+	end := time.Now().Add(controlQuestion)
+	if deadline.Before(end) {
+		end = deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	asked := boottime.Now()
+	pos, err := s.cfg.Positions.Position(ctx, l.endpoint.Id)
+	if err != nil {
+		s.log.V(1).Info("position not told by control", "endpoint", l.endpoint.Id, "error", err.Error())
+		return false
+	}
+	q.asked = asked
+	st.add(l.number, mark.Mark{Asked: asked, Pos: pos})
+	return true
+}
+
 // askEmpty asks a primary that told no position whether its log is empty.
 func (s *Server) askEmpty(l lead, c *pool.Conn, st *serviceState, deadline time.Time) {
 	asked := boottime.Now()
