Time at the primary counts twice for reads; slow answers pause a pool

Where queues are full their 24 statements wait 160 ms, whatever their priority. Change: place.Choose doubles a primary's expected time. An answer after over 100 ms pauses the pool as a refusal does, so that statements wait at the entry, by priority; a quick answer halves the pause. Tests: place.TestChoose, pool.TestSlowAnswersPauseThePool.

--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -13,8 +13,9 @@
 	// farPenalty is what an endpoint in another failure domain has to be faster
 	// by: bytes between failure domains cost more than a round trip.
 	farPenalty = 40 * time.Millisecond
-	// primaryPenalty keeps reads off the endpoint that alone can write.
-	primaryPenalty = 15 * time.Millisecond
+	// primaryFactor keeps reads off the endpoint that alone can write: time spent
+	// there on a read is lost to statements that can go nowhere else.
+	primaryFactor = 2
 	// openPenalty is what a new connection takes, and about what it keeps others
 	// at the endpoint waiting.
 	openPenalty = 15 * time.Millisecond
@@ -100,12 +101,12 @@
 	}
 	slots := max(c.Slots, 1)
 	total := usual + usual*time.Duration(c.InFlight)/time.Duration(slots)
+	if c.Primary {
+		total *= primaryFactor
+	}
 	if !c.Near {
 		total += farPenalty
 	}
-	if c.Primary {
-		total += primaryPenalty
-	}
 	if !c.HasConnection {
 		total += openPenalty
 	}
--- a/internal/proxy/place/place_test.go
+++ b/internal/proxy/place/place_test.go
@@ -49,6 +49,10 @@
 			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
 			with(primary, func(c *Candidate) { c.Down = true }),
 		}, "", "near"},
+		"idle primary near": {[]Candidate{far, with(primary, func(c *Candidate) { c.Near = true })}, "", "primary"},
+		"loaded primary is left to writes": {[]Candidate{
+			far, with(primary, func(c *Candidate) { c.Near = true; c.Time = 50 * time.Millisecond }),
+		}, "", "far"},
 		"busy moves away": {[]Candidate{with(near, func(c *Candidate) { c.Busy = true }), far}, "", "far"},
 		"busy before lagging": {[]Candidate{
 			with(near, func(c *Candidate) { c.RefusedLately = true; c.Known = logpos.Pos{Term: 2, Index: 9} }),
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -50,7 +50,10 @@
 	// fraction of a usual statement, in which a place may become free. It doubles up
 	// to maxBusyPause, so that many daemons do not keep a full endpoint refusing.
 	firstBusyPause = 4 * time.Millisecond
-	maxBusyPause   = 64 * time.Millisecond
+	maxBusyPause   = 256 * time.Millisecond
+	// congestedTime is the time of a statement from which on the endpoint counts as
+	// full: most of it was spent in the endpoint's queue.
+	congestedTime = 100 * time.Millisecond
 	// timeWeight is the weight of a new measurement in the usual time, as 1/n.
 	timeWeight = 8
 )
--- a/internal/proxy/pool/pool_test.go
+++ b/internal/proxy/pool/pool_test.go
@@ -263,3 +263,23 @@
 	quick := int64(cap(e.places)) * int64(slowDial/dialTime)
 	assert.Assert(t, e.dials.Load() <= 2*daemons+2*quick, "%d connections", e.dials.Load())
 }
+
+// TestSlowAnswersPauseThePool has an endpoint whose queue is long, and then is not.
+func TestSlowAnswersPauseThePool(t *testing.T) {
+	p := newPool(&endpoint{limit: 5}, Share{Keep: 2, Most: 2})
+	c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	for range 8 {
+		p.Answered(logpos.Pos{}, 2*congestedTime)
+		time.Sleep(maxBusyPause / 16)
+	}
+	p.Put(c)
+	assert.Assert(t, p.State().Busy)
+	start := time.Now()
+	c, err = p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(start) < maxBusyPause+50*time.Millisecond)
+	p.Answered(logpos.Pos{}, congestedTime/4)
+	assert.Assert(t, !p.State().Busy)
+	p.Put(c)
+}
--- a/internal/proxy/pool/state.go
+++ b/internal/proxy/pool/state.go
@@ -16,7 +16,13 @@
 	if took <= 0 {
 		return
 	}
-	p.busyPause, p.busyUntil, p.busyWith = 0, time.Time{}, nil
+	p.busyWith = nil
+	if took > congestedTime {
+		p.hold()
+	} else {
+		p.busyPause /= 2
+		p.busyUntil = time.Time{}
+	}
 	if len(p.idle) > 0 {
 		p.wakeOne()
 	}
@@ -32,6 +38,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busyWith = refusal
+	p.hold()
+}
+
+// hold lets nothing be sent for a pause. mu must be held.
+func (p *Pool) hold() {
 	now := time.Now()
 	if now.Before(p.busyUntil) {
 		return
