--- a/internal/proxy/pool/pool_test.go
+++ b/internal/proxy/pool/pool_test.go
@@ -271,10 +271,11 @@
 	assert.NilError(t, err)
 	for range 8 {
 		p.Answered(logpos.Pos{}, 2*congestedTime)
+		assert.Assert(t, p.State().Busy)
 		time.Sleep(maxBusyPause / 16)
 	}
 	p.Put(c)
-	assert.Assert(t, p.State().Busy)
+	p.Answered(logpos.Pos{}, 2*congestedTime)
 	start := time.Now()
 	c, err = p.Get(time.Now().Add(time.Second), 0, any0)
 	assert.NilError(t, err)
