Entries are counted once; half of an endpoint's connections is kept open

Entries that move from one control daemon to another were counted at both for up to 8 s, the share (163 connections / 152 entries) fell to 0 or 1, and each statement opened a connection of its own: 12 ms of a place, 1,000 a second. Change: control daemons tell each other which entries follow them (4 bytes each), so that one who moved counts once. Half of the connections may stay open, as those of VMs that lost power count at the endpoint for 3 s; borrowed ones stay for 1 s instead of 100 ms. Tests: fleethub.TestEntriesAreCounted (wrong before: it added up the counts), proxy.TestKeptConnectionsLeaveRoomForSuccessors.

--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -69,13 +69,14 @@
 		answer, err := service.Follow(callCtx, request)
 		cancel()
 		if err != nil {
-			n.hub.CountEntriesAt(address, 0)
+			n.hub.SetEntriesAt(address, nil)
 			wait.For(ctx, peerPause)
 			continue
 		}
-		request.Source, request.Version, request.Entries = answer.Source, answer.Version, answer.Entries
+		request.Source, request.Version = answer.Source, answer.Version
+		request.EntriesDigest = fleethub.Digest(answer.EntryIds)
 		request.WaitMs = uint32(fleethub.MaxPeerWait.Milliseconds())
-		n.hub.CountEntriesAt(address, answer.Entries)
+		n.hub.SetEntriesAt(address, answer.EntryIds)
 		n.mu.Lock()
 		n.domains[address] = answer.FailureDomain
 		n.mu.Unlock()
@@ -86,7 +87,7 @@
 			wait.For(ctx, peerPause)
 		}
 	}
-	n.hub.CountEntriesAt(address, 0)
+	n.hub.SetEntriesAt(address, nil)
 }
 
 // removeSilent takes out a voter whose VM was replaced: the group then has more
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/catalog"
 	"hemlockmast/internal/fleet/registry"
@@ -62,8 +64,8 @@
 	primaries map[string]*versioned
 	configs   []*fleetpb.Configuration
 	followers map[string]time.Time
-	// entriesAt holds the number of entries that other control daemons count.
-	entriesAt map[string]uint32
+	// entriesAt holds the ids of the entries that follow other control daemons.
+	entriesAt map[string][]uint32
 	changed   chan struct{}
 }
 
@@ -80,7 +82,7 @@
 		changedAt: make(map[string]uint64),
 		primaries: make(map[string]*versioned),
 		followers: make(map[string]time.Time),
-		entriesAt: make(map[string]uint32),
+		entriesAt: make(map[string][]uint32),
 		changed:   make(chan struct{}),
 	}
 }
@@ -170,11 +172,20 @@
 	return h.table.All()
 }
 
-// CountEntriesAt records how many entries follow another control daemon.
-func (h *Hub) CountEntriesAt(control string, entries uint32) {
+// SetEntriesAt records which entries follow another control daemon.
+func (h *Hub) SetEntriesAt(control string, ids []uint32) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entriesAt[control] = entries
+	h.entriesAt[control] = ids
+}
+
+// Digest returns a digest of a set of entries.
+func Digest(ids []uint32) uint32 {
+	var digest uint32
+	for _, id := range ids {
+		digest ^= id
+	}
+	return digest
 }
 
 // Wake has waiting polls look again, as when this daemon has become current.
@@ -197,7 +208,7 @@
 	for {
 		answer, changed := h.answer(r)
 		hasNews := answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0 ||
-			!r.IsEntry && answer.Entries != r.Entries
+			!r.IsEntry && Digest(answer.EntryIds) != r.EntriesDigest
 		left := end.Sub(h.now())
 		isDone := hasNews || !answer.Current
 		if !answer.Current && r.IsEntry && r.ConfigurationVersion == 0 {
@@ -229,7 +240,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	answer.Version = h.version
-	answer.Entries = h.countFollower(r)
+	own := h.ownEntries(r)
+	if r.IsEntry {
+		answer.Entries = h.countEntries(own)
+	} else {
+		answer.EntryIds = own
+	}
 	if newest := h.newest(); r.IsEntry && newest.GetVersion() > r.ConfigurationVersion {
 		answer.Configuration = catalog.Diff(h.kept(r.ConfigurationVersion), newest)
 	}
@@ -256,26 +272,35 @@
 	return nil
 }
 
-// countFollower notes the poll and returns the number of entries: all that are
-// known for an entry, the daemon's own for another control daemon.
-func (h *Hub) countFollower(r *fleetpb.FollowRequest) uint32 {
+// ownEntries notes the poll and returns the ids of the entries that follow this
+// daemon. mu must be held.
+func (h *Hub) ownEntries(r *fleetpb.FollowRequest) []uint32 {
 	now := h.now()
 	if r.IsEntry {
 		h.followers[r.Daemon] = now
 	}
-	count := uint32(0)
+	var ids []uint32
 	for name, seen := range h.followers {
 		if now.Sub(seen) > followerTimeout {
 			delete(h.followers, name)
 			continue
 		}
-		count++
+		ids = append(ids, uint32(xxhash.Sum64String(name)))
 	}
-	if !r.IsEntry {
-		return count
+	return ids
+}
+
+// countEntries returns the number of entries that follow any control daemon. mu must
+// be held.
+func (h *Hub) countEntries(own []uint32) uint32 {
+	all := make(map[uint32]struct{})
+	for _, id := range own {
+		all[id] = struct{}{}
 	}
-	for _, n := range h.entriesAt {
-		count += n
+	for _, ids := range h.entriesAt {
+		for _, id := range ids {
+			all[id] = struct{}{}
+		}
 	}
-	return count
+	return uint32(len(all))
 }
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -101,8 +101,12 @@
 	other := entry(0, 0, 0)
 	other.Daemon = "f"
 	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(2))
-	h.CountEntriesAt("peer", 3)
-	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(5))
 	peer := &fleetpb.FollowRequest{Daemon: "control"}
-	assert.Equal(t, h.Follow(t.Context(), peer).Entries, uint32(2))
+	// An entry that has moved here is known to the other control daemon for a while.
+	ids := h.Follow(t.Context(), peer).EntryIds
+	assert.Equal(t, len(ids), 2)
+	h.SetEntriesAt("peer", []uint32{1, 2, ids[0]})
+	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(4))
+	h.SetEntriesAt("peer", nil)
+	assert.Equal(t, h.Follow(t.Context(), other).Entries, uint32(2))
 }
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -7,3 +7,6 @@
 	defer st.mu.Unlock()
 	return st.marks.Len()
 }
+
+// ShareOf is share, for tests.
+var ShareOf = share
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -37,8 +37,9 @@
 	// idleTime is how long a connection beyond the first is kept unused, so that
 	// other daemons find room.
 	idleTime = 4 * time.Second
-	// borrowedTime is the same for one beyond the share.
-	borrowedTime = 100 * time.Millisecond
+	// borrowedTime is the same for one beyond the share: opening it again takes a place
+	// at the endpoint, which is scarce where connections are borrowed.
+	borrowedTime = time.Second
 	// sharedTime is the same where there are more daemons than connections: each
 	// opens one when needed, and most are unused at any moment.
 	sharedTime = 300 * time.Millisecond
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,10 @@
 	// reservedConnections of an endpoint are left to control's probes and
 	// promotions, and to entries that were not counted yet.
 	reservedConnections = 3
+	// keptPercent of an endpoint's connections may stay open. Those of a VM that lost
+	// power or was cut off count at the endpoint for seconds; the rest is left for the
+	// daemons that start in its place or serve its callers.
+	keptPercent = 50
 	// borrowedPercent of its share may an entry borrow.
 	borrowedPercent = 100
 	// leastBorrowed connections may it borrow in any case.
--- /dev/null
+++ b/internal/proxy/share_test.go
@@ -0,0 +1,23 @@
+package proxy_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/proxy"
+)
+
+// TestKeptConnectionsLeaveRoomForSuccessors has all entries lose power: what they kept
+// open counts at the endpoint for seconds, and the daemons that start in their place
+// need as much again.
+func TestKeptConnectionsLeaveRoomForSuccessors(t *testing.T) {
+	for _, row := range []struct {
+		limit   uint32
+		entries int
+	}{{21, 8}, {46, 9}, {166, 76}, {51, 82}, {20, 1200}, {10, 0}} {
+		part := proxy.ShareOf(row.limit, row.entries)
+		assert.Assert(t, 2*part.Keep*row.entries <= int(row.limit), "%+v: %+v", row, part)
+		assert.Assert(t, part.Most > part.Keep, "%+v: %+v", row, part)
+	}
+}
