--- /dev/null
+++ b/internal/testing/soak/link.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Disturbance is what a link does to the connections that pass it.
+type Disturbance struct {
+	// Delay is added to each read in both directions.
+	Delay time.Duration
+	// Silent forwards nothing in either direction, OneWay nothing back.
+	Silent bool
+	OneWay bool
+}
+
+// link is a proxy on loopback between daemons and one endpoint.
+type link struct {
+	listener net.Listener
+	target   string
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	now   Disturbance
+	conns map[net.Conn]struct{}
+}
+
+func newLink(target string) (*link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &link{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	go l.accept()
+	return l, nil
+}
+
+func (l *link) address() string { return l.listener.Addr().String() }
+
+func (l *link) close() {
+	_ = l.listener.Close()
+	l.reset()
+}
+
+// set changes what happens from now on, also to open connections.
+func (l *link) set(d Disturbance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.now = d
+}
+
+func (l *link) disturbance() Disturbance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now
+}
+
+// reset cuts all open connections with a reset.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (l *link) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.serve(conn)
+	}
+}
+
+func (l *link) track(c net.Conn, open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open {
+		l.conns[c] = struct{}{}
+		return
+	}
+	delete(l.conns, c)
+}
+
+func (l *link) serve(near net.Conn) {
+	l.track(near, true)
+	defer l.track(near, false)
+	defer near.Close()
+	far, err := net.Dial("tcp", l.target)
+	if err != nil {
+		return
+	}
+	l.track(far, true)
+	defer l.track(far, false)
+	defer far.Close()
+	done := make(chan struct{}, 2)
+	go func() { l.forward(far, near, false); done <- struct{}{} }()
+	go func() { l.forward(near, far, true); done <- struct{}{} }()
+	<-done
+}
+
+// forward copies until one side ends. What arrives while the link is silent is lost,
+// as with a connection that went silent for good.
+func (l *link) forward(to, from net.Conn, isBack bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if err != io.EOF {
+				_ = to.Close()
+			}
+			return
+		}
+		d := l.disturbance()
+		if d.Delay > 0 {
+			time.Sleep(d.Delay)
+		}
+		if d.Silent || d.OneWay && isBack {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
