Control daemons serve metrics; queue time at entries; one way to borrow a connection

Control: term, leader, voters, configuration, proposals by outcome and time, promotions by reason and outcome and time, reports against endpoints, questions for positions, at GET /metrics of the internal address. Promotions say their reason in the log. Entries count the time for which a statement waits for a connection. The four places that took and prepared a connection are one (session.borrow). Tests: metrics.TestEveryPromisedSeriesOfControlIsThere, fleetd.TestLeavingPrimaryIsReplaced looks at the counter.

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -28,6 +28,7 @@
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/marker"
 	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -65,6 +66,7 @@
 	Dialer     stmt.Dialer
 	Texts      marker.Texts
 	Promoter   promotion.Promoter
+	Metrics    *metrics.ControlSet
 	Log        logr.Logger
 }
 
@@ -155,6 +157,8 @@
 				n.log.Info("leader changed", "leader", st.Leader.Name, "term", st.Term, "self", st.Role.String())
 				last = st.Leader.Name
 			}
+			config, _ := n.machine.Configuration()
+			n.cfg.Metrics.Member(st.Term, st.Role == agree.Leader, len(agree.Voters(st.Membership)), config.GetVersion())
 			n.removeSilent(ctx, st)
 		}
 	}
@@ -241,6 +245,13 @@
 
 // propose has a command agreed on, through the leader.
 func (n *Node) propose(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
+	started := time.Now()
+	result, err := n.proposeOnce(ctx, cmd)
+	n.cfg.Metrics.Proposed(time.Since(started), err)
+	return result, err
+}
+
+func (n *Node) proposeOnce(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, err
@@ -343,6 +354,7 @@
 		return nil, twirp.NotFoundError("endpoint is not known")
 	}
 	pos, err := s.node.marker.Position(ctx, address(e))
+	s.node.cfg.Metrics.Asked(err)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -33,7 +33,7 @@
 		return true
 	}
 	w.log.Info("primary overloaded while replicas lag", "service", g.service, "endpoint", g.primary.Id, "promoting", id)
-	return w.promote(ctx, g, replacement{primaryServes: true, preferred: id})
+	return w.promote(ctx, g, replacement{reason: reasonOverloaded, primaryServes: true, preferred: id})
 }
 
 // members asks the service's replicas for their state.
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -91,6 +91,7 @@
 func (w *watch) report(r *fleetpb.ReportRequest) {
 	w.log.Info("endpoint reported", "endpoint", r.EndpointId, "service", r.Service,
 		"by", r.Daemon, "suspicion", r.Suspicion.String())
+	w.node.cfg.Metrics.Reported(r.Suspicion.String())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch r.Suspicion {
@@ -207,9 +208,11 @@
 	case g.primary == nil:
 		return nil
 	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE:
-		return func(ctx context.Context) bool { return w.promote(ctx, g, replacement{}) }
+		return func(ctx context.Context) bool { return w.promote(ctx, g, replacement{reason: reasonGone}) }
 	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING && hasReady(g.others):
-		return func(ctx context.Context) bool { return w.promote(ctx, g, replacement{primaryServes: true}) }
+		return func(ctx context.Context) bool {
+			return w.promote(ctx, g, replacement{reason: reasonLeaving, primaryServes: true})
+		}
 	case w.isSuspected(g.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirm(ctx, g) }
 	case w.isStalled(g.primary.Id, now):
@@ -281,7 +284,7 @@
 		return true
 	}
 	w.log.Info("replicas receive nothing from the primary", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, replacement{})
+	return w.promote(ctx, g, replacement{reason: reasonStalled})
 }
 
 // positions asks the primary and its replicas for their state; ok is false if the
@@ -377,7 +380,7 @@
 		wait.For(ctx, probePause)
 	}
 	w.log.Info("primary does not answer", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, replacement{})
+	return w.promote(ctx, g, replacement{reason: reasonUnreached})
 }
 
 // probe reports whether the primary answers as one, or says that it is full.
@@ -394,8 +397,18 @@
 	return stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
 }
 
-// replacement says how a primary is to be replaced.
+// Reasons of promotions, for metrics and logs.
+const (
+	reasonGone       = "gone"
+	reasonLeaving    = "leaving"
+	reasonUnreached  = "unreached"
+	reasonStalled    = "stalled"
+	reasonOverloaded = "overloaded"
+)
+
+// replacement says why and how a primary is to be replaced.
 type replacement struct {
+	reason string
 	// primaryServes is set when the primary is alive and serves until it is replaced.
 	primaryServes bool
 	// preferred, if not empty, is the replica to promote.
@@ -419,12 +432,14 @@
 		Service: g.service, Primary: address(g.primary), PrimaryServes: how.primaryServes,
 		Preferred: how.preferred, Replicas: w.replicas(g), Token: result.Token,
 	}
+	started := time.Now()
 	leader, err := w.runner.Run(ctx, plan)
+	w.node.cfg.Metrics.Promoted(how.reason, time.Since(started), err)
 	if err != nil {
-		w.log.Info("promotion failed", "service", g.service, "token", plan.Token, "error", err.Error())
+		w.log.Info("promotion failed", "service", g.service, "reason", how.reason, "token", plan.Token, "error", err.Error())
 		return false
 	}
-	w.log.Info("promotion done", "service", g.service, "token", plan.Token, "from", g.primary.Id, "to", leader)
+	w.log.Info("promotion done", "service", g.service, "reason", how.reason, "token", plan.Token, "from", g.primary.Id, "to", leader)
 	return w.record(ctx, g, leader)
 }
 
--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -202,6 +202,18 @@
 	return response.StatusCode, answer.String()
 }
 
+// metrics returns what a daemon serves at its internal address.
+func (f *fleet) metrics(address string) string {
+	response, err := (&http.Client{Timeout: time.Second}).Get("http://" + address + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text := new(strings.Builder)
+	_, _ = bufio.NewReader(response.Body).WriteTo(text)
+	return text.String()
+}
+
 // publish sends a configuration until a control daemon acknowledges it.
 func (f *fleet) publish(body string) {
 	f.t.Helper()
@@ -372,6 +384,17 @@
 	assert.Assert(t, replaced)
 	f.eventually(0, "STORE item v1")
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+	// The daemon that did it counts it.
+	counted := standin.WaitFor(3*time.Second, func() bool {
+		for i := range 4 {
+			if strings.Contains(f.metrics(fmt.Sprintf("127.0.1.%d:%d", i+1, f.port)),
+				`hemlockmast_promotions_total{outcome="done",reason="leaving"} 1`) {
+				return true
+			}
+		}
+		return false
+	})
+	assert.Assert(t, counted)
 }
 
 // TestControlSurvives stops all control daemons at once and starts them again,
--- a/internal/fleet/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -53,6 +53,7 @@
 func controlPort(s *fleetpb.DaemonSettings) string { return strconv.Itoa(int(s.ControlPort)) }
 
 func runControl(ctx context.Context, s *fleetpb.DaemonSettings, log logr.Logger) error {
+	set := metrics.NewControl()
 	node, err := fleetctl.Open(ctx, fleetctl.Config{
 		Name: s.Name, FailureDomain: s.FailureDomain, Address: s.Internal,
 		Seeds:    fleetrpc.SamePort(s.Seeds, controlPort(s)),
@@ -60,12 +61,14 @@
 		Heartbeat: time.Duration(s.HeartbeatMs) * time.Millisecond,
 		Dialer:    platform.Dialer{Name: s.Name}, Texts: platform.Texts,
 		Promoter: &platform.Promoter{Address: s.Promoter, Holder: s.Name, Client: fleetrpc.NewHTTPClient()},
+		Metrics:  set,
 		Log:      log,
 	})
 	if err != nil {
 		return err
 	}
 	internal := http.NewServeMux()
+	internal.Handle("GET /metrics", set.Handler())
 	node.Register(internal)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return node.Run(ctx) })
--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/proxy/pool"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
@@ -86,6 +87,23 @@
 	return nil
 }
 
+// borrow takes a connection to an endpoint, by holdEnd at the latest, with the session's
+// values and the shape in force on it. Nothing of the caller's has run when it fails.
+func (ss *session) borrow(l lead, route *fleetpb.Route, shape *stmt.Shape, holdEnd, deadline time.Time) (*pool.Conn, *stmt.Error) {
+	asked := time.Now()
+	c, err := l.pool.Get(holdEnd, route.Priority, ss.fit(shape))
+	ss.server.cfg.Metrics.Queued(route.Name, time.Since(asked))
+	if err != nil {
+		ss.server.failed(l, err)
+		return nil, notRun(err)
+	}
+	if err := ss.align(c, deadline, shape); err != nil {
+		ss.dropUnaligned(l.pool, c, err)
+		return nil, notRun(err)
+	}
+	return c, nil
+}
+
 // own runs a statement of the proxy's own.
 func (ss *session) own(c *pool.Conn, deadline time.Time, text string) error {
 	reply, err := c.Do(deadline, text, "", logpos.Pos{})
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -173,19 +173,14 @@
 func (r *run) writeAt(l lead) (reply stmt.Reply, done bool) {
 	r.try(l)
 	server := r.ss.server
-	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
-	if err != nil {
-		server.failed(l, err)
-		return r.failed(notRun(err)), false
-	}
-	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
-		r.ss.dropUnaligned(l.pool, c, err)
-		return r.failed(notRun(err)), false
+	c, refusal := r.ss.borrow(l, r.route, r.r.shape, r.holdEnd, r.deadline)
+	if refusal != nil {
+		return r.failed(refusal), false
 	}
 	asked := boottime.Now()
 	sent := time.Now()
 	ended := server.watchStall(l)
-	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	reply, err := c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
 	ended()
 	if err != nil {
 		l.pool.Discard(c)
@@ -212,14 +207,9 @@
 func (r *run) guardedReadAt(l lead) (reply stmt.Reply, done bool) {
 	r.try(l)
 	server := r.ss.server
-	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
-	if err != nil {
-		server.failed(l, err)
-		return r.failed(notRun(err)), false
-	}
-	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
-		r.ss.dropUnaligned(l.pool, c, err)
-		return r.failed(notRun(err)), false
+	c, refusal := r.ss.borrow(l, r.route, r.r.shape, r.holdEnd, r.deadline)
+	if refusal != nil {
+		return r.failed(refusal), false
 	}
 	begun, _, err := server.guard(l, c, r.deadline)
 	if err != nil {
@@ -326,17 +316,12 @@
 
 func (r *run) readAt(l lead, floor logpos.Pos) (reply stmt.Reply, done bool) {
 	r.try(l)
-	c, err := l.pool.Get(r.holdEnd, r.route.Priority, r.ss.fit(r.r.shape))
-	if err != nil {
-		r.ss.server.failed(l, err)
-		return r.failed(notRun(err)), false
-	}
-	if err := r.ss.align(c, r.deadline, r.r.shape); err != nil {
-		r.ss.dropUnaligned(l.pool, c, err)
-		return r.failed(notRun(err)), false
+	c, refusal := r.ss.borrow(l, r.route, r.r.shape, r.holdEnd, r.deadline)
+	if refusal != nil {
+		return r.failed(refusal), false
 	}
 	sent := time.Now()
-	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, floor)
+	reply, err := c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, floor)
 	if err != nil {
 		l.pool.Discard(c)
 		r.ss.server.failed(l, err)
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -147,14 +147,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	c, err := l.pool.Get(holdEnd, tx.route.Priority, ss.fit(shape))
-	if err != nil {
-		ss.server.failed(l, err)
-		return notRun(err)
-	}
-	if err := ss.align(c, deadline, shape); err != nil {
-		ss.dropUnaligned(l.pool, c, err)
-		return notRun(err)
+	c, refusal := ss.borrow(l, tx.route, shape, holdEnd, deadline)
+	if refusal != nil {
+		return refusal
 	}
 	asked := boottime.Now()
 	// The statement behind it is sent only after the endpoint has agreed: behind
--- /dev/null
+++ b/internal/shared/metrics/control.go
@@ -0,0 +1,92 @@
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// ControlSet is a control daemon's metrics. It is safe for concurrent use.
+type ControlSet struct {
+	registry *prometheus.Registry
+
+	term, leads, voters prometheus.Gauge
+	revision            prometheus.Gauge
+	proposals           *prometheus.HistogramVec
+	promotions          *prometheus.CounterVec
+	promotionTime       prometheus.Histogram
+	reports             *prometheus.CounterVec
+	positions           *prometheus.CounterVec
+}
+
+// NewControl returns the metrics of one control daemon with a registry of their own.
+func NewControl() *ControlSet {
+	buckets := prometheus.ExponentialBuckets(0.001, 3, 9)
+	s := &ControlSet{
+		registry:  prometheus.NewRegistry(),
+		term:      gauge("control_term", "Term of the control group as this member knows it."),
+		leads:     gauge("control_leads", "1 while this member leads the control group."),
+		voters:    gauge("control_voters", "Members of the control group that vote."),
+		revision:  gauge("config_revision", "Revision of the configuration agreed on."),
+		proposals: histogram("control_proposal_seconds", "Time from a proposal to its outcome.", buckets, "outcome"),
+		promotions: counter("promotions_total", "Promotions that this member attempted, by reason and outcome.",
+			"reason", "outcome"),
+		reports:   counter("endpoint_reports_total", "Reports of entries against endpoints.", "suspicion"),
+		positions: counter("positions_total", "Questions of entries for a primary's position.", "outcome"),
+	}
+	s.promotionTime = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "promotion_seconds", Help: "Time of a promotion from its token to its record.",
+		Buckets: []float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30},
+	})
+	s.registry.MustRegister(
+		s.term, s.leads, s.voters, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return s
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *ControlSet) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Member records what this member knows of its group.
+func (s *ControlSet) Member(term uint64, leads bool, voters int, revision uint64) {
+	s.term.Set(float64(term))
+	s.leads.Set(0)
+	if leads {
+		s.leads.Set(1)
+	}
+	s.voters.Set(float64(voters))
+	s.revision.Set(float64(revision))
+}
+
+func outcomeLabel(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
+// Proposed records a proposal that ended after elapsed.
+func (s *ControlSet) Proposed(elapsed time.Duration, err error) {
+	s.proposals.WithLabelValues(outcomeLabel(err)).Observe(elapsed.Seconds())
+}
+
+// Promoted records a promotion that ended after elapsed. Reason is the name of a
+// constant.
+func (s *ControlSet) Promoted(reason string, elapsed time.Duration, err error) {
+	s.promotions.WithLabelValues(reason, outcomeLabel(err)).Inc()
+	if err == nil {
+		s.promotionTime.Observe(elapsed.Seconds())
+	}
+}
+
+// Reported counts a report of an entry.
+func (s *ControlSet) Reported(suspicion string) { s.reports.WithLabelValues(suspicion).Inc() }
+
+// Asked counts a question for a primary's position.
+func (s *ControlSet) Asked(err error) { s.positions.WithLabelValues(outcomeLabel(err)).Inc() }
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -1,7 +1,9 @@
 package metrics
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -10,7 +12,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func scrape(s *Set) string {
+func scrape(s interface{ Handler() http.Handler }) string {
 	w := httptest.NewRecorder()
 	s.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	return w.Body.String()
@@ -62,3 +64,33 @@
 	assert.Equal(t, strings.Count(text, "hemlockmast_reads_total{"), maxNames+1)
 	assert.Assert(t, strings.Contains(text, fmt.Sprintf(`service="other",target="replica"} %d`, 2*maxNames)))
 }
+
+func TestEveryPromisedSeriesOfControlIsThere(t *testing.T) {
+	s := NewControl()
+	failure := errors.New("no answer")
+	s.Member(4, true, 5, 17)
+	s.Proposed(2*time.Millisecond, nil)
+	s.Proposed(time.Second, failure)
+	s.Promoted("leaving", 400*time.Millisecond, nil)
+	s.Promoted("gone", time.Second, failure)
+	s.Reported("SUSPICION_STALLED")
+	s.Asked(nil)
+	text := scrape(s)
+	for _, want := range []string{
+		`hemlockmast_control_term 4`,
+		`hemlockmast_control_leads 1`,
+		`hemlockmast_control_voters 5`,
+		`hemlockmast_config_revision 17`,
+		`hemlockmast_control_proposal_seconds_count{outcome="done"} 1`,
+		`hemlockmast_control_proposal_seconds_count{outcome="failed"} 1`,
+		`hemlockmast_promotions_total{outcome="done",reason="leaving"} 1`,
+		`hemlockmast_promotions_total{outcome="failed",reason="gone"} 1`,
+		`hemlockmast_promotion_seconds_bucket{le="0.5"} 1`,
+		`hemlockmast_endpoint_reports_total{suspicion="SUSPICION_STALLED"} 1`,
+		`hemlockmast_positions_total{outcome="done"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(text, want+"\n"), want)
+	}
+	s.Member(4, false, 5, 17)
+	assert.Assert(t, strings.Contains(scrape(s), "hemlockmast_control_leads 0\n"))
+}
