--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -230,12 +230,17 @@
 	return nil, p.enqueue(priority), nil
 }
 
-// mayDial reports whether another connection may be opened. mu must be held.
+// mayDial reports whether another connection may be opened: beside the first one only
+// after that has told how long opening takes. mu must be held.
 func (p *Pool) mayDial(now time.Time) bool {
 	if p.open >= p.limit || p.dialing >= maxDials || now.Before(p.fullUntil) {
 		return false
 	}
-	return p.open == 0 || now.After(p.slowUntil)
+	isFirst := p.open == p.dialing
+	if isFirst {
+		return p.dialing == 0
+	}
+	return now.After(p.slowUntil)
 }
 
 // enqueue adds a waiter behind those of the same priority. mu must be held.
