A promotion is not carried out from an old plan; claims of announcements are checked

Cause: after a promotion the former primary still announced its old role and the new one not yet its new one, so the watch recorded the former as the primary again. That one answered as a replica, counted as gone, and was replaced: the endpoint that really led could not be paused, so the plan's primary 'stepped down', a replica whose position was taken for all that is acknowledged. Change: an announced claim is recorded only if the endpoint says so when asked, else it is passed over for 3 s. A promotion ends, and records the truth, if another endpoint says that it leads; only an endpoint that leads, or that this daemon made step down before, can step down. Tests, each fails without its part: fleetd.TestOldAnnouncementsAfterAPromotion, promotion.TestPlanFromBeforeAPromotionIsNotCarriedOut, TestReplicaCannotStepDown; TestSecondTryAfterAStepDown keeps the way that stays allowed.

--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -35,6 +35,9 @@
 	// stallSample is the time between two looks at the replicas of a primary at
 	// which writes do not end. Replicas receive within milliseconds.
 	stallSample = 150 * time.Millisecond
+	// claimPause is how long an endpoint that announced that it leads, and did not when
+	// it was asked, is not asked again: a few announcements, which tell of a change.
+	claimPause = 3 * time.Second
 	// firstRetry and maxRetry bound the pause after a failed promotion.
 	firstRetry = 200 * time.Millisecond
 	maxRetry   = 1500 * time.Millisecond
@@ -58,6 +61,8 @@
 	reported map[string]map[string]time.Time
 	// stalled is when an entry last said that writes do not end at an endpoint.
 	stalled map[string]time.Time
+	// disproved is when an endpoint was asked that announced that it leads and does not.
+	disproved map[string]time.Time
 	// overloaded is when an entry last said that a service's primary has no room
 	// since replicas lag, relieved when that was looked into last.
 	overloaded map[string]time.Time
@@ -75,6 +80,7 @@
 		heardAt:    make(map[string]time.Time),
 		reported:   make(map[string]map[string]time.Time),
 		stalled:    make(map[string]time.Time),
+		disproved:  make(map[string]time.Time),
 		overloaded: make(map[string]time.Time), relieved: make(map[string]time.Time),
 		busy:    make(map[string]bool),
 		retryAt: make(map[string]time.Time),
@@ -199,12 +205,12 @@
 
 // decide returns what to do for a service, or nil.
 func (w *watch) decide(g group, now time.Time) func(context.Context) bool {
-	other := claimant(g.others)
+	other := w.claimant(g.others, now)
 	switch {
 	case other != nil && (g.primary == nil || !g.primary.Primary):
 		// The record names no primary, or one that says itself that it leads no
 		// more, while another says that it does.
-		return func(ctx context.Context) bool { return w.record(ctx, g, other.Id) }
+		return func(ctx context.Context) bool { return w.recordClaim(ctx, g, other) }
 	case g.primary == nil:
 		return nil
 	case g.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE:
@@ -316,9 +322,14 @@
 	return conn.Status(time.Now().Add(probeTimeout))
 }
 
-func claimant(others []*fleetpb.Endpoint) *fleetpb.Endpoint {
+// claimant returns an endpoint that announced that it leads, unless it was asked and
+// said otherwise of late.
+func (w *watch) claimant(others []*fleetpb.Endpoint, now time.Time) *fleetpb.Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, e := range others {
-		if e.Primary {
+		at, ok := w.disproved[e.Id]
+		if e.Primary && (!ok || now.Sub(at) > claimPause) {
 			return e
 		}
 	}
@@ -435,6 +446,11 @@
 	started := time.Now()
 	leader, err := w.runner.Run(ctx, plan)
 	w.node.cfg.Metrics.Promoted(how.reason, time.Since(started), err)
+	var other *promotion.OtherLeadsError
+	if errors.As(err, &other) {
+		w.log.Info("another endpoint leads already", "service", g.service, "token", plan.Token, "endpoint", other.Endpoint)
+		return w.record(ctx, g, other.Endpoint)
+	}
 	if err != nil {
 		w.log.Info("promotion failed", "service", g.service, "reason", how.reason, "token", plan.Token, "error", err.Error())
 		return false
@@ -465,6 +481,21 @@
 	return list
 }
 
+// recordClaim records an endpoint that announced itself as the primary, if it says so
+// when asked: after a promotion the announcements of the former primary and of the new
+// one may be old for a while.
+func (w *watch) recordClaim(ctx context.Context, g group, e *fleetpb.Endpoint) bool {
+	status, err := w.status(ctx, e)
+	if err != nil || status.Role != stmt.Primary {
+		w.log.Info("endpoint announced that it leads and does not", "service", g.service, "endpoint", e.Id)
+		w.mu.Lock()
+		w.disproved[e.Id] = time.Now()
+		w.mu.Unlock()
+		return true
+	}
+	return w.record(ctx, g, e.Id)
+}
+
 // record has the control group agree on a service's primary.
 func (w *watch) record(ctx context.Context, g group, id string) bool {
 	cmd := &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: &fleetpb.SetPrimary{
--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -39,6 +39,8 @@
 	lines   []string
 	leaving map[string]bool
 	born    int64
+	// roles, if not nil, are what the endpoints announce of themselves whether true or not.
+	roles map[string]bool
 }
 
 // process is a daemon that runs in this process.
@@ -174,6 +176,7 @@
 				continue
 			}
 			body := n.Beat(string(rune('a'+i)), leaving, sequence, f.born)
+			body = f.withRole(n.ID, body)
 			for c := range 4 {
 				url := fmt.Sprintf("http://127.0.1.%d:%d%s", c+1, f.port+1, standin.BeatPath(n.ID))
 				response, err := client.Post(url, "application/json", strings.NewReader(body))
@@ -187,6 +190,19 @@
 	}
 }
 
+// withRole replaces what an announcement says of the endpoint's role.
+func (f *fleet) withRole(id, body string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.roles == nil:
+		return body
+	case f.roles[id]:
+		return standin.SayPrimary(body)
+	}
+	return standin.SayReplica(body)
+}
+
 // operate sends a request to one control daemon and returns the status and body.
 func (f *fleet) operate(i int, method, path, body string) (int, string) {
 	client := &http.Client{Timeout: 2 * time.Second}
@@ -373,6 +389,38 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// TestOldAnnouncementsAfterAPromotion is the finding of a day (grown sankofa,
+// fresh-a94b): after a promotion the endpoints still announce their former roles. The
+// record stays as it is, and nobody is promoted once more.
+func TestOldAnnouncementsAfterAPromotion(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(standin.Configuration(5, 800))
+	f.eventually(0, "STORE item v0")
+	f.mu.Lock()
+	f.roles = map[string]bool{"svc-0": true}
+	f.mu.Unlock()
+	nodes := f.group.Nodes()
+	nodes[2].Set(standin.Faults{Late: true, LagMs: 9000})
+	nodes[1].Set(standin.Faults{Late: true, LagMs: 5000})
+	f.eventually(0, "STORE item v1")
+	time.Sleep(1600 * time.Millisecond)
+	nodes[0].Set(standin.Faults{Busy: true})
+	f.eventually(1, "FETCH item")
+	assert.Equal(t, f.group.Primary().ID, "svc-2")
+	nodes[0].Set(standin.Faults{})
+	for i := range 20 {
+		f.eventually(i%2, fmt.Sprintf("STORE item w%d", i))
+		assert.Equal(t, f.group.Primary().ID, "svc-2")
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+	// The false claim does not keep a crashed primary from being replaced.
+	nodes[1].Set(standin.Faults{})
+	nodes[2].Set(standin.Faults{Down: true})
+	f.eventually(0, "STORE item x")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 1)
 	f.publish(standin.Configuration(5, 800))
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -106,6 +106,16 @@
 	return id, ok
 }
 
+// Leading returns the replica that says that it is the primary. ok is false without any.
+func Leading(replicas []Member) (id string, ok bool) {
+	for _, m := range replicas {
+		if m.Reached && m.Status.Role == stmt.Primary {
+			return m.ID, true
+		}
+	}
+	return "", false
+}
+
 // AllPaused reports whether no replica other than except can receive a commit.
 func AllPaused(replicas []Member, except string) bool {
 	for _, m := range replicas {
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -52,3 +52,19 @@
 func (e *NotLeadingError) Error() string {
 	return fmt.Sprintf("endpoint %s does not lead after its promotion", e.Endpoint)
 }
+
+// OtherLeadsError reports a plan whose primary leads no more: another endpoint of the
+// service does.
+type OtherLeadsError struct{ Endpoint string }
+
+func (e *OtherLeadsError) Error() string {
+	return fmt.Sprintf("endpoint %s leads the service", e.Endpoint)
+}
+
+// NotPrimaryError reports an endpoint that was to step down and does not lead, so that
+// its log says nothing of what was acknowledged.
+type NotPrimaryError struct{ Endpoint string }
+
+func (e *NotPrimaryError) Error() string {
+	return fmt.Sprintf("endpoint %s does not lead and cannot step down", e.Endpoint)
+}
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -268,3 +268,55 @@
 	assert.Equal(t, leader, "svc-2")
 	f.nothingLost()
 }
+
+// TestPlanFromBeforeAPromotionIsNotCarriedOut is the finding of a day (grown sankofa,
+// fresh-a94b): the plan's primary leads no more, and the endpoint that does has
+// acknowledged a commit which the plan's primary lacks.
+func TestPlanFromBeforeAPromotionIsNotCarriedOut(t *testing.T) {
+	for _, serves := range []bool{false, true} {
+		f := newFixture(t)
+		assert.Equal(t, f.group.Promote("svc-1", 1), 200)
+		f.group.Nodes()[0].Set(standin.Faults{Deaf: true})
+		assert.Assert(t, f.write(1, "a"))
+		_, err := f.runner.Run(t.Context(), f.plan(2, serves))
+		var other *promotion.OtherLeadsError
+		assert.Assert(t, errors.As(err, &other), "%v", err)
+		assert.Equal(t, other.Endpoint, "svc-1")
+		assert.Equal(t, len(f.promoter.calls), 0)
+		f.nothingLost()
+		assert.Assert(t, f.write(1, "b"))
+	}
+}
+
+// TestReplicaCannotStepDown has the endpoint that leads out of reach: the position of the
+// plan's primary, a replica by now, says nothing of what is acknowledged.
+func TestReplicaCannotStepDown(t *testing.T) {
+	f := newFixture(t)
+	assert.Equal(t, f.group.Promote("svc-1", 1), 200)
+	f.group.Nodes()[0].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(1, "a"))
+	f.group.Nodes()[1].Set(standin.Faults{Silent: true})
+	_, err := f.runner.Run(t.Context(), f.plan(2, true))
+	var unsafe *promotion.UnsafeError
+	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
+	assert.Equal(t, len(f.promoter.calls), 0)
+	f.nothingLost()
+}
+
+// TestSecondTryAfterAStepDown has a first attempt end after the primary stepped down,
+// since no replica has caught up: the second may go on from there.
+func TestSecondTryAfterAStepDown(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	_, err := f.runner.Run(t.Context(), f.plan(1, true))
+	var behind *promotion.BehindError
+	assert.Assert(t, errors.As(err, &behind), "%v", err)
+	f.group.Nodes()[2].Set(standin.Faults{})
+	f.group.Nodes()[1].Set(standin.Faults{Silent: true})
+	leader, err := f.runner.Run(t.Context(), f.plan(2, true))
+	assert.NilError(t, err)
+	assert.Equal(t, leader, "svc-2")
+	f.nothingLost()
+}
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -63,11 +63,35 @@
 	Token uint64
 }
 
-// Runner carries out promotions.
+// Runner carries out promotions. It is safe for concurrent use.
 type Runner struct {
 	Dialer   stmt.Dialer
 	Promoter Promoter
 	Log      logr.Logger
+
+	// mu guards stepped: primaries that this runner made step down and that no
+	// promotion was called for since. Nobody leads their services.
+	mu      sync.Mutex
+	stepped map[string]bool
+}
+
+func (r *Runner) hasSteppedDown(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stepped[id]
+}
+
+func (r *Runner) noteSteppedDown(id string, is bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stepped == nil {
+		r.stepped = make(map[string]bool)
+	}
+	if is {
+		r.stepped[id] = true
+	} else {
+		delete(r.stepped, id)
+	}
 }
 
 // attempt is one promotion in progress.
@@ -100,12 +124,18 @@
 
 func (a *attempt) run(ctx context.Context) (string, error) {
 	a.reach(ctx)
+	if id, ok := Leading(a.members); ok {
+		// The plan is from before a promotion. What is acknowledged there, nobody else
+		// can tell.
+		return "", &OtherLeadsError{Endpoint: id}
+	}
 	candidate, err := a.candidate(ctx)
 	if err != nil {
 		return "", err
 	}
 	a.log.Info("promotion called", "endpoint", candidate.ID, "planned", a.plan.PrimaryServes,
 		"position", candidate.Status.Received.String())
+	a.noteSteppedDown(a.plan.Primary.ID, false)
 	if err := a.promote(ctx, candidate.ID); err != nil {
 		return "", err
 	}
@@ -269,8 +299,15 @@
 	if err != nil {
 		return stmt.Status{}, err
 	}
+	if status.Role != stmt.Primary && !a.hasSteppedDown(a.plan.Primary.ID) {
+		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
+	}
 	term := max(NextTerm(a.members), status.Term+1)
-	return conn.StepDown(time.Now().Add(reachTimeout), term)
+	final, err := conn.StepDown(time.Now().Add(reachTimeout), term)
+	if err == nil {
+		a.noteSteppedDown(a.plan.Primary.ID, true)
+	}
+	return final, err
 }
 
 func (a *attempt) unsafe() error {
