--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -10,9 +10,7 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/promotion"
-	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
-	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -231,85 +229,6 @@
 	return nil
 }
 
-// cover makes sure that replicas which have ended are needed no more: a replica that
-// stays holds what the primary held after their end. It reports whether that is so.
-func (w *watch) cover(ctx context.Context, g group) bool {
-	held, err := w.status(ctx, g.primary)
-	if err != nil || held.Role != stmt.Primary {
-		return false
-	}
-	for range coverTries {
-		for _, e := range g.others {
-			status, err := w.status(ctx, e)
-			if err == nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY && !status.Received.Less(held.Received) {
-				return w.recordCover(ctx, g, e.Id, held.Received)
-			}
-		}
-		wait.For(ctx, stallSample)
-	}
-	w.log.Info("ended replicas are not covered yet", "service", g.service, "position", held.Received.String())
-	return false
-}
-
-func (w *watch) recordCover(ctx context.Context, g group, by string, pos logpos.Pos) bool {
-	cover := &fleetpb.Cover{}
-	for _, e := range g.ended {
-		cover.EndpointIds = append(cover.EndpointIds, e.Id)
-	}
-	cmd := &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: cover}}
-	if _, err := w.node.propose(ctx, cmd); err != nil {
-		w.log.Info("cover of ended replicas not recorded", "service", g.service, "error", err.Error())
-		return false
-	}
-	w.log.Info("ended replicas are covered", "service", g.service, "endpoints", cover.EndpointIds,
-		"by", by, "position", pos.String())
-	return true
-}
-
-func (w *watch) isStalled(id string, now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	at, ok := w.stalled[id]
-	return ok && now.Sub(at) < reportAge
-}
-
-// confirmStall replaces a primary that is alive and whose replicas receive nothing:
-// they are behind it, and stay where they are. Nothing that it committed since is
-// acknowledged, as no replica holds it.
-func (w *watch) confirmStall(ctx context.Context, g group) bool {
-	w.mu.Lock()
-	delete(w.stalled, g.primary.Id)
-	w.mu.Unlock()
-	first, ok := w.positions(ctx, g)
-	if !ok {
-		return true
-	}
-	wait.For(ctx, stallSample)
-	second, ok := w.positions(ctx, g)
-	if !ok || !promotion.IsStalled(first, second) {
-		return true
-	}
-	w.log.Info("replicas receive nothing from the primary", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, replacement{reason: reasonStalled})
-}
-
-// positions asks the primary and its replicas for their state; ok is false if the
-// primary or all replicas do not answer.
-func (w *watch) positions(ctx context.Context, g group) (promotion.Sample, bool) {
-	sample := promotion.Sample{Replicas: make(map[string]logpos.Pos)}
-	status, err := w.status(ctx, g.primary)
-	if err != nil || status.Role != stmt.Primary {
-		return sample, false
-	}
-	sample.Primary = status.Received
-	for _, e := range g.others {
-		if status, err := w.status(ctx, e); err == nil {
-			sample.Replicas[e.Id] = status.Received
-		}
-	}
-	return sample, len(sample.Replicas) > 0
-}
-
 // status asks an endpoint over a connection of its own.
 func (w *watch) status(ctx context.Context, e *fleetpb.Endpoint) (stmt.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -322,20 +241,6 @@
 	return conn.Status(time.Now().Add(probeTimeout))
 }
 
-// claimant returns an endpoint that announced that it leads, unless it was asked and
-// said otherwise of late.
-func (w *watch) claimant(others []*fleetpb.Endpoint, now time.Time) *fleetpb.Endpoint {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, e := range others {
-		at, ok := w.disproved[e.Id]
-		if e.Primary && (!ok || now.Sub(at) > claimPause) {
-			return e
-		}
-	}
-	return nil
-}
-
 func hasReady(others []*fleetpb.Endpoint) bool {
 	for _, e := range others {
 		if e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY {
@@ -345,65 +250,6 @@
 	return false
 }
 
-func (w *watch) isSuspected(id string, now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.reporters(id, now) > 0 {
-		return true
-	}
-	heard, ok := w.heardAt[id]
-	return ok && now.Sub(heard) > silentBeats*w.node.cfg.Heartbeat
-}
-
-// reporters counts the failure domains that reported an endpoint of late. mu must
-// be held.
-func (w *watch) reporters(id string, now time.Time) int {
-	count := 0
-	for _, at := range w.reported[id] {
-		if now.Sub(at) < reportAge {
-			count++
-		}
-	}
-	return count
-}
-
-// probesNeeded is the number of failed probes that confirm a suspicion: fewer
-// where several failure domains share it.
-func (w *watch) probesNeeded(id string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.reporters(id, time.Now()) > 1 {
-		return 1
-	}
-	return probeFailures
-}
-
-// confirm probes a suspected primary and replaces it if it does not answer.
-func (w *watch) confirm(ctx context.Context, g group) bool {
-	for range w.probesNeeded(g.primary.Id) {
-		if w.probe(ctx, g) {
-			w.mu.Lock()
-			delete(w.reported, g.primary.Id)
-			w.heardAt[g.primary.Id] = time.Now()
-			w.mu.Unlock()
-			return true
-		}
-		wait.For(ctx, probePause)
-	}
-	w.log.Info("primary does not answer", "service", g.service, "endpoint", g.primary.Id)
-	return w.promote(ctx, g, replacement{reason: reasonUnreached})
-}
-
-// probe reports whether the primary answers as one, or says that it is full.
-func (w *watch) probe(ctx context.Context, g group) bool {
-	status, err := w.status(ctx, g.primary)
-	var refused *stmt.RefusedError
-	if errors.As(err, &refused) {
-		return refused.Reply.Code == stmt.CodeTooMany || refused.Reply.Code == stmt.CodeBusy
-	}
-	return err == nil && status.Role == stmt.Primary
-}
-
 func address(e *fleetpb.Endpoint) stmt.Endpoint {
 	return stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
 }
@@ -481,21 +327,6 @@
 	return list
 }
 
-// recordClaim records an endpoint that announced itself as the primary, if it says so
-// when asked: after a promotion the announcements of the former primary and of the new
-// one may be old for a while.
-func (w *watch) recordClaim(ctx context.Context, g group, e *fleetpb.Endpoint) bool {
-	status, err := w.status(ctx, e)
-	if err != nil || status.Role != stmt.Primary {
-		w.log.Info("endpoint announced that it leads and does not", "service", g.service, "endpoint", e.Id)
-		w.mu.Lock()
-		w.disproved[e.Id] = time.Now()
-		w.mu.Unlock()
-		return true
-	}
-	return w.record(ctx, g, e.Id)
-}
-
 // record has the control group agree on a service's primary.
 func (w *watch) record(ctx context.Context, g group, id string) bool {
 	cmd := &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: &fleetpb.SetPrimary{
