--- a/cmd/hemlockctl/main.go
+++ b/cmd/hemlockctl/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hemlockmast/internal/cli/explain"
+	"hemlockmast/internal/cli/fleet"
 	"hemlockmast/internal/cli/publish"
 	"hemlockmast/internal/cli/query"
 	"hemlockmast/internal/cli/state"
@@ -38,6 +39,6 @@
 		EnableShellCompletion: true,
 		Description:           "Exit codes: 0 done, 1 failed, 2 wrong use.",
 		Commands: append(publish.Commands(),
-			query.Command(), state.Command(), timeline.Command(), explain.Command()),
+			query.Command(), state.Command(), timeline.Command(), explain.Command(), fleet.Command()),
 	}
 }
--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -26,7 +26,8 @@
 // beliefs are the messages that say what a daemon came to believe.
 var beliefs = []string{
 	"endpoint does not serve", "endpoint reported", "primary does not answer",
-	"replicas receive nothing from the primary", "promotion begun", "promotion called",
+	"replicas receive nothing from the primary", "primary overloaded while replicas lag",
+	"another endpoint leads already", "endpoint announced that it leads and does not", "promotion begun", "promotion called",
 	"promotion done", "promotion failed", "primary recorded", "primary known",
 	"cut off from other failure domains", "no longer cut off", "control daemon lost",
 	"control daemon followed", "configuration in force", "drain started", "drain ended",
--- /dev/null
+++ b/internal/cli/fleet/fleet_test.go
@@ -0,0 +1,44 @@
+package fleet_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/cli/fleet"
+	"hemlockmast/internal/shared/metrics"
+)
+
+// TestShow has a leader, an entry and a daemon that is gone.
+func TestShow(t *testing.T) {
+	control := metrics.NewControl()
+	control.Member(4, true, 5, 17)
+	control.Promoted("leaving", time.Second, nil)
+	control.Promoted("gone", time.Second, nil)
+	entry := metrics.New()
+	entry.Revision(16, true)
+	entry.Request("r", metrics.OutcomeDone, time.Millisecond)
+	entry.Refused("r", "busy")
+	controlServer, entryServer := httptest.NewServer(control.Handler()), httptest.NewServer(entry.Handler())
+	defer controlServer.Close()
+	defer entryServer.Close()
+	gone := httptest.NewServer(entry.Handler())
+	gone.Close()
+	addresses := []string{
+		controlServer.Listener.Addr().String(), entryServer.Listener.Addr().String(), gone.Listener.Addr().String(),
+	}
+	var out strings.Builder
+	err := fleet.Show(t.Context(), &out, addresses)
+	var missing *fleet.UnreachableError
+	assert.Assert(t, errors.As(err, &missing))
+	assert.DeepEqual(t, missing.Addresses, addresses[2:])
+	lines := strings.Split(out.String(), "\n")
+	fields := func(i int) string { return strings.Join(strings.Fields(lines[i])[1:], " ") }
+	assert.Equal(t, fields(1), "control, leads 17 4 5 2 - -")
+	assert.Equal(t, fields(2), "entry 16 - - - 1 1")
+	assert.Assert(t, strings.Contains(lines[3], "no answer"))
+}
