Waiters keep their turn at a full endpoint

Cause: a waiter looks again every 100 ms while an endpoint is full, and went behind those that came meanwhile: the longer it waited the less likely it was served. Change: a statement keeps its turn, by priority and arrival, for as long as it waits. Test: pool.TestWaitersKeepTheirTurn (3 of 3 fail before).

--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -96,6 +96,7 @@
 	limit     int
 	closed    bool
 	waiters   []*waiter
+	tickets   uint64
 	fullUntil time.Time
 	// refusedAt is when the endpoint had no room for a connection last.
 	refusedAt time.Time
@@ -114,9 +115,22 @@
 	usual    time.Duration
 }
 
-type waiter struct {
+// turn orders statements at a pool: by priority, then by arrival.
+type turn struct {
 	priority int32
-	ready    chan *Conn
+	ticket   uint64
+}
+
+func (t turn) before(o turn) bool {
+	if t.priority != o.priority {
+		return t.priority < o.priority
+	}
+	return t.ticket < o.ticket
+}
+
+type waiter struct {
+	turn
+	ready chan *Conn
 }
 
 // New returns an empty pool. unreached is called, without a lock, after each
@@ -177,9 +191,12 @@
 }
 
 func (p *Pool) get(deadline time.Time, priority int32, fit func(*Conn) int) (*Conn, error) {
-	woken := false
+	p.mu.Lock()
+	p.tickets++
+	t := turn{priority: priority, ticket: p.tickets}
+	p.mu.Unlock()
 	for {
-		c, wait, err := p.take(priority, fit, woken)
+		c, wait, err := p.take(t, fit)
 		if c != nil || err != nil {
 			return c, err
 		}
@@ -190,14 +207,12 @@
 		if c != nil || err != nil {
 			return c, err
 		}
-		woken = true
 	}
 }
 
 // take returns an idle connection, or a place in the queue, or neither when a
-// connection is to be opened; the count then includes it. woken is set for one that
-// has had a place in the queue and goes before those behind it.
-func (p *Pool) take(priority int32, fit func(*Conn) int, woken bool) (*Conn, *waiter, error) {
+// connection is to be opened; the count then includes it.
+func (p *Pool) take(t turn, fit func(*Conn) int) (*Conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -207,9 +222,9 @@
 		return nil, nil, &DownError{Endpoint: p.Endpoint.ID}
 	}
 	p.closeStale()
-	isBehind := !woken && len(p.waiters) > 0 && p.waiters[0].priority <= priority
+	isBehind := len(p.waiters) > 0 && p.waiters[0].before(t)
 	if isBehind || time.Now().Before(p.busyUntil) {
-		return nil, p.enqueue(priority), nil
+		return nil, p.enqueue(t), nil
 	}
 	best, bestFit := -1, -1
 	for i, c := range p.idle {
@@ -227,7 +242,7 @@
 		p.dialing++
 		return nil, nil, nil
 	}
-	return nil, p.enqueue(priority), nil
+	return nil, p.enqueue(t), nil
 }
 
 // mayDial reports whether another connection may be opened: beside the first one only
@@ -243,10 +258,10 @@
 	return now.After(p.slowUntil)
 }
 
-// enqueue adds a waiter behind those of the same priority. mu must be held.
-func (p *Pool) enqueue(priority int32) *waiter {
-	w := &waiter{priority: priority, ready: make(chan *Conn, 1)}
-	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.priority > priority })
+// enqueue adds a waiter at its turn, also one that waited before. mu must be held.
+func (p *Pool) enqueue(t turn) *waiter {
+	w := &waiter{turn: t, ready: make(chan *Conn, 1)}
+	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return t.before(o.turn) })
 	if at < 0 {
 		at = len(p.waiters)
 	}
--- a/internal/proxy/pool/pool_test.go
+++ b/internal/proxy/pool/pool_test.go
@@ -305,3 +305,34 @@
 	assert.NilError(t, err)
 	first.Put(c)
 }
+
+// TestWaitersKeepTheirTurn has an endpoint that stays full for longer than a waiter waits
+// before it looks again: those that came first still go first.
+func TestWaitersKeepTheirTurn(t *testing.T) {
+	p := newPool(&endpoint{limit: 5}, Share{Keep: 1, Most: 1})
+	c, err := p.Get(time.Now().Add(time.Second), 0, any0)
+	assert.NilError(t, err)
+	order := make(chan int, 4)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			got, err := p.Get(time.Now().Add(5*time.Second), 1, any0)
+			if assert.Check(t, err) {
+				order <- i
+				p.Put(got)
+			}
+		})
+		// The last comes while the others look again.
+		time.Sleep(fullPause / 2)
+	}
+	time.Sleep(fullPause)
+	p.Put(c)
+	wg.Wait()
+	close(order)
+	want := 0
+	for i := range order {
+		assert.Equal(t, i, want)
+		want++
+	}
+	assert.Equal(t, want, 4)
+}
