--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -146,7 +146,7 @@
 func share(maxConnections uint32, entries int) pool.Share {
 	// Before the others are counted, as after a restart of all, a part is small.
 	entries = max(entries, leastEntries)
-	keep := max(0, (int(maxConnections)-reservedConnections)/2/entries)
+	keep := max(0, (int(maxConnections)-reservedConnections)*keptPercent/100/entries)
 	return pool.Share{Keep: keep, Most: keep + max(leastBorrowed, keep*borrowedPercent/100)}
 }
 
--- a/internal/testing/soak/fleet.go
+++ b/internal/testing/soak/fleet.go
@@ -37,7 +37,6 @@
 	path     string
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	paused   bool
 	// life counts the starts.
 	life int
 }
