Ports of daemons under test lie below those of outgoing connections

A fault of the harness, not of a daemon; fleetd's tests drew theirs in the same way. Change: one package finds ports in a row that are free at all hosts, from 15000 to 32000. Test: ports.TestFree.

--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/testing/ports"
 	"hemlockmast/platform/standin"
 )
 
@@ -49,19 +50,18 @@
 	done     chan struct{}
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func newFleet(t *testing.T, controls, entries int) *fleet {
 	group, err := standin.Start("svc", 3)
 	assert.NilError(t, err)
 	t.Cleanup(group.Close)
+	var hosts []string
+	for i := range 4 {
+		hosts = append(hosts, fmt.Sprintf("127.0.1.%d", i+1), fmt.Sprintf("127.0.2.%d", i+1))
+	}
+	port, err := ports.Free(3, hosts...)
+	assert.NilError(t, err)
 	f := &fleet{
-		t: t, group: group, port: uint32(freePort(t)), daemons: make(map[string]*process),
+		t: t, group: group, port: uint32(port), daemons: make(map[string]*process),
 		leaving: make(map[string]bool), born: time.Now().UnixMilli(),
 	}
 	start := time.Now()
--- a/internal/testing/soak/fleet.go
+++ b/internal/testing/soak/fleet.go
@@ -18,6 +18,7 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleetd"
+	"hemlockmast/internal/testing/ports"
 	"hemlockmast/platform/standin"
 )
 
@@ -56,18 +57,18 @@
 	daemons map[string]*process
 }
 
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// hosts are the addresses of all daemons.
+func hosts() []string {
+	var list []string
+	for i := range max(controls, entries) {
+		list = append(list, host(controlNetwork, i), host(entryNetwork, i))
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return list
 }
 
 // startFleet starts the endpoints and all daemons.
 func startFleet(binary, folder string) (*fleet, error) {
-	port, err := freePort()
+	port, err := ports.Free(3, hosts()...)
 	if err != nil {
 		return nil, err
 	}
@@ -119,9 +120,12 @@
 func entryName(i int) string   { return fmt.Sprintf("entry-%d", i) }
 func domain(i int) string      { return string(rune('a' + i%endpoints)) }
 
-// at returns the address of port offset on a daemon's own loopback address.
+// host is a daemon's own loopback address.
+func host(network, i int) string { return fmt.Sprintf("127.0.%d.%d", network, i+1) }
+
+// at returns the address of port offset at a daemon.
 func (f *fleet) at(network, i, offset int) string {
-	return fmt.Sprintf("127.0.%d.%d:%d", network, i+1, f.port+offset)
+	return fmt.Sprintf("%s:%d", host(network, i), f.port+offset)
 }
 
 const controlNetwork, entryNetwork = 11, 12
