--- a/internal/fleet/fleetctl/suspicion.go
+++ b/internal/fleet/fleetctl/suspicion.go
@@ -69,14 +69,12 @@
 	return err == nil && status.Role == stmt.Primary
 }
 
-// claimant returns an endpoint that announced that it leads, unless it was asked and
-// said otherwise of late.
+// claimant returns an endpoint that announced that it leads, unless it is passed over.
 func (w *watch) claimant(others []*fleetpb.Endpoint, now time.Time) *fleetpb.Endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range others {
-		at, ok := w.disproved[e.Id]
-		if e.Primary && (!ok || now.Sub(at) > claimPause) {
+		if e.Primary && now.After(w.passedUntil[e.Id]) {
 			return e
 		}
 	}
@@ -85,15 +83,26 @@
 
 // recordClaim records an endpoint that announced itself as the primary, if it says so
 // when asked: after a promotion the announcements of the former primary and of the new
-// one may be old for a while.
+// one may be old for a while. Otherwise the claim is passed over, so that it does not
+// keep the service from what else it needs.
 func (w *watch) recordClaim(ctx context.Context, g group, e *fleetpb.Endpoint) bool {
 	status, err := w.status(ctx, e)
-	if err != nil || status.Role != stmt.Primary {
+	if err != nil {
+		w.log.Info("endpoint announced that it leads and was not asked", "service", g.service, "endpoint", e.Id,
+			"error", err.Error())
+		w.passOver(e.Id, claimRetry)
+		return true
+	}
+	if status.Role != stmt.Primary {
 		w.log.Info("endpoint announced that it leads and does not", "service", g.service, "endpoint", e.Id)
-		w.mu.Lock()
-		w.disproved[e.Id] = time.Now()
-		w.mu.Unlock()
+		w.passOver(e.Id, claimPause)
 		return true
 	}
 	return w.record(ctx, g, e.Id)
 }
+
+func (w *watch) passOver(id string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.passedUntil[id] = time.Now().Add(d)
+}
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -36,6 +36,9 @@
 	// claimPause is how long an endpoint that announced that it leads, and did not when
 	// it was asked, is not asked again: a few announcements, which tell of a change.
 	claimPause = 3 * time.Second
+	// claimRetry is the same where it did not answer, as while it is full: a few times
+	// what a question takes.
+	claimRetry = 400 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed promotion.
 	firstRetry = 200 * time.Millisecond
 	maxRetry   = 1500 * time.Millisecond
@@ -59,8 +62,8 @@
 	reported map[string]map[string]time.Time
 	// stalled is when an entry last said that writes do not end at an endpoint.
 	stalled map[string]time.Time
-	// disproved is when an endpoint was asked that announced that it leads and does not.
-	disproved map[string]time.Time
+	// passedUntil is until when an endpoint's claim that it leads is passed over.
+	passedUntil map[string]time.Time
 	// overloaded is when an entry last said that a service's primary has no room
 	// since replicas lag, relieved when that was looked into last.
 	overloaded map[string]time.Time
@@ -74,12 +77,12 @@
 func newWatch(n *Node) *watch {
 	return &watch{
 		node: n, log: n.log.WithName("watch"),
-		runner:     &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
-		heardAt:    make(map[string]time.Time),
-		reported:   make(map[string]map[string]time.Time),
-		stalled:    make(map[string]time.Time),
-		disproved:  make(map[string]time.Time),
-		overloaded: make(map[string]time.Time), relieved: make(map[string]time.Time),
+		runner:      &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
+		heardAt:     make(map[string]time.Time),
+		reported:    make(map[string]map[string]time.Time),
+		stalled:     make(map[string]time.Time),
+		passedUntil: make(map[string]time.Time),
+		overloaded:  make(map[string]time.Time), relieved: make(map[string]time.Time),
 		busy:    make(map[string]bool),
 		retryAt: make(map[string]time.Time),
 		retry:   make(map[string]time.Duration),
