promotion: a primary that stepped down leads again when no replica catches up

A replica that lacks a commit cannot catch up while no endpoint leads, so the attempt failed after a second and the service had no primary; the watcher saw no reason for another attempt, since the former primary answered.

--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -13,13 +13,13 @@
 // reports describe the load after the promotion.
 const reliefInterval = 2 * time.Second
 
-// isOverloaded reports whether entries recently reported that the service's primary is at
-// capacity while its replicas lag, and the replicas were not checked within
-// reliefInterval.
-func (w *watcher) isOverloaded(service string, now time.Time) bool {
+// isOverloaded reports whether entries recently reported that the primary with the given id
+// is at capacity while its replicas lag, and the service's replicas were not checked within
+// reliefInterval. A late report about a former primary does not count.
+func (w *watcher) isOverloaded(service, primaryID string, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at, ok := w.overloadedAt[service]
+	at, ok := w.overloadedAt[primaryID]
 	return ok && now.Sub(at) < maxReportAge && now.Sub(w.reliefCheckedAt[service]) > reliefInterval
 }
 
--- a/internal/fleet/fleetctl/suspicion.go
+++ b/internal/fleet/fleetctl/suspicion.go
@@ -73,13 +73,40 @@
 	return err == nil && status.Role == stmt.Primary
 }
 
+// isDemoted reports whether the recorded primary announces that it is a replica, and the
+// announcement is not ignored at the moment.
+func (w *watcher) isDemoted(primary *fleetpb.Endpoint, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !primary.Primary && now.After(w.roleIgnoredUntil[primary.Id])
+}
+
+// confirmDemoted replaces the recorded primary if its status confirms that it is a replica.
+// Right after a promotion, the new primary's announcements may be outdated. confirmDemoted
+// returns false if it must be retried.
+func (w *watcher) confirmDemoted(ctx context.Context, svc serviceState) bool {
+	status, err := w.status(ctx, svc.primary)
+	switch {
+	case err != nil:
+		w.log.Info("recorded primary announced itself as a replica and did not answer a status request", "service", svc.service,
+			"endpoint", svc.primary.Id, "error", err.Error())
+		w.ignoreRole(svc.primary.Id, ignoreUnansweredRoleFor)
+		return true
+	case status.Role == stmt.Primary:
+		w.ignoreRole(svc.primary.Id, ignoreDeniedRoleFor)
+		return true
+	}
+	w.log.Info("recorded primary is a replica and no endpoint leads", "service", svc.service, "endpoint", svc.primary.Id)
+	return w.promote(ctx, svc, replacement{reason: reasonDemoted})
+}
+
 // claimedPrimary returns the first of the given endpoints that announced itself as the
 // primary and whose claim is not ignored at the moment, or nil.
 func (w *watcher) claimedPrimary(others []*fleetpb.Endpoint, now time.Time) *fleetpb.Endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range others {
-		if e.Primary && now.After(w.claimIgnoredUntil[e.Id]) {
+		if e.Primary && now.After(w.roleIgnoredUntil[e.Id]) {
 			return e
 		}
 	}
@@ -96,20 +123,20 @@
 	if err != nil {
 		w.log.Info("endpoint announced itself as the primary and did not answer a status request", "service", svc.service, "endpoint", e.Id,
 			"error", err.Error())
-		w.ignoreClaim(e.Id, ignoreUnansweredClaimFor)
+		w.ignoreRole(e.Id, ignoreUnansweredRoleFor)
 		return true
 	}
 	if status.Role != stmt.Primary {
 		w.log.Info("endpoint announced that it leads and does not", "service", svc.service, "endpoint", e.Id)
-		w.ignoreClaim(e.Id, ignoreDeniedClaimFor)
+		w.ignoreRole(e.Id, ignoreDeniedRoleFor)
 		return true
 	}
 	return w.record(ctx, svc, e.Id)
 }
 
-// ignoreClaim ignores an endpoint's claim to be the primary for d.
-func (w *watcher) ignoreClaim(id string, d time.Duration) {
+// ignoreRole ignores the role that an endpoint announces for d.
+func (w *watcher) ignoreRole(id string, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.claimIgnoredUntil[id] = time.Now().Add(d)
+	w.roleIgnoredUntil[id] = time.Now().Add(d)
 }
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -34,13 +34,13 @@
 	// writes at their primary do not complete. Replicas receive a commit within
 	// milliseconds.
 	stallSampleInterval = 150 * time.Millisecond
-	// ignoreDeniedClaimFor is how long an endpoint's claim to be the primary is ignored after
-	// its status denied it. It covers a few announcements, which would show a change.
-	ignoreDeniedClaimFor = 3 * time.Second
-	// ignoreUnansweredClaimFor is how long such a claim is ignored if the endpoint did not
+	// ignoreDeniedRoleFor is how long the role that an endpoint announces is ignored after its
+	// status denied it. It covers a few announcements, which would show a change.
+	ignoreDeniedRoleFor = 3 * time.Second
+	// ignoreUnansweredRoleFor is how long such a role is ignored if the endpoint did not
 	// answer the status request, for example because it is at capacity. It is a few times
 	// as long as a status request.
-	ignoreUnansweredClaimFor = 400 * time.Millisecond
+	ignoreUnansweredRoleFor = 400 * time.Millisecond
 	// minRetryBackoff and maxRetryBackoff bound the exponential backoff after a failed
 	// action for a service, such as a promotion.
 	minRetryBackoff = 200 * time.Millisecond
@@ -69,12 +69,12 @@
 	// stalledAt holds, by endpoint id, when an entry last reported that writes at the
 	// endpoint do not complete.
 	stalledAt map[string]time.Time
-	// claimIgnoredUntil holds, by endpoint id, until when the endpoint's claim to be the
-	// primary is ignored.
-	claimIgnoredUntil map[string]time.Time
-	// overloadedAt holds, by service, when an entry last reported that the service's primary
-	// is at capacity while its replicas lag. reliefCheckedAt holds when the replicas were
-	// last checked for that reason.
+	// roleIgnoredUntil holds, by endpoint id, until when the role that the endpoint announces
+	// is ignored, because its status showed another one or could not be requested.
+	roleIgnoredUntil map[string]time.Time
+	// overloadedAt holds, by endpoint id, when an entry last reported that the endpoint is at
+	// capacity as the primary while its replicas lag. reliefCheckedAt holds, by service, when
+	// the replicas were last checked for that reason.
 	overloadedAt    map[string]time.Time
 	reliefCheckedAt map[string]time.Time
 
@@ -88,12 +88,12 @@
 func newWatcher(n *Node) *watcher {
 	return &watcher{
 		node: n, log: n.log.WithName("watch"),
-		runner:            &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
-		lastSeenAt:        make(map[string]time.Time),
-		unreachableAt:     make(map[string]map[string]time.Time),
-		stalledAt:         make(map[string]time.Time),
-		claimIgnoredUntil: make(map[string]time.Time),
-		overloadedAt:      make(map[string]time.Time), reliefCheckedAt: make(map[string]time.Time),
+		runner:           &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
+		lastSeenAt:       make(map[string]time.Time),
+		unreachableAt:    make(map[string]map[string]time.Time),
+		stalledAt:        make(map[string]time.Time),
+		roleIgnoredUntil: make(map[string]time.Time),
+		overloadedAt:     make(map[string]time.Time), reliefCheckedAt: make(map[string]time.Time),
 		busy:         make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
@@ -119,7 +119,7 @@
 		w.stalledAt[r.EndpointId] = time.Now()
 		return
 	case fleetpb.Suspicion_SUSPICION_OVERLOADED:
-		w.overloadedAt[r.Service] = time.Now()
+		w.overloadedAt[r.EndpointId] = time.Now()
 		return
 	}
 	if w.unreachableAt[r.EndpointId] == nil {
@@ -243,11 +243,15 @@
 		}
 	case w.isSuspected(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmUnreachable(ctx, svc) }
+	case w.isDemoted(svc.primary, now):
+		// No endpoint announces that it is the primary. A promotion may have failed, or its
+		// leader may have been lost, after the primary had stepped down.
+		return func(ctx context.Context) bool { return w.confirmDemoted(ctx, svc) }
 	case w.isStalled(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
 	case len(svc.ended) > 0:
 		return func(ctx context.Context) bool { return w.coverEnded(ctx, svc) }
-	case w.isOverloaded(svc.service, now):
+	case w.isOverloaded(svc.service, svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.relievePrimary(ctx, svc) }
 	}
 	return nil
@@ -283,6 +287,7 @@
 	reasonGone       = "gone"
 	reasonLeaving    = "leaving"
 	reasonUnreached  = "unreached"
+	reasonDemoted    = "demoted"
 	reasonStalled    = "stalled"
 	reasonOverloaded = "overloaded"
 )
--- a/internal/fleet/fleetd/promotion_test.go
+++ b/internal/fleet/fleetd/promotion_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"hemlockmast/internal/shared/stmt"
+	"hemlockmast/platform"
 	"hemlockmast/platform/standin"
 )
 
@@ -135,6 +137,23 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// TestPrimaryThatSteppedDown makes the primary step down without a promotion, as a control
+// leader does that is lost in the middle of one. The service must have a primary again.
+func TestPrimaryThatSteppedDown(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.publish(standin.Configuration(5, 800))
+	f.querySucceeds(0, "STORE item v0")
+	n := f.group.Nodes()[0]
+	conn, err := platform.Dialer{Name: "lost-leader"}.Dial(t.Context(), stmt.Endpoint{ID: n.ID, Service: "svc", Address: n.Address})
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.StepDown(time.Now().Add(time.Second), 2)
+	assert.NilError(t, err)
+	assert.Assert(t, f.group.Primary() == nil)
+	f.querySucceeds(1, "STORE item v1")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	f := newFleet(t, 4, 1)
 	f.publish(standin.Configuration(5, 800))
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -270,8 +270,9 @@
 
 // candidateAfterStepDown makes the primary step down because some replica cannot be
 // paused. After that, only what the primary's log holds can be acknowledged, so a replica
-// that has received all of it is a safe candidate. Errors: *UnsafeError if the primary
-// does not step down, *NotCaughtUpError.
+// that has received all of it is a safe candidate. If none has in time, the primary itself
+// is: it sends nothing while it does not lead, so waiting longer does not help. Errors:
+// *UnsafeError if the primary does not step down, and the context's.
 func (a *attempt) candidateAfterStepDown(ctx context.Context, preferred string) (ReplicaState, error) {
 	final, err := a.stepDown(ctx)
 	if err != nil {
@@ -287,8 +288,12 @@
 				return a.replicas[i], nil
 			}
 		}
-		if time.Now().After(deadline) || ctx.Err() != nil {
-			return ReplicaState{}, &NotCaughtUpError{Endpoint: preferred}
+		if ctx.Err() != nil {
+			return ReplicaState{}, ctx.Err()
+		}
+		if time.Now().After(deadline) {
+			a.log.Info("no replica caught up after the primary stepped down", "position", final.Received.String())
+			return ReplicaState{ID: a.plan.Primary.ID, Reached: true, Status: final}, nil
 		}
 		time.Sleep(statusPollInterval)
 		a.forEachReplica(func(i int, _ Replica) {
@@ -355,10 +360,9 @@
 // awaitTakeover waits until the endpoint reports that it is the primary. Errors:
 // *TakeoverTimeoutError.
 func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
-	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
 	deadline := time.Now().Add(takeoverTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if a.runCommand(i, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary {
+		if a.isPrimary(ctx, id) {
 			return nil
 		}
 		time.Sleep(statusPollInterval)
@@ -366,6 +370,29 @@
 	return &TakeoverTimeoutError{Endpoint: id}
 }
 
+// isPrimary reports whether one of the plan's endpoints says that it is the primary.
+func (a *attempt) isPrimary(ctx context.Context, id string) bool {
+	if id == a.plan.Primary.ID {
+		status, err := a.primaryStatus(ctx)
+		return err == nil && status.Role == stmt.Primary
+	}
+	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
+	return a.runCommand(i, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary
+}
+
+// primaryStatus requests the status of the plan's primary over a new connection. Errors:
+// those of stmt.
+func (a *attempt) primaryStatus(ctx context.Context) (stmt.Status, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	conn, err := a.Dialer.Dial(dialCtx, a.plan.Primary)
+	if err != nil {
+		return stmt.Status{}, err
+	}
+	defer conn.Close()
+	return conn.Status(time.Now().Add(commandTimeout))
+}
+
 // resumeReplicas resumes replication at the paused replicas.
 func (a *attempt) resumeReplicas() {
 	a.forEachReplica(func(i int, _ Replica) {
