proxy: connections carried in the endpoint's own failure domain

Now two to four entries in the endpoint's failure domain hold its connections and lend them to all entries; control tells every entry the carriers of each failure domain, by changes. carrier.Deal assigns them with bounded loads.

--- a/internal/fleet/fleethub/entries.go
+++ b/internal/fleet/fleethub/entries.go
@@ -1,6 +1,7 @@
 package fleethub
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,10 +47,29 @@
 	// carriers holds the addresses at which entries lend connections, by failure domain.
 	// Every failure domain with an entry has a key.
 	carriers map[string][]string
-	// digests holds a digest of the carriers, by failure domain.
+	// digests holds a digest of the carriers, by failure domain; none for a failure domain
+	// without carriers.
 	digests map[string]uint64
 }
 
+// carriersSince returns the carriers of each failure domain whose digest is not the one
+// held, sorted by failure domain.
+func (s *summary) carriersSince(held map[string]uint64) []*fleetpb.DomainCarriers {
+	var changed []*fleetpb.DomainCarriers
+	for domain, digest := range s.digests {
+		if held[domain] != digest {
+			changed = append(changed, &fleetpb.DomainCarriers{FailureDomain: domain, Carriers: s.carriers[domain], Digest: digest})
+		}
+	}
+	for domain := range held {
+		if _, ok := s.digests[domain]; !ok {
+			changed = append(changed, &fleetpb.DomainCarriers{FailureDomain: domain})
+		}
+	}
+	slices.SortFunc(changed, func(a, b *fleetpb.DomainCarriers) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
+	return changed
+}
+
 func newEntries() entries {
 	return entries{local: make(map[string]localEntry), remote: make(map[string][]*fleetpb.EntryDaemon)}
 }
@@ -141,9 +161,6 @@
 	}
 	answer.Entries = s.count
 	answer.EntryDomains = uint32(len(s.carriers))
-	answer.CarriersDigest = s.digests[r.FailureDomain]
-	if hasChanges = answer.CarriersDigest != r.CarriersDigest; hasChanges {
-		answer.Carriers = s.carriers[r.FailureDomain]
-	}
-	return hasChanges
+	answer.Carriers = s.carriersSince(r.CarriersDigests)
+	return len(answer.Carriers) > 0
 }
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -125,26 +125,40 @@
 	assert.Equal(t, len(h.Follow(t.Context(), peer).EntryDaemons), 0)
 }
 
-// TestCarriersOfAFailureDomain checks that each entry receives the addresses at which
-// entries in its own failure domain lend connections, including entries that follow
-// another control daemon, until they stop lending.
-func TestCarriersOfAFailureDomain(t *testing.T) {
+// TestCarriersOfEachFailureDomain checks that each entry receives the addresses at which
+// entries lend connections in each failure domain, including entries that follow another
+// control daemon, until they stop lending. A failure domain that did not change is left out.
+func TestCarriersOfEachFailureDomain(t *testing.T) {
 	h, _, _ := newHub()
 	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
-	poll := func(daemon, domain, carrier string, digest uint64) *fleetpb.FollowResponse {
+	poll := func(daemon, domain, carrier string, held map[string]uint64) *fleetpb.FollowResponse {
 		r := entryPoll(0, 0, 0)
-		r.Daemon, r.FailureDomain, r.Carrier, r.CarriersDigest = daemon, domain, carrier, digest
+		r.Daemon, r.FailureDomain, r.Carrier, r.CarriersDigests = daemon, domain, carrier, held
 		return h.Follow(t.Context(), r)
 	}
-	poll("e1", "a", "1.1.1.1:1", 0)
-	poll("e2", "b", "2.2.2.2:1", 0)
+	poll("e1", "a", "1.1.1.1:1", nil)
+	poll("e2", "b", "2.2.2.2:1", nil)
 	h.SetRemoteEntries("peer", []*fleetpb.EntryDaemon{{Id: 9, FailureDomain: "a", Carrier: "1.1.1.9:1"}})
-	first := poll("e3", "a", "1.1.1.3:1", 0)
-	assert.DeepEqual(t, first.Carriers, []string{"1.1.1.1:1", "1.1.1.3:1", "1.1.1.9:1"})
+	first := poll("e3", "a", "1.1.1.3:1", nil)
 	assert.Equal(t, first.EntryDomains, uint32(2))
-	assert.Equal(t, len(poll("e3", "a", "1.1.1.3:1", first.CarriersDigest).Carriers), 0)
-	poll("e1", "a", "", 0)
-	assert.DeepEqual(t, poll("e3", "a", "1.1.1.3:1", first.CarriersDigest).Carriers, []string{"1.1.1.3:1", "1.1.1.9:1"})
+	held := make(map[string]uint64)
+	var lists [][]string
+	for _, d := range first.Carriers {
+		held[d.FailureDomain] = d.Digest
+		lists = append(lists, d.Carriers)
+	}
+	assert.DeepEqual(t, lists, [][]string{{"1.1.1.1:1", "1.1.1.3:1", "1.1.1.9:1"}, {"2.2.2.2:1"}})
+	assert.Equal(t, len(poll("e3", "a", "1.1.1.3:1", held).Carriers), 0)
+	poll("e1", "a", "", nil)
+	changed := poll("e3", "a", "1.1.1.3:1", held).Carriers
+	assert.Equal(t, len(changed), 1)
+	assert.DeepEqual(t, changed[0].Carriers, []string{"1.1.1.3:1", "1.1.1.9:1"})
+	held["a"] = changed[0].Digest
+	poll("e2", "b", "", nil)
+	ended := poll("e3", "a", "1.1.1.3:1", held).Carriers
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].FailureDomain, "b")
+	assert.Equal(t, len(ended[0].Carriers), 0)
 }
 
 // TestFollowerWaitsUntilCurrent polls a control daemon repeatedly that has lost its
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -99,8 +100,8 @@
 	// since one was last followed. The next poll of such a daemon waits for it to become
 	// current.
 	notCurrent map[string]bool
-	// carriersDigest is the digest of the carriers that the sink holds.
-	carriersDigest uint64
+	// carriersDigests are, by failure domain, the digests of the carriers that the sink holds.
+	carriersDigests map[string]uint64
 	// lostAt is when the followed daemon was lost, or when Run began if none was followed
 	// yet. It is zero while one is followed.
 	lostAt time.Time
@@ -301,7 +302,7 @@
 		}
 		wasCurrent = true
 		request.Source, request.Version = answer.Source, answer.Version
-		request.CarriersDigest = answer.CarriersDigest
+		request.CarriersDigests = f.heldCarriersDigests()
 		request.AwaitCurrent = false
 		request.WaitMs = uint32(fleethub.MaxEntryWait.Milliseconds())
 	}
@@ -329,7 +330,7 @@
 	r := &fleetpb.FollowRequest{
 		Daemon: f.Name, FailureDomain: f.FailureDomain, IsEntry: true,
 		Source: f.held[address].source, Version: f.held[address].version,
-		CarriersDigest: f.carriersDigest,
+		CarriersDigests: maps.Clone(f.carriersDigests),
 	}
 	if f.notCurrent[address] {
 		r.AwaitCurrent = true
@@ -348,7 +349,7 @@
 	f.held[address] = heldVersion{source: answer.Source, version: answer.Version}
 	if answer.Current {
 		f.notCurrent = nil
-		f.carriersDigest = answer.CarriersDigest
+		f.recordCarriers(answer.Carriers)
 		return
 	}
 	if f.notCurrent == nil || len(f.notCurrent) >= maxRemembered {
@@ -357,6 +358,28 @@
 	f.notCurrent[address] = true
 }
 
+// recordCarriers records the digests of the carriers that a current daemon sent. mu must be
+// held.
+func (f *Follower) recordCarriers(list []*fleetpb.DomainCarriers) {
+	if f.carriersDigests == nil {
+		f.carriersDigests = make(map[string]uint64)
+	}
+	for _, d := range list {
+		if d.Digest == 0 {
+			delete(f.carriersDigests, d.FailureDomain)
+			continue
+		}
+		f.carriersDigests[d.FailureDomain] = d.Digest
+	}
+}
+
+// heldCarriersDigests returns the digests of the carriers that the sink holds.
+func (f *Follower) heldCarriersDigests() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.carriersDigests)
+}
+
 // NotCurrentError reports that a control daemon has not known a leader for some time.
 type NotCurrentError struct{ Address string }
 
--- a/internal/fleet/fleetrpc/client_test.go
+++ b/internal/fleet/fleetrpc/client_test.go
@@ -46,7 +46,9 @@
 // From each it requests only the changes since its last answer.
 func TestVersionIsKeptPerDaemon(t *testing.T) {
 	f := &Follower{}
-	f.recordAnswer("x", &fleetpb.FollowResponse{Source: 1, Version: 5, Current: true, CarriersDigest: 9})
+	f.recordAnswer("x", &fleetpb.FollowResponse{Source: 1, Version: 5, Current: true, Carriers: []*fleetpb.DomainCarriers{
+		{FailureDomain: "a", Digest: 9}, {FailureDomain: "b", Digest: 8},
+	}})
 	f.recordAnswer("y", &fleetpb.FollowResponse{Source: 2, Version: 7})
 	x, y := f.request("x"), f.request("y")
 	assert.Equal(t, x.Source, uint64(1))
@@ -54,9 +56,10 @@
 	assert.Assert(t, !x.AwaitCurrent)
 	assert.Equal(t, y.Version, uint64(7))
 	assert.Assert(t, y.AwaitCurrent && y.WaitMs > 0)
-	assert.Equal(t, y.CarriersDigest, uint64(9))
-	f.recordAnswer("x", &fleetpb.FollowResponse{Source: 1, Version: 6, Current: true})
+	assert.DeepEqual(t, y.CarriersDigests, map[string]uint64{"a": 9, "b": 8})
+	f.recordAnswer("x", &fleetpb.FollowResponse{Source: 1, Version: 6, Current: true, Carriers: []*fleetpb.DomainCarriers{{FailureDomain: "b"}}})
 	assert.Assert(t, !f.request("y").AwaitCurrent)
+	assert.DeepEqual(t, f.request("y").CarriersDigests, map[string]uint64{"a": 9})
 }
 
 func TestPackedConfiguration(t *testing.T) {
--- a/internal/proxy/carried_test.go
+++ b/internal/proxy/carried_test.go
@@ -20,42 +20,63 @@
 // lendingEntry is an entry that lends connections to others, with its hop server.
 type lendingEntry struct {
 	*fixture
-	address    string
-	loanServer *hop.Server
-	listener   net.Listener
+	failureDomain string
+	address       string
+	loanServer    *hop.Server
+	listener      net.Listener
 
 	// mu guards conns, the streams of borrowers.
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
-// newLendingEntries returns n entries of one failure domain that serve one group. They are
-// told of so many entries that connections are carried.
+// newLendingEntries returns n entries of one failure domain that serve one group and lend to
+// each other there.
 func newLendingEntries(t *testing.T, n int) (*standin.Group, []*lendingEntry) {
+	return newEntriesOf(t, n, "a")
+}
+
+// newHomeEntries returns n entries in each of the failure domains of a group's endpoints.
+// Those of an endpoint's failure domain lend its connections to all.
+func newHomeEntries(t *testing.T, n int) (*standin.Group, []*lendingEntry) {
+	return newEntriesOf(t, n, "a", "b", "c")
+}
+
+// newEntriesOf returns n entries in each failure domain that serve one group. They are told
+// of so many entries that connections are carried.
+func newEntriesOf(t *testing.T, n int, failureDomains ...string) (*standin.Group, []*lendingEntry) {
 	group, err := standin.Start("svc", 3)
 	assert.NilError(t, err)
 	t.Cleanup(group.Close)
 	var list []*lendingEntry
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		l := &lendingEntry{address: listener.Addr().String(), listener: listener}
-		l.fixture = newFixtureOf(t, group, l.address)
-		l.loanServer = hop.NewServer(l.server, logr.Discard(), l.metrics.Fault)
-		go l.accept()
-		t.Cleanup(l.kill)
-		list = append(list, l)
-		addresses = append(addresses, l.address)
+	known := &fleetpb.FollowResponse{Current: true, Entries: 1000, EntryDomains: uint32(len(failureDomains))}
+	for _, domain := range failureDomains {
+		carriers := &fleetpb.DomainCarriers{FailureDomain: domain, Digest: 1}
+		for range n {
+			l := newLendingEntry(t, group, domain)
+			list = append(list, l)
+			carriers.Carriers = append(carriers.Carriers, l.address)
+		}
+		known.Carriers = append(known.Carriers, carriers)
 	}
 	for _, l := range list {
-		l.view.Apply(&fleetpb.FollowResponse{
-			Current: true, Entries: 1000, EntryDomains: 1, Carriers: addresses, CarriersDigest: 1,
-		})
+		l.view.Apply(known)
 	}
 	return group, list
 }
 
+// newLendingEntry returns an entry of a failure domain that can lend connections.
+func newLendingEntry(t *testing.T, group *standin.Group, failureDomain string) *lendingEntry {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &lendingEntry{failureDomain: failureDomain, address: listener.Addr().String(), listener: listener}
+	l.fixture = newFixtureOf(t, group, failureDomain, l.address)
+	l.loanServer = hop.NewServer(l.server, logr.Discard(), l.metrics.Fault)
+	go l.accept()
+	t.Cleanup(l.kill)
+	return l
+}
+
 func (l *lendingEntry) accept() {
 	for {
 		conn, err := l.listener.Accept()
@@ -230,3 +251,79 @@
 		assert.Assert(t, strings.HasPrefix(c.ok("FETCH item"), fmt.Sprintf("ROW v%d|", i)))
 	}
 }
+
+// homeCarriers returns the carriers of the primary among entries of newHomeEntries, and an
+// entry of another failure domain.
+func homeCarriers(group *standin.Group, list []*lendingEntry) (carriers []*lendingEntry, b *lendingEntry) {
+	byAddress := make(map[string]*lendingEntry)
+	var atHome []string
+	for _, l := range list {
+		byAddress[l.address] = l
+		if l.failureDomain == "a" {
+			atHome = append(atHome, l.address)
+		} else {
+			b = l
+		}
+	}
+	primary := group.Nodes()[0].ID
+	dealt := carrier.Deal([]carrier.Endpoint{{ID: primary, Limit: 43}}, atHome)
+	for _, address := range carrier.Order(dealt[primary], b.address) {
+		carriers = append(carriers, byAddress[address])
+	}
+	return carriers, b
+}
+
+// TestSessionsCarriedAtHome runs the sessions of TestCarriedSessions at entries that borrow
+// connections across failure domains.
+func TestSessionsCarriedAtHome(t *testing.T) {
+	group, list := newHomeEntries(t, 4)
+	for _, l := range list {
+		c := l.session("session")
+		for round := range 5 {
+			item := fmt.Sprintf("item-%s", l.address)
+			c.ok("SET tone " + l.failureDomain)
+			c.ok("BEGIN")
+			c.ok(fmt.Sprintf("STORE %s v%d", item, round))
+			c.ok("COMMIT")
+			assert.Check(t, strings.HasPrefix(c.ok("FETCH "+item), fmt.Sprintf("ROW v%d|", round)))
+		}
+	}
+	for _, n := range group.Nodes() {
+		assert.Assert(t, n.Opened() <= 4, "%s: %d connections", n.ID, n.Opened())
+	}
+}
+
+// TestLostHomeCarriers kills the carriers of the primary that an entry of another failure
+// domain asks, one after the other and then the last one: its statements must go on.
+func TestLostHomeCarriers(t *testing.T) {
+	group, list := newHomeEntries(t, 4)
+	carriers, b := homeCarriers(group, list)
+	c := b.session("current")
+	c.ok("STORE item v0")
+	for i, l := range carriers {
+		l.kill()
+		c.ok(fmt.Sprintf("STORE item v%d", i))
+		assert.Assert(t, strings.HasPrefix(c.ok("FETCH item"), fmt.Sprintf("ROW v%d|", i)))
+	}
+}
+
+// TestDealtAnew replaces the carriers of a failure domain by others, as when control learns
+// of a loss: the former carriers keep no more connections than any entry may have.
+func TestDealtAnew(t *testing.T) {
+	group, list := newHomeEntries(t, 4)
+	carriers, b := homeCarriers(group, list)
+	for i := range 10 {
+		b.session("current").ok(fmt.Sprintf("STORE item v%d", i))
+	}
+	for _, l := range list {
+		l.view.Apply(&fleetpb.FollowResponse{Current: true, Entries: 1000, EntryDomains: 3, Carriers: []*fleetpb.DomainCarriers{
+			{FailureDomain: "a", Digest: 2, Carriers: []string{list[0].address}},
+		}})
+	}
+	c := b.session("current")
+	c.ok("STORE item after")
+	assert.Assert(t, strings.HasPrefix(c.ok("FETCH item"), "ROW after|"))
+	for _, l := range carriers {
+		assert.Assert(t, l == list[0] || l.loanServer.Loans() == 0)
+	}
+}
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -1,8 +1,8 @@
-// Package carrier decides which entry of a failure domain holds the connections to an
-// endpoint. An entry is a daemon that serves callers. Where entries outnumber an endpoint's
-// connections, an entry on its own would have to open one for nearly every statement. One
-// entry, the carrier, then holds the failure domain's connections and lends them to the
-// others: the connections are carried. The package has no state and does no I/O.
+// Package carrier decides which entries hold the connections to an endpoint. An entry is a
+// daemon that serves callers. Where entries outnumber an endpoint's connections, an entry
+// on its own would have to open one for nearly every statement. A few entries, the
+// carriers, then hold the connections and lend them to the others. The package has no state
+// and does no I/O.
 package carrier
 
 import (
@@ -20,56 +20,160 @@
 	// back and forth.
 	carryBelow = 2
 	directFrom = 3
-	// minCarriedShare is the smallest share of a failure domain, in connections, with which
-	// connections are carried. Idle transactions would hold most of a smaller share while
-	// the connections of other failure domains stay unused. Entries that open their own
-	// connections share all of them.
-	minCarriedShare = 8
+	// minShare is the smallest number of connections that a carrier is given. Idle
+	// transactions would hold most of a smaller share.
+	minShare = 8
 	// sharedPercent is the part of an endpoint's connections that is divided among the
-	// failure domains. The rest is for the connections of former holders: they are still
-	// open while the mode or the carrier changes, and the endpoint counts those of a VM
-	// for some seconds after the VM lost power.
+	// failure domains in mode Near. The rest is for the connections of former holders:
+	// they are still open while the mode or the carrier changes, and the endpoint counts
+	// those of a VM for some seconds after the VM lost power.
 	sharedPercent = 50
 	// reservedConns is how many of an endpoint's connections are left for control's probes and
 	// promotions.
 	reservedConns = 3
-	// successorCount is how many entries after the carrier also get a share, so that they can
-	// take over.
+	// successorCount is how many entries after the carrier also get a share in mode Near, so
+	// that they can take over.
 	successorCount = 1
+	// minCarriers and maxCarriers bound the carriers of an endpoint in mode Home. With two,
+	// one can be lost. Each sees a part of the endpoint's queue, which is too small to
+	// decide from with many.
+	minCarriers = 2
+	maxCarriers = 4
+	// loadSlackPercent is how much more than the average an entry may carry in mode Home.
+	// Without slack, nearly every endpoint gets other carriers when one entry leaves.
+	loadSlackPercent = 25
 )
 
-// IsCarried reports whether connections to an endpoint are carried. limit is the
-// endpoint's connection limit, entries the number of all entries and domains the number
-// of their failure domains. wasCarried is the previous result, for the hysteresis.
-func IsCarried(limit, entries, domains int, wasCarried bool) bool {
-	if Share(limit, domains) < minCarriedShare {
-		return false
+// Mode is who holds the connections to the endpoints of a service.
+type Mode int
+
+const (
+	// Direct: each entry opens its own.
+	Direct Mode = iota
+	// Near: in each failure domain one entry lends to the others there. The hop stays within
+	// the failure domain, but the connections are divided among the failure domains.
+	Near
+	// Home: a few entries in the endpoint's own failure domain lend to all entries. A
+	// network partition takes them away only together with the endpoint.
+	Home
+)
+
+// String returns the mode's name for logs.
+func (m Mode) String() string { return [...]string{"direct", "near", "home"}[m] }
+
+// ChooseMode returns the mode for an endpoint's connections. limit is the endpoint's
+// connection limit, entries the number of all entries and domains the number of their
+// failure domains. previous is the last result, for the hysteresis.
+func ChooseMode(limit, entries, domains int, previous Mode) Mode {
+	minPerEntry := carryBelow
+	if previous != Direct {
+		minPerEntry = directFrom
+	}
+	if max(0, limit-reservedConns)/max(entries, 1) >= minPerEntry {
+		return Direct
 	}
-	connsPerEntry := max(0, limit-reservedConns) / max(entries, 1)
-	if wasCarried {
-		return connsPerEntry < directFrom
+	// A failure domain that is cut off no longer counts, which must not change the mode.
+	minNearShare := minShare
+	if previous == Home {
+		minNearShare = 2 * minShare
 	}
-	return connsPerEntry < carryBelow
+	switch {
+	case Share(limit, domains) >= minNearShare:
+		return Near
+	case HomeShare(limit, minCarriers) >= minShare:
+		return Home
+	}
+	return Direct
 }
 
-// Share returns the number of connections that a failure domain may keep open to an
-// endpoint with the given connection limit.
+// Share returns the number of connections that a failure domain may keep open in mode Near
+// to an endpoint with the given connection limit.
 func Share(limit, domains int) int {
 	shared := max(0, limit-reservedConns) * sharedPercent / 100
 	return shared / max(domains, 1)
 }
 
-// Rank orders the entries of a failure domain by rendezvous hashing: the first is the
-// endpoint's carrier, the next takes over when the first is unreachable. When an entry
-// joins or leaves, only the endpoints that it carries move.
-func Rank(endpoint string, entries []string) []string {
+// HomeShare returns the number of connections that each carrier may keep open in mode Home.
+func HomeShare(limit, carriers int) int {
+	return max(0, limit-reservedConns) / max(carriers, 1)
+}
+
+// Endpoint is an endpoint that needs carriers.
+type Endpoint struct {
+	ID string
+	// Limit is the endpoint's connection limit.
+	Limit int
+}
+
+// Deal returns the carriers of each endpoint of a failure domain in mode Home. It bounds
+// how many endpoints an entry carries, because its link and processor bear few: by
+// loadSlackPercent above the average, rounded up, and by one more where that leaves too few
+// entries. When an entry or an endpoint joins or leaves, few others move.
+func Deal(endpoints []Endpoint, entries []string) map[string][]string {
+	if len(entries) == 0 || len(endpoints) == 0 {
+		return nil
+	}
+	sorted := slices.SortedFunc(slices.Values(endpoints), func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	total := 0
+	for _, e := range sorted {
+		total += carrierCount(e.Limit, len(sorted), len(entries))
+	}
+	maxLoad := (total*(100+loadSlackPercent) + 100*len(entries) - 1) / (100 * len(entries))
+	load := make(map[string]int, len(entries))
+	dealt := make(map[string][]string, len(sorted))
+	for _, e := range sorted {
+		count := carrierCount(e.Limit, len(sorted), len(entries))
+		dealt[e.ID] = leastLoaded(Rank(e.ID, entries), load, maxLoad, count)
+		for _, name := range dealt[e.ID] {
+			load[name]++
+		}
+	}
+	return dealt
+}
+
+// carrierCount returns how many carriers an endpoint gets in a failure domain.
+func carrierCount(limit, endpoints, entries int) int {
+	most := min(maxCarriers, HomeShare(limit, minShare))
+	// Rounding to the nearest keeps the count when an entry leaves an even deal.
+	perEndpoint := (2*entries + endpoints) / (2 * endpoints)
+	return min(max(min(perEndpoint, most), minCarriers), entries)
+}
+
+// leastLoaded returns the first count entries that carry less than maxLoad endpoints,
+// followed by the first others if those are too few.
+func leastLoaded(ranked []string, load map[string]int, maxLoad, count int) []string {
+	chosen := make([]string, 0, count)
+	for _, isSpare := range []bool{true, false} {
+		for _, name := range ranked {
+			if len(chosen) < count && (load[name] < maxLoad) == isSpare {
+				chosen = append(chosen, name)
+			}
+		}
+	}
+	return chosen
+}
+
+// Order returns an endpoint's carriers in mode Home in the order in which the entry self
+// asks them. A carrier uses its own connections; the others spread evenly.
+func Order(carriers []string, self string) []string {
+	if slices.Contains(carriers, self) {
+		return []string{self}
+	}
+	return Rank(self, carriers)
+}
+
+// Rank orders entries by rendezvous hashing with a key. In mode Near the key is an
+// endpoint's id: the first entry of the failure domain is its carrier, and the next takes
+// over when the first is unreachable. When an entry joins or leaves, only the endpoints
+// that it carries move.
+func Rank(key string, entries []string) []string {
 	type weightedEntry struct {
 		entry  string
 		weight uint64
 	}
 	weighted := make([]weightedEntry, 0, len(entries))
 	for _, e := range entries {
-		weighted = append(weighted, weightedEntry{entry: e, weight: xxhash.Sum64String(endpoint + "\x00" + e)})
+		weighted = append(weighted, weightedEntry{entry: e, weight: xxhash.Sum64String(key + "\x00" + e)})
 	}
 	slices.SortFunc(weighted, func(a, b weightedEntry) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.entry, b.entry))
@@ -81,7 +185,8 @@
 	return ranked
 }
 
-// HasShare reports whether the entry self gets a share of the endpoint's connections.
+// HasShare reports whether the entry self gets a share of the endpoint's connections in mode
+// Near.
 func HasShare(ranked []string, self string) bool {
 	rank := slices.Index(ranked, self)
 	return rank >= 0 && rank <= successorCount
--- a/internal/proxy/fixture_test.go
+++ b/internal/proxy/fixture_test.go
@@ -108,12 +108,12 @@
 	group, err := standin.Start("svc", 3)
 	assert.NilError(t, err)
 	t.Cleanup(group.Close)
-	return newFixtureOf(t, group, "")
+	return newFixtureOf(t, group, "a", "")
 }
 
-// newFixtureOf returns an entry that serves a group. carrier is the address at which it
-// lends connections; with "" it neither lends nor borrows any.
-func newFixtureOf(t *testing.T, group *standin.Group, carrier string) *fixture {
+// newFixtureOf returns an entry of a failure domain that serves a group. carrier is the
+// address at which it lends connections; with "" it neither lends nor borrows any.
+func newFixtureOf(t *testing.T, group *standin.Group, failureDomain, carrier string) *fixture {
 	f := &fixture{t: t, group: group, view: fleetview.New(logr.Discard()), metrics: metrics.New()}
 	f.log = funcr.NewJSON(func(line string) {
 		f.mu.Lock()
@@ -121,7 +121,7 @@
 		f.logLines = append(f.logLines, line)
 	}, funcr.Options{})
 	f.server = proxy.New(proxy.Config{
-		Name: "entry", FailureDomain: "a", View: f.view, Dialer: f,
+		Name: "entry", FailureDomain: failureDomain, View: f.view, Dialer: f,
 		Texts: platform.Texts, Reporter: f, PositionSource: f, ControlLostFor: f.controlLost, Metrics: f.metrics, Log: f.log,
 		Carrier: carrier,
 	})
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -4,6 +4,7 @@
 package fleetview
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,10 +49,9 @@
 	EntryCount int
 	// DomainCount is the number of failure domains that have entries.
 	DomainCount int
-	// Carriers are the addresses where entries of this failure domain lend connections.
-	Carriers []string
-	// CarriersDigest changes whenever Carriers changes.
-	CarriersDigest uint64
+	// Carriers are, by failure domain, the addresses where its entries lend connections. The
+	// map and the lists must not be changed.
+	Carriers map[string][]string
 
 	// endpoints maps ids to endpoints that are not gone.
 	endpoints map[string]*fleetpb.Endpoint
@@ -92,9 +92,8 @@
 	promotionDeadlines map[string]time.Time
 	entryCount         int
 	domainCount        int
-	carriers           []string
-	// carriersDigest is control's digest of carriers.
-	carriersDigest uint64
+	// carriers is replaced, never changed, since snapshots refer to it.
+	carriers map[string][]string
 	// changed is closed at the next change and then replaced.
 	changed chan struct{}
 }
@@ -165,19 +164,29 @@
 	}
 }
 
-// applyCarriers applies the list of carriers and the number of failure domains, and reports
-// whether anything changed. An answer contains the list only if its digest differs from
-// the one held.
+// applyCarriers applies the changed lists of carriers and the number of failure domains, and
+// reports whether anything changed.
 func (v *View) applyCarriers(answer *fleetpb.FollowResponse) bool {
 	domainCount := int(answer.EntryDomains)
-	if !answer.Current || answer.CarriersDigest == v.carriersDigest && domainCount == v.domainCount {
+	if !answer.Current || len(answer.Carriers) == 0 && domainCount == v.domainCount {
 		return false
 	}
-	if answer.CarriersDigest != v.carriersDigest {
-		v.carriers, v.carriersDigest = answer.Carriers, answer.CarriersDigest
-		v.log.Info("carriers known", "carriers", len(v.carriers), "failureDomains", domainCount)
-	}
 	v.domainCount = domainCount
+	if len(answer.Carriers) == 0 {
+		return true
+	}
+	carriers := maps.Clone(v.carriers)
+	if carriers == nil {
+		carriers = make(map[string][]string)
+	}
+	for _, d := range answer.Carriers {
+		carriers[d.FailureDomain] = d.Carriers
+		if len(d.Carriers) == 0 {
+			delete(carriers, d.FailureDomain)
+		}
+		v.log.V(1).Info("carriers known", "failureDomain", d.FailureDomain, "carriers", len(d.Carriers))
+	}
+	v.carriers = carriers
 	return true
 }
 
@@ -224,7 +233,7 @@
 // snapshot builds a snapshot of the view. mu must be held.
 func (v *View) snapshot() *Snapshot {
 	snap := &Snapshot{
-		Config: v.config, EntryCount: v.entryCount, DomainCount: v.domainCount, Carriers: v.carriers, CarriersDigest: v.carriersDigest,
+		Config: v.config, EntryCount: v.entryCount, DomainCount: v.domainCount, Carriers: v.carriers,
 		endpoints: make(map[string]*fleetpb.Endpoint),
 		routes:    make(map[string]*fleetpb.Route),
 		services:  make(map[string]*Service),
--- a/internal/proxy/hop/client.go
+++ b/internal/proxy/hop/client.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// dialTimeout bounds opening a connection to a carrier in the same failure domain.
+	// dialTimeout bounds opening a connection to a carrier.
 	dialTimeout = 250 * time.Millisecond
 	// downBackoff is how long the client skips a carrier that did not answer.
 	downBackoff = time.Second
@@ -68,12 +68,14 @@
 	return p != nil && time.Now().Before(p.downUntil)
 }
 
-// KeepOnly forgets all carriers that are not in the list and closes the idle streams to
+// KeepOnly forgets all carriers that are not in the lists and closes the idle streams to
 // them.
-func (c *Client) KeepOnly(carriers []string) {
-	kept := make(map[string]bool, len(carriers))
-	for _, name := range carriers {
-		kept[name] = true
+func (c *Client) KeepOnly(carriers map[string][]string) {
+	kept := make(map[string]bool)
+	for _, list := range carriers {
+		for _, name := range list {
+			kept[name] = true
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/proxy/carrier"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/proxy/hop"
 	"hemlockmast/internal/proxy/pool"
@@ -100,10 +101,14 @@
 	// draining is set from the start of Drain.
 	isDraining atomic.Bool
 
-	// mu guards the maps below. It is never held while the lock of a pool or of a
-	// serviceState is taken. sources and lastReportAt are keyed by endpoint id, services by
-	// name.
+	// assigner is used by apply only.
+	assigner assigner
+
+	// mu guards the maps below. It is never held while the lock of a source, of a pool or of
+	// a serviceState is taken. assigned, sources and lastReportAt are keyed by endpoint id,
+	// services by name. assigned is replaced, never changed.
 	mu           sync.Mutex
+	assigned     map[string]assignment
 	sources      map[string]*source
 	services     map[string]*serviceState
 	sessions     map[*session]struct{}
@@ -118,6 +123,7 @@
 func New(cfg Config) *Server {
 	s := &Server{
 		cfg: cfg, log: cfg.Log,
+		assigner:     assigner{self: cfg.Carrier, failureDomain: cfg.FailureDomain, dealt: make(map[string]dealtDomain)},
 		sources:      make(map[string]*source),
 		services:     make(map[string]*serviceState),
 		sessions:     make(map[*session]struct{}),
@@ -129,29 +135,22 @@
 }
 
 // apply applies a new snapshot of the view. It closes the pools of endpoints that are gone,
-// recomputes this daemon's share of each endpoint's connections, and removes the watermarks
-// of former primaries.
+// recomputes who holds the connections to the others, and removes the watermarks of former
+// primaries.
 func (s *Server) apply(snapshot *fleetview.Snapshot) {
 	s.cfg.Metrics.Revision(snapshot.Config.GetVersion(), true)
 	s.hop.KeepOnly(snapshot.Carriers)
-	type endpointSettings struct {
-		limit     uint32
-		isCarried bool
-	}
-	current := make(map[string]endpointSettings)
 	for name, service := range snapshot.Services() {
 		s.service(name).apply(service.PrimaryNumber)
-		isCarried := s.isCarried(snapshot, service.Config)
-		for _, e := range service.Endpoints {
-			current[e.Id] = endpointSettings{limit: service.Config.MaxConnections, isCarried: isCarried}
-		}
 	}
+	assigned := s.assigner.assign(snapshot, func(service *fleetpb.Service) carrier.Mode { return s.mode(snapshot, service) })
 	s.mu.Lock()
+	s.assigned = assigned
 	var closed []*source
-	remaining := make(map[*source]endpointSettings)
+	remaining := make(map[*source]assignment)
 	for id, src := range s.sources {
-		if settings, ok := current[id]; ok {
-			remaining[src] = settings
+		if a, ok := assigned[id]; ok {
+			remaining[src] = a
 			continue
 		}
 		closed = append(closed, src)
@@ -161,8 +160,8 @@
 	for _, src := range closed {
 		src.local.Close()
 	}
-	for src, settings := range remaining {
-		src.apply(snapshot, settings.limit, settings.isCarried)
+	for src, a := range remaining {
+		src.apply(a)
 	}
 }
 
@@ -192,25 +191,21 @@
 // source returns the source of connections to an endpoint and creates it if needed.
 func (s *Server) source(e *fleetpb.Endpoint) *source {
 	s.mu.Lock()
-	src := s.sources[e.Id]
-	s.mu.Unlock()
-	if src != nil {
+	defer s.mu.Unlock()
+	if src := s.sources[e.Id]; src != nil {
 		return src
 	}
-	snapshot := s.cfg.View.Snapshot()
-	config := snapshot.Service(e.Service).Config
-	src = &source{endpoint: e, server: s}
+	a, ok := s.assigned[e.Id]
+	if !ok {
+		// The snapshot that names the endpoint is not applied yet.
+		a = assignment{share: pool.Share{MaxOpen: minExtra}}
+	}
 	endpoint := stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
-	share := src.updateCarriers(snapshot, config.MaxConnections, s.isCarried(snapshot, config))
-	src.local = pool.New(endpoint, s.cfg.Dialer, share, func(err error) {
+	src := &source{endpoint: e, server: s, carriers: a.carriers, crossesDomains: a.crossesDomains}
+	src.local = pool.New(endpoint, s.cfg.Dialer, a.share, func(err error) {
 		s.reachability.failed(s.isInOtherDomain(e), time.Now())
 		s.report(e, fleetpb.Suspicion_SUSPICION_UNREACHABLE, err)
 	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if existing := s.sources[e.Id]; existing != nil {
-		return existing
-	}
 	s.sources[e.Id] = src
 	return src
 }
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -2,13 +2,12 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
-	"hemlockmast/internal/proxy/carrier"
-	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/proxy/hop"
 	"hemlockmast/internal/proxy/pool"
 )
@@ -31,7 +30,7 @@
 )
 
 // source provides connections to one endpoint: the daemon's own, or loans from the
-// failure domain's carrier.
+// endpoint's carriers.
 type source struct {
 	// local holds this daemon's own connections and what is known about the endpoint from
 	// its answers.
@@ -43,10 +42,11 @@
 
 	// mu guards the fields below; only hop.Client's lock is taken while it is held.
 	mu sync.Mutex
-	// carriers are the entries that may lend, in the order of carrier.Rank; empty where
-	// connections are not carried.
+	// carriers are the entries that may lend, in the order in which this daemon asks them;
+	// empty where connections are not carried. crossesDomains is set if they are in another
+	// failure domain.
 	carriers       []string
-	carriersDigest uint64
+	crossesDomains bool
 	// downUntil is when the endpoint stops counting as down because its carrier could not
 	// reach it. skipUntil is, by carrier, when such a carrier is asked again.
 	downUntil time.Time
@@ -54,28 +54,19 @@
 }
 
 // apply updates the carriers and this daemon's share of the endpoint's connections.
-func (src *source) apply(snapshot *fleetview.Snapshot, limit uint32, isCarried bool) {
-	src.local.SetShare(src.updateCarriers(snapshot, limit, isCarried))
+func (src *source) apply(a assignment) {
+	src.setCarriers(a)
+	src.local.SetShare(a.share)
 }
 
-// updateCarriers updates the carriers and returns this daemon's share of the endpoint's
-// connections.
-func (src *source) updateCarriers(snapshot *fleetview.Snapshot, limit uint32, isCarried bool) pool.Share {
+// setCarriers updates the carriers.
+func (src *source) setCarriers(a assignment) {
 	src.mu.Lock()
 	defer src.mu.Unlock()
-	if !isCarried {
-		src.carriers, src.carriersDigest = nil, 0
-		return share(limit, snapshot.EntryCount)
-	}
-	if src.carriers == nil || src.carriersDigest != snapshot.CarriersDigest {
-		src.carriers, src.carriersDigest = carrier.Rank(src.endpoint.Id, snapshot.Carriers), snapshot.CarriersDigest
+	if !slices.Equal(src.carriers, a.carriers) {
 		src.skipUntil = nil
 	}
-	if !carrier.HasShare(src.carriers, src.server.cfg.Carrier) {
-		return pool.Share{MaxOpen: minExtra, IsCarried: true}
-	}
-	keep := carrier.Share(int(limit), snapshot.DomainCount)
-	return pool.Share{KeepOpen: keep, MaxOpen: 2 * keep, IsCarried: true}
+	src.carriers, src.crossesDomains = a.carriers, a.crossesDomains
 }
 
 // lendingCarriers returns the carriers to ask for a loan, in order. It returns none if this
@@ -104,8 +95,11 @@
 		c, err := src.server.hop.Borrow(name, r)
 		src.server.cfg.Metrics.Loan(loanOutcome(err))
 		var unreachable *hop.UnreachableError
-		if errors.As(err, &unreachable) && time.Now().Before(r.WaitDeadline) {
-			continue
+		if errors.As(err, &unreachable) {
+			src.recordLostCarrier()
+			if time.Now().Before(r.WaitDeadline) {
+				continue
+			}
 		}
 		if err == nil {
 			src.activeLoans.Add(1)
@@ -157,6 +151,15 @@
 	src.skipUntil[carrier] = now.Add(carrierSkipTime)
 }
 
+// recordLostCarrier records that a carrier did not answer. If it is in another failure
+// domain, this daemon may be cut off from there.
+func (src *source) recordLostCarrier() {
+	src.mu.Lock()
+	crossesDomains := src.crossesDomains
+	src.mu.Unlock()
+	src.server.reachability.failed(crossesDomains, time.Now())
+}
+
 // Put returns a connection on which no statement and no transaction is in progress.
 func (src *source) Put(c *pool.Conn) {
 	if hop.Return(c) {
@@ -192,21 +195,3 @@
 	state.InFlight += int(src.activeLoans.Load())
 	return state
 }
-
-// isCarried decides whether connections to the endpoints of a service are carried, and
-// remembers the decision for the hysteresis of carrier.IsCarried.
-func (s *Server) isCarried(snapshot *fleetview.Snapshot, service *fleetpb.Service) bool {
-	if s.cfg.Carrier == "" || len(snapshot.Carriers) == 0 || snapshot.DomainCount == 0 {
-		return false
-	}
-	st := s.service(service.Name)
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	wasCarried := st.isCarried
-	st.isCarried = carrier.IsCarried(int(service.MaxConnections), snapshot.EntryCount, snapshot.DomainCount, wasCarried)
-	if st.isCarried != wasCarried {
-		s.log.V(1).Info("connection mode of a service changed", "service", service.Name, "carried", st.isCarried,
-			"limit", service.MaxConnections, "entries", snapshot.EntryCount, "carriers", len(snapshot.Carriers))
-	}
-	return st.isCarried
-}
--- a/internal/proxy/watermarks.go
+++ b/internal/proxy/watermarks.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hemlockmast/internal/proxy/carrier"
 	"hemlockmast/internal/proxy/hop"
 	"hemlockmast/internal/proxy/mark"
 	"hemlockmast/internal/proxy/pool"
@@ -42,8 +43,8 @@
 	isRefreshing bool
 	// pending holds, by askMode, the position request in progress, or nil.
 	pending [2]*positionRequest
-	// isCarried is set while the service's connections are carried.
-	isCarried bool
+	// mode is who holds the connections to the service's endpoints.
+	mode carrier.Mode
 }
 
 // askMode selects where a position is requested.
