--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -28,7 +28,8 @@
 func (ss *session) getConn(t target, route *fleetpb.Route, r resolvedStatement, isIdempotent bool, waitDeadline, deadline time.Time) (*pool.Conn, *stmt.Error) {
 	waitStart := time.Now()
 	c, err := t.pool.Get(hop.BorrowRequest{
-		Priority: route.Priority, Needs: r.needs(), WaitDeadline: waitDeadline, Deadline: deadline, Idempotent: isIdempotent,
+		Priority: route.Priority, Needs: r.needs(), Idempotent: isIdempotent,
+		TurnBy: turnBy(route, waitStart, waitDeadline), WaitDeadline: waitDeadline, Deadline: deadline,
 	})
 	ss.server.cfg.Metrics.Queued(route.Name, time.Since(waitStart))
 	if err != nil {
@@ -42,6 +43,18 @@
 	return c, nil
 }
 
+// turnBy returns the time by which the turn of a statement that starts to wait now must be
+// expected to come: half of the latency that callers of its route expect. The other half is
+// left for the statement itself and for earlier attempts of the caller, of which this
+// daemon does not know.
+func turnBy(route *fleetpb.Route, now, waitDeadline time.Time) time.Time {
+	by := now.Add(time.Duration(route.TargetMs) * time.Millisecond / 2)
+	if route.TargetMs == 0 || waitDeadline.Before(by) {
+		return waitDeadline
+	}
+	return by
+}
+
 // releaseUnaligned returns a connection after align has failed with err. After a refusal
 // by the endpoint the connection is still usable; after any other error it is discarded.
 func releaseUnaligned(src *source, c *pool.Conn, err error) {
--- a/internal/proxy/assignment.go
+++ b/internal/proxy/assignment.go
@@ -51,7 +51,7 @@
 			limit := int(service.Config.MaxConnections)
 			switch {
 			case m == carrier.Near:
-				assigned[e.Id] = a.assignNear(snapshot, e.Id, limit)
+				assigned[e.Id] = a.assignNear(snapshot, e, limit)
 			case m == carrier.Home && len(snapshot.Carriers[e.FailureDomain]) > 0:
 				atHome[e.FailureDomain] = append(atHome[e.FailureDomain], carrier.Endpoint{ID: e.Id, Limit: limit})
 			default:
@@ -62,7 +62,7 @@
 	for domain, endpoints := range atHome {
 		dealt := a.deal(domain, endpoints, snapshot.Carriers[domain])
 		for _, e := range endpoints {
-			assigned[e.ID] = a.assignHome(dealt[e.ID], e.Limit, domain)
+			assigned[e.ID] = a.assignHome(dealt[e.ID], e.Limit, snapshot.Endpoint(e.ID))
 		}
 	}
 	return assigned
@@ -70,25 +70,26 @@
 
 // assignNear returns the assignment of an endpoint whose connections are lent within each
 // failure domain.
-func (a *assigner) assignNear(snapshot *fleetview.Snapshot, endpoint string, limit int) assignment {
-	ranked := carrier.Rank(endpoint, snapshot.Carriers[a.failureDomain])
+func (a *assigner) assignNear(snapshot *fleetview.Snapshot, e *fleetpb.Endpoint, limit int) assignment {
+	ranked := carrier.Rank(e.Id, snapshot.Carriers[a.failureDomain])
 	if !carrier.HasShare(ranked, a.self) {
 		return assignment{carriers: ranked, share: pool.Share{MaxOpen: minExtra, IsCarried: true}}
 	}
 	keep := carrier.Share(limit, snapshot.DomainCount)
-	return assignment{carriers: ranked, share: pool.Share{KeepOpen: keep, MaxOpen: 2 * keep, IsCarried: true}}
+	return assignment{carriers: ranked, share: pool.Share{KeepOpen: keep, MaxOpen: 2 * keep, IsCarried: true, MaxRunning: int(e.Slots)}}
 }
 
 // assignHome returns the assignment of an endpoint whose connections are lent by the given
 // entries of its own failure domain.
-func (a *assigner) assignHome(carriers []string, limit int, domain string) assignment {
+func (a *assigner) assignHome(carriers []string, limit int, e *fleetpb.Endpoint) assignment {
 	as := assignment{
-		carriers: carrier.Order(carriers, a.self), crossesDomains: domain != a.failureDomain,
+		carriers: carrier.Order(carriers, a.self), crossesDomains: e.FailureDomain != a.failureDomain,
 		share: pool.Share{MaxOpen: minExtra, IsCarried: true},
 	}
 	if slices.Contains(carriers, a.self) {
 		as.share.KeepOpen = carrier.HomeShare(limit, len(carriers))
 		as.share.MaxOpen = as.share.KeepOpen
+		as.share.MaxRunning = int(e.Slots)
 	}
 	return as
 }
--- a/internal/proxy/errors.go
+++ b/internal/proxy/errors.go
@@ -23,6 +23,8 @@
 	var refusal *stmt.Error
 	var full *pool.FullError
 	switch {
+	case asFull(err, &full) && full.Expected:
+		return &stmt.Error{Code: stmt.CodeTooMany, Detail: "queue is too long", Overloaded: true}
 	case asFull(err, &full):
 		return &stmt.Error{Code: stmt.CodeTooMany, Detail: "no free connection in time"}
 	case errors.As(err, &refusal) && refusal.Code.NotRun():
--- a/internal/proxy/hop/client.go
+++ b/internal/proxy/hop/client.go
@@ -159,9 +159,10 @@
 	Endpoint string
 	Priority int32
 	Needs    pool.Needs
-	// WaitDeadline bounds the wait for a connection. Deadline is the statement's and bounds
+	// WaitDeadline bounds the wait for a connection. A carrier refuses the request at once if
+	// its turn would most likely not come by TurnBy. Deadline is the statement's and bounds
 	// the carrier's work on the session state.
-	WaitDeadline, Deadline time.Time
+	TurnBy, WaitDeadline, Deadline time.Time
 	// Idempotent is set when the statements of the loan may run twice. The client then
 	// gives up a statement as soon as the carrier's keepalives stop. Otherwise it waits for
 	// the answer until the statement's deadline.
@@ -173,7 +174,7 @@
 func (c *Client) Borrow(carrier string, r BorrowRequest) (*pool.Conn, error) {
 	request := &carrypb.Request{Kind: &carrypb.Request_Borrow{Borrow: &carrypb.Borrow{
 		EndpointId: r.Endpoint, Priority: r.Priority,
-		HoldMs: ceilMillis(time.Until(r.WaitDeadline)), LeftMs: ceilMillis(time.Until(r.Deadline)),
+		TurnMs: ceilMillis(time.Until(r.TurnBy)), HoldMs: ceilMillis(time.Until(r.WaitDeadline)), LeftMs: ceilMillis(time.Until(r.Deadline)),
 		Values: encodeValues(r.Needs.Values),
 	}}}
 	if shape := r.Needs.Shape; shape != nil {
@@ -254,6 +255,8 @@
 	switch m.Reason {
 	case carrypb.Reason_REASON_FULL:
 		return &pool.FullError{Endpoint: endpoint}
+	case carrypb.Reason_REASON_QUEUE_TOO_LONG:
+		return &pool.FullError{Endpoint: endpoint, Expected: true}
 	case carrypb.Reason_REASON_DOWN:
 		return &pool.DownError{Endpoint: endpoint}
 	case carrypb.Reason_REASON_ENDPOINT:
--- a/internal/proxy/hop/server.go
+++ b/internal/proxy/hop/server.go
@@ -226,6 +226,7 @@
 	now := time.Now()
 	r := BorrowRequest{
 		Endpoint: m.EndpointId, Priority: m.Priority, Needs: pool.Needs{Values: decodeValues(m.Values)},
+		TurnBy:       now.Add(time.Duration(m.TurnMs) * time.Millisecond),
 		WaitDeadline: now.Add(time.Duration(m.HoldMs) * time.Millisecond),
 		Deadline:     now.Add(time.Duration(m.LeftMs) * time.Millisecond),
 	}
@@ -259,6 +260,8 @@
 	var notLent *NotLentError
 	var endpointErr *stmt.Error
 	switch {
+	case errors.As(err, &full) && full.Expected:
+		return refusedResponse(carrypb.Reason_REASON_QUEUE_TOO_LONG, 0, "")
 	case errors.As(err, &full):
 		return refusedResponse(carrypb.Reason_REASON_FULL, 0, "")
 	case errors.As(err, &endpointErr):
--- a/internal/proxy/lend.go
+++ b/internal/proxy/lend.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return nil, &hop.NotLentError{Detail: "endpoint is not known"}
 	}
-	c, err := t.pool.local.Get(r.WaitDeadline, r.Priority, r.Needs)
+	c, err := t.pool.local.GetInTime(r.TurnBy, r.WaitDeadline, r.Priority, r.Needs)
 	if err != nil {
 		s.failed(t, err)
 		return nil, err
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -85,6 +85,14 @@
 	// it.
 	idleSince  time.Time
 	acquiredAt time.Time
+	// pool is the pool that the connection belongs to; nil for a borrowed one.
+	pool *Pool
+	// isRunning is set while the connection counts as running a statement: from Get to Put,
+	// except between the statements of a transaction. runningSince is when that began, and
+	// ranFor the time spent so since Get. Only the connection's user reads and writes them.
+	isRunning    bool
+	runningSince time.Time
+	ranFor       time.Duration
 }
 
 // Pool holds connections to one endpoint. It is safe for concurrent use.
@@ -106,9 +114,13 @@
 	// opened.
 	open    int
 	dialing int
-	// share, maxOpen and isCarried are the fields of Share; share is its KeepOpen.
+	// running counts the connections that run a statement or are being opened for one.
+	running int
+	// share, maxOpen, maxRunning and isCarried are the fields of Share; share is its
+	// KeepOpen.
 	share       int
 	maxOpen     int
+	maxRunning  int
 	isCarried   bool
 	isClosed    bool
 	waiters     []*waiter
@@ -133,7 +145,8 @@
 	knownPos logpos.Pos
 	// avgStatementTime is the moving average of statement times; 0 when not measured.
 	avgStatementTime time.Duration
-	// avgHoldTime is the moving average of the time from Get to Put; 0 when not measured.
+	// avgHoldTime is the moving average of the time from Get to Put without the pauses of
+	// transactions; 0 when not measured.
 	avgHoldTime time.Duration
 }
 
@@ -160,7 +173,9 @@
 // New returns a pool without connections. onProbeFailed is called, without a lock held,
 // after each failed probe of an endpoint that is down.
 func New(endpoint stmt.Endpoint, dialer stmt.Dialer, share Share, onProbeFailed func(error)) *Pool {
-	return &Pool{Endpoint: endpoint, dialer: dialer, share: share.KeepOpen, maxOpen: share.MaxOpen, isCarried: share.IsCarried, onProbeFailed: onProbeFailed}
+	p := &Pool{Endpoint: endpoint, dialer: dialer, onProbeFailed: onProbeFailed}
+	p.SetShare(share)
+	return p
 }
 
 // Share is a daemon's share of an endpoint's connections.
@@ -176,13 +191,25 @@
 	// bounds the endpoint's queue. Backing off after a slow answer would leave the endpoint
 	// idle.
 	IsCarried bool
+	// MaxRunning is how many statements may be at the endpoint at once, besides those of
+	// transactions that have begun; 0 means any number. With no more than the endpoint has
+	// slots, statements wait here in order of priority and not at the endpoint.
+	MaxRunning int
 }
 
 // FullError reports that no connection became free by the deadline, or that the wait would
-// most likely exceed it.
-type FullError struct{ Endpoint string }
+// most likely be too long.
+type FullError struct {
+	Endpoint string
+	// Expected is set if the statement was refused at once because of the expected wait. An
+	// early retry would be refused as well.
+	Expected bool
+}
 
 func (e *FullError) Error() string {
+	if e.Expected {
+		return fmt.Sprintf("queue of %s is too long", e.Endpoint)
+	}
 	return fmt.Sprintf("no free connection to %s in time", e.Endpoint)
 }
 
@@ -200,7 +227,7 @@
 func (p *Pool) SetShare(share Share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share, p.maxOpen, p.isCarried = share.KeepOpen, share.MaxOpen, share.IsCarried
+	p.share, p.maxOpen, p.maxRunning, p.isCarried = share.KeepOpen, share.MaxOpen, share.MaxRunning, share.IsCarried
 	for p.open > p.maxOpen && len(p.idle) > 0 {
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
@@ -213,23 +240,30 @@
 // *FullError, *ClosedError, *DownError, *stmt.RefusedError while the endpoint is busy, and
 // the dialer's errors.
 func (p *Pool) Get(deadline time.Time, priority int32, needs Needs) (*Conn, error) {
+	return p.GetInTime(deadline, deadline, priority, needs)
+}
+
+// GetInTime returns a connection as Get does. Where connections are carried, it fails at
+// once if the statement's turn would most likely not come by turnBy.
+func (p *Pool) GetInTime(turnBy, deadline time.Time, priority int32, needs Needs) (*Conn, error) {
 	p.inFlight.Add(1)
-	c, err := p.acquire(deadline, priority, needs)
+	c, err := p.acquire(turnBy, deadline, priority, needs)
 	if err != nil {
 		p.inFlight.Add(-1)
 		return nil, err
 	}
 	c.acquiredAt = time.Now()
+	c.isRunning, c.runningSince, c.ranFor = true, c.acquiredAt, 0
 	return c, nil
 }
 
-func (p *Pool) acquire(deadline time.Time, priority int32, needs Needs) (*Conn, error) {
+func (p *Pool) acquire(turnBy, deadline time.Time, priority int32, needs Needs) (*Conn, error) {
 	p.mu.Lock()
 	p.lastArrival++
 	key := queueKey{priority: priority, arrival: p.lastArrival}
 	p.mu.Unlock()
 	for {
-		c, wait, err := p.tryAcquire(key, needs, deadline)
+		c, wait, err := p.tryAcquire(key, needs, turnBy)
 		if c != nil || err != nil {
 			return c, err
 		}
@@ -240,12 +274,14 @@
 		if c != nil || err != nil {
 			return c, err
 		}
+		// A statement that has waited keeps its place as long as it may still be served.
+		turnBy = deadline
 	}
 }
 
 // tryAcquire returns an idle connection or a place in the queue. It returns neither when
-// acquire should dial; open and dialing then already count that connection.
-func (p *Pool) tryAcquire(key queueKey, needs Needs, deadline time.Time) (*Conn, *waiter, error) {
+// acquire should dial; open, dialing and running then already count that connection.
+func (p *Pool) tryAcquire(key queueKey, needs Needs, turnBy time.Time) (*Conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isClosed {
@@ -256,8 +292,8 @@
 	}
 	p.closeExpired()
 	isBehind := len(p.waiters) > 0 && p.waiters[0].before(key)
-	if isBehind || time.Now().Before(p.busyUntil) {
-		return p.enqueueOrRefuse(key, deadline)
+	if isBehind || !p.mayRun() || time.Now().Before(p.busyUntil) {
+		return p.enqueueOrRefuse(key, turnBy)
 	}
 	best, bestScore := -1, -1
 	for i, c := range p.idle {
@@ -268,24 +304,33 @@
 	if best >= 0 {
 		c := p.idle[best]
 		p.idle = slices.Delete(p.idle, best, best+1)
+		p.running++
 		return c, nil, nil
 	}
 	if p.mayDial(time.Now()) {
 		p.open++
 		p.dialing++
+		p.running++
 		return nil, nil, nil
 	}
-	return p.enqueueOrRefuse(key, deadline)
+	return p.enqueueOrRefuse(key, turnBy)
 }
 
+// mayRun reports whether another statement may be put to the endpoint. mu must be held.
+func (p *Pool) mayRun() bool { return p.maxRunning == 0 || p.running < p.maxRunning }
+
 // enqueueOrRefuse returns a place in the queue, or a *FullError when the statement's turn
-// would not come in time. mu must be held.
-func (p *Pool) enqueueOrRefuse(key queueKey, deadline time.Time) (*Conn, *waiter, error) {
+// would most likely not come by turnBy. mu must be held.
+func (p *Pool) enqueueOrRefuse(key queueKey, turnBy time.Time) (*Conn, *waiter, error) {
+	conns := p.open - p.dialing
+	if p.maxRunning > 0 {
+		conns = min(conns, p.maxRunning)
+	}
 	// Only a carrier can estimate the wait. An entry that opens its own connections
 	// sees a small part of the queue.
-	q := Queue{Ahead: p.countAhead(key), Conns: p.open - p.dialing, AvgHoldTime: p.avgHoldTime}
-	if p.isCarried && q.WaitExceeds(time.Until(deadline)) {
-		return nil, nil, &FullError{Endpoint: p.Endpoint.ID}
+	q := Queue{Ahead: p.countAhead(key), Conns: conns, AvgHoldTime: p.avgHoldTime}
+	if p.isCarried && q.WaitExceeds(time.Until(turnBy)) {
+		return nil, nil, &FullError{Endpoint: p.Endpoint.ID, Expected: true}
 	}
 	return nil, p.enqueue(key), nil
 }
@@ -429,12 +474,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	if err != nil {
+		p.running--
+	}
 	if time.Since(started) > slowDialThreshold {
 		p.slowDialUntil = time.Now().Add(slowDialBackoff)
 	}
 	if err == nil {
 		p.wakeNext()
-		return NewConn(raw), nil
+		c := NewConn(raw)
+		c.pool, c.isRunning = p, true
+		return c, nil
 	}
 	p.open--
 	if isFull {
@@ -467,17 +517,19 @@
 	p.inFlight.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if holdTime := time.Since(c.acquiredAt); !c.acquiredAt.IsZero() {
-		p.avgHoldTime += (holdTime - p.avgHoldTime) / averageDivisor
+	p.stopRunning(c)
+	if !c.acquiredAt.IsZero() {
+		p.avgHoldTime += (c.ranFor - p.avgHoldTime) / averageDivisor
 	}
 	if p.isClosed || p.open > p.maxOpen {
 		c.Close()
 		p.open--
 		return
 	}
-	if len(p.waiters) > 0 && time.Now().After(p.busyUntil) {
+	if len(p.waiters) > 0 && p.mayRun() && time.Now().After(p.busyUntil) {
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
+		p.running++
 		w.ready <- c
 		return
 	}
@@ -500,6 +552,7 @@
 	c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stopRunning(c)
 	p.open--
 	p.wakeNext()
 }
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -134,7 +134,7 @@
 			}
 			last = reply.Err
 		}
-		if !r.mayRetry() || !server.shouldAwaitPrimary(r.route.Service, r.arrivedAt) {
+		if last.Overloaded || !r.mayRetry() || !server.shouldAwaitPrimary(r.route.Service, r.arrivedAt) {
 			return r.failed(last)
 		}
 	}
@@ -312,19 +312,27 @@
 	}
 }
 
-// readOnce tries each endpoint at most once. done is false if the read may be retried.
+// readOnce tries each endpoint at most once. done is false if the read may be retried. If an
+// endpoint's queue is too long and no other can answer, the read is refused.
 func (r *request) readOnce(floor logpos.Pos) (reply stmt.Reply, done bool) {
 	clear(r.tried)
 	reply = r.failed(&stmt.Error{Code: stmt.CodeBusy, Detail: "no endpoint can be asked"})
+	var overloaded *stmt.Error
 	for {
 		t, ok := r.ss.server.chooseTarget(r.route.Service, floor, r.tried)
-		if !ok {
+		switch {
+		case !ok && overloaded != nil:
+			return r.failed(overloaded), true
+		case !ok:
 			return reply, false
 		}
 		reply, done = r.hedgedRead(t, floor)
 		if done || !r.mayRetry() {
 			return reply, done
 		}
+		if reply.Err.Overloaded {
+			overloaded = reply.Err
+		}
 	}
 }
 
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -107,7 +107,7 @@
 		src.recordLoan(name, err)
 		return c, err
 	}
-	return src.local.Get(r.WaitDeadline, r.Priority, r.Needs)
+	return src.local.GetInTime(r.TurnBy, r.WaitDeadline, r.Priority, r.Needs)
 }
 
 // loanOutcome returns the metric label for the outcome of a loan request.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -133,11 +133,19 @@
 	deadline := ss.deadline(tx.route, arrival)
 	tried := make(map[string]bool)
 	backoffs := 0
+	var overloaded *stmt.Error
 	for {
 		refusal := ss.tryStart(r, tried, waitDeadline, deadline)
 		if refusal == nil || refusal.Code == stmt.CodeFailed || refusal.Code == stmt.CodeTimeout {
 			return refusal
 		}
+		if refusal.Overloaded {
+			overloaded = refusal
+		}
+		// A read-only transaction may start at another endpoint.
+		if overloaded != nil && (!tx.isReadOnly() || len(tried) == 0) {
+			return overloaded
+		}
 		if !time.Now().Before(waitDeadline) || ss.server.isIsolated() {
 			return refusal
 		}
--- a/internal/shared/stmt/stmt.go
+++ b/internal/shared/stmt/stmt.go
@@ -120,6 +120,9 @@
 	Code Code
 	// Detail is an explanation in one line.
 	Detail string
+	// Overloaded is set on a refusal because of a long queue. An early retry would be refused
+	// as well. It does not travel over a wire.
+	Overloaded bool
 }
 
 func (e *Error) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Detail) }
