control: a newcomer takes the place of a voter that is silent

Cause: a newcomer that replaces a lost VM became an additional voter.

Change: while a voter is silent, a learner that has caught up waits; after 3 s the silent voter is removed and the learner takes its place. No voter is removed for silence alone. A voter counts as silent as well until it has replied to a new leader: otherwise a learner that catches up right after an election is let in at once.

Left: a planned replacement (newcomer first) still ends with four voters of which one is gone; a replaced VM that returns stays outside until its disk is empty.

--- a/internal/controlgroup/agree/change.go
+++ b/internal/controlgroup/agree/change.go
@@ -75,9 +75,16 @@
 	return nil
 }
 
+// minVotersToReplace is the number of voters from which a silent voter is replaced. A
+// smaller group is still being founded and needs every member.
+const minVotersToReplace = 3
+
 // maybePromoteLearner takes the next step to promote a learner that holds every
 // committed entry. A voter of the same name is a former incarnation whose disk
 // is lost, so it is removed first; a later call makes the learner a voter.
+// Likewise, the learner takes the place of a voter that has been silent for
+// ReplaceSilentTicks. As an additional voter it would raise the size of a majority,
+// and the group would bear no further loss.
 func (n *Node) maybePromoteLearner() {
 	if n.role != Leader || n.log.commit < n.termStart {
 		return
@@ -97,6 +104,14 @@
 			}))
 			return
 		}
+		if silent := n.silentVoter(); silent != (ID{}) && n.cfg.ReplaceSilentTicks > 0 && len(Voters(m)) >= minVotersToReplace {
+			if n.progress[silent].ticksSinceReply >= n.cfg.ReplaceSilentTicks {
+				_ = n.appendMembership(silent.Name, withoutMembers(m, func(other *agreepb.Member) bool {
+					return IDOf(other.Id) == silent
+				}))
+			}
+			return
+		}
 		if len(Voters(m)) >= MaxVoters {
 			continue
 		}
@@ -105,6 +120,24 @@
 	}
 }
 
+// silentVoter returns the voter that has not replied for the longest time, among those
+// that missed a heartbeat or have not replied to this leader at all; the zero ID if
+// there is none.
+func (n *Node) silentVoter() ID {
+	var silent ID
+	longest := -1
+	for _, id := range n.voters() {
+		p := n.progress[id]
+		if id == n.cfg.Self || p == nil || p.hasReplied && p.ticksSinceReply < 2*n.cfg.HeartbeatTicks {
+			continue
+		}
+		if p.ticksSinceReply > longest {
+			silent, longest = id, p.ticksSinceReply
+		}
+	}
+	return silent
+}
+
 // isCaughtUp reports whether a member answered recently and holds every
 // committed entry.
 func (n *Node) isCaughtUp(id ID) bool {
--- a/internal/controlgroup/agree/leader.go
+++ b/internal/controlgroup/agree/leader.go
@@ -188,6 +188,7 @@
 		return
 	}
 	p.ticksSinceReply = 0
+	p.hasReplied = true
 	p.readRound = max(p.readRound, m.Round)
 	n.confirmReads()
 	if m.Refused {
--- a/internal/controlgroup/agree/progress.go
+++ b/internal/controlgroup/agree/progress.go
@@ -25,6 +25,8 @@
 	inflight int
 	// ticksSinceReply counts ticks since the member's last reply.
 	ticksSinceReply int
+	// hasReplied is set once the member has replied to this leader.
+	hasReplied bool
 	// readRound is the newest read round that the member has confirmed.
 	readRound uint64
 	// heartbeatsSinceSnapshot counts heartbeats since the snapshot was sent.
--- a/internal/controlgroup/agree/types.go
+++ b/internal/controlgroup/agree/types.go
@@ -97,6 +97,9 @@
 	ElectionTicks int
 	// HeartbeatTicks is the number of ticks between heartbeats.
 	HeartbeatTicks int
+	// ReplaceSilentTicks is the number of ticks without a reply after which a learner that
+	// has caught up takes the place of a voter; 0 means that none does.
+	ReplaceSilentTicks int
 	// Rand returns a random number in [0, n). Step, Tick and New call it.
 	Rand func(n int) int
 }
--- a/internal/controlgroup/control/control.go
+++ b/internal/controlgroup/control/control.go
@@ -87,6 +87,8 @@
 	ElectionTicks  int
 	HeartbeatTicks int
 	CompactBytes   int64
+	// ReplaceSilentTicks is as in agree.Config.
+	ReplaceSilentTicks int
 }
 
 // Status is a snapshot of a member's state.
@@ -211,6 +213,7 @@
 	c.node, err = agree.New(agree.Config{
 		Self: c.id, Group: c.group, Rand: c.cfg.Rand,
 		ElectionTicks: c.cfg.ElectionTicks, HeartbeatTicks: c.cfg.HeartbeatTicks,
+		ReplaceSilentTicks: c.cfg.ReplaceSilentTicks,
 	}, content.State)
 	return err
 }
--- a/internal/controlgroup/control/control_test.go
+++ b/internal/controlgroup/control/control_test.go
@@ -121,20 +121,24 @@
 	name, address, dir string
 	fs                 *fullFS
 	isolated           atomic.Bool
-	machine            *journal
-	control            *Control
-	stop               func()
+	// joinsLater is set for a member that no other one's settings name.
+	joinsLater bool
+	machine    *journal
+	control    *Control
+	stop       func()
 }
 
 type group struct {
-	t               testing.TB
-	members         []*member
-	compactBytes    int64
-	tick            time.Duration
-	machineOverride StateMachine              // in place of a journal, when set
-	sent            atomic.Int64              // bytes of deliveries, before they are merged
-	wrapTransport   func(Transport) Transport // around each member's transport, when set
-	clock           groupClock
+	t            testing.TB
+	members      []*member
+	compactBytes int64
+	// replaceSilentTicks is as in Config.
+	replaceSilentTicks int
+	tick               time.Duration
+	machineOverride    StateMachine              // in place of a journal, when set
+	sent               atomic.Int64              // bytes of deliveries, before they are merged
+	wrapTransport      func(Transport) Transport // around each member's transport, when set
+	clock              groupClock
 }
 
 func newGroup(t testing.TB, names ...string) *group {
@@ -178,7 +182,9 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	var peers []Peer
 	for _, p := range g.members {
-		peers = append(peers, Peer{Name: p.name, Address: p.address})
+		if !p.joinsLater {
+			peers = append(peers, Peer{Name: p.name, Address: p.address})
+		}
 	}
 	ticks, stopTicks := g.clock.join(g.tick)
 	m.machine = &journal{}
@@ -194,7 +200,7 @@
 		Name: m.name, Address: m.address, Peers: peers, FS: m.fs, Dir: m.dir,
 		Machine: machine, Transport: transport,
 		Ticks: ticks, Rand: rand.IntN, NewID: rand.Uint64, Log: logr.Discard(),
-		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compactBytes,
+		ElectionTicks: 20, HeartbeatTicks: 4, CompactBytes: g.compactBytes, ReplaceSilentTicks: g.replaceSilentTicks,
 	})
 	assert.NilError(g.t, err)
 	listener, err := net.Listen("tcp", m.address)
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -39,6 +39,9 @@
 	tick           = 50 * time.Millisecond
 	heartbeatTicks = 4
 	electionTicks  = 9
+	// replaceSilentTicks are 3 s: longer than a restart, and shorter than the time for which
+	// a VM that replaces a lost one still counts as lost.
+	replaceSilentTicks = 60
 	// proposeTimeout bounds one proposal. Operators repeat a request after a second.
 	proposeTimeout = 900 * time.Millisecond
 	// barrierTimeout bounds a linearizable read of the configuration.
@@ -113,7 +116,7 @@
 		FS: agreelog.OS{}, Dir: filepath.Join(cfg.DataFolder, logFolder),
 		Machine: n.machine, Transport: control.NewTwirpTransport(ctx, fleetrpc.NewHTTPClient(), "http"),
 		Ticks: n.ticker.C, Rand: mathrand.IntN, NewID: control.RandomID, Log: cfg.Log,
-		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, ReplaceSilentTicks: replaceSilentTicks,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/proxy/assignment.go
+++ b/internal/proxy/assignment.go
@@ -76,7 +76,7 @@
 		return assignment{carriers: ranked, share: pool.Share{MaxOpen: minExtra, IsCarried: true}}
 	}
 	keep := carrier.Share(limit, snapshot.DomainCount)
-	return assignment{carriers: ranked, share: pool.Share{KeepOpen: keep, MaxOpen: 2 * keep, IsCarried: true, MaxRunning: int(e.Slots)}}
+	return assignment{carriers: ranked, share: pool.Share{KeepOpen: keep, MaxOpen: 2 * keep, IsCarried: true, Slots: int(e.Slots)}}
 }
 
 // assignHome returns the assignment of an endpoint whose connections are lent by the given
@@ -89,7 +89,7 @@
 	if slices.Contains(carriers, a.self) {
 		as.share.KeepOpen = carrier.HomeShare(limit, len(carriers))
 		as.share.MaxOpen = as.share.KeepOpen
-		as.share.MaxRunning = int(e.Slots)
+		as.share.Slots = int(e.Slots)
 	}
 	return as
 }
--- a/internal/proxy/pool/overload_test.go
+++ b/internal/proxy/pool/overload_test.go
@@ -42,7 +42,7 @@
 	e := &endpoint{limit: int64(o.carriers * o.conns), slots: make(chan struct{}, o.slots)}
 	var pools []*Pool
 	for range o.carriers {
-		pools = append(pools, newPool(e, Share{KeepOpen: o.conns, MaxOpen: o.conns, IsCarried: true, MaxRunning: o.slots}))
+		pools = append(pools, newPool(e, Share{KeepOpen: o.conns, MaxOpen: o.conns, IsCarried: true, Slots: o.slots}))
 	}
 	var wg sync.WaitGroup
 	var list []*operation
@@ -150,7 +150,7 @@
 // TestPausedTransactionsLeaveSlots holds transactions open that pause between statements:
 // they must not keep other statements from the endpoint's slots.
 func TestPausedTransactionsLeaveSlots(t *testing.T) {
-	p := newPool(&endpoint{limit: 20}, Share{KeepOpen: 10, MaxOpen: 10, IsCarried: true, MaxRunning: 2})
+	p := newPool(&endpoint{limit: 20}, Share{KeepOpen: 10, MaxOpen: 10, IsCarried: true, Slots: 2})
 	for range 4 {
 		c, err := p.Get(time.Now().Add(time.Second), 0, anyState)
 		assert.NilError(t, err)
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -93,6 +93,8 @@
 	isRunning    bool
 	runningSince time.Time
 	ranFor       time.Duration
+	// atEndpoint is the time since Get in which the endpoint had a statement.
+	atEndpoint time.Duration
 }
 
 // Pool holds connections to one endpoint. It is safe for concurrent use.
@@ -116,11 +118,10 @@
 	dialing int
 	// running counts the connections that run a statement or are being opened for one.
 	running int
-	// share, maxOpen, maxRunning and isCarried are the fields of Share; share is its
-	// KeepOpen.
+	// share, maxOpen, slots and isCarried are the fields of Share; share is its KeepOpen.
 	share       int
 	maxOpen     int
-	maxRunning  int
+	slots       int
 	isCarried   bool
 	isClosed    bool
 	waiters     []*waiter
@@ -146,8 +147,10 @@
 	// avgStatementTime is the moving average of statement times; 0 when not measured.
 	avgStatementTime time.Duration
 	// avgHoldTime is the moving average of the time from Get to Put without the pauses of
-	// transactions; 0 when not measured.
-	avgHoldTime time.Duration
+	// transactions; 0 when not measured. avgAtEndpoint is that of the part of it in which the
+	// endpoint had a statement.
+	avgHoldTime   time.Duration
+	avgAtEndpoint time.Duration
 }
 
 // queueKey orders the statements that wait: by priority, lowest first, then by arrival.
@@ -191,10 +194,10 @@
 	// bounds the endpoint's queue. Backing off after a slow answer would leave the endpoint
 	// idle.
 	IsCarried bool
-	// MaxRunning is how many statements may be at the endpoint at once, besides those of
+	// Slots is how many statements may be at the endpoint at once, besides those of
 	// transactions that have begun; 0 means any number. With no more than the endpoint has
 	// slots, statements wait here in order of priority and not at the endpoint.
-	MaxRunning int
+	Slots int
 }
 
 // FullError reports that no connection became free by the deadline, or that the wait would
@@ -227,7 +230,7 @@
 func (p *Pool) SetShare(share Share) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share, p.maxOpen, p.maxRunning, p.isCarried = share.KeepOpen, share.MaxOpen, share.MaxRunning, share.IsCarried
+	p.share, p.maxOpen, p.slots, p.isCarried = share.KeepOpen, share.MaxOpen, share.Slots, share.IsCarried
 	for p.open > p.maxOpen && len(p.idle) > 0 {
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
@@ -253,7 +256,7 @@
 		return nil, err
 	}
 	c.acquiredAt = time.Now()
-	c.isRunning, c.runningSince, c.ranFor = true, c.acquiredAt, 0
+	c.isRunning, c.runningSince, c.ranFor, c.atEndpoint = true, c.acquiredAt, 0, 0
 	return c, nil
 }
 
@@ -316,15 +319,12 @@
 	return p.enqueueOrRefuse(key, turnBy)
 }
 
-// mayRun reports whether another statement may be put to the endpoint. mu must be held.
-func (p *Pool) mayRun() bool { return p.maxRunning == 0 || p.running < p.maxRunning }
-
 // enqueueOrRefuse returns a place in the queue, or a *FullError when the statement's turn
 // would most likely not come by turnBy. mu must be held.
 func (p *Pool) enqueueOrRefuse(key queueKey, turnBy time.Time) (*Conn, *waiter, error) {
 	conns := p.open - p.dialing
-	if p.maxRunning > 0 {
-		conns = min(conns, p.maxRunning)
+	if p.slots > 0 {
+		conns = min(conns, p.maxRunning())
 	}
 	// Only a carrier can estimate the wait. An entry that opens its own connections
 	// sees a small part of the queue.
@@ -520,6 +520,7 @@
 	p.stopRunning(c)
 	if !c.acquiredAt.IsZero() {
 		p.avgHoldTime += (c.ranFor - p.avgHoldTime) / averageDivisor
+		p.avgAtEndpoint += (c.atEndpoint - p.avgAtEndpoint) / averageDivisor
 	}
 	if p.isClosed || p.open > p.maxOpen {
 		c.Close()
