--- a/internal/proxy/pool/overload_test.go
+++ b/internal/proxy/pool/overload_test.go
@@ -167,3 +167,50 @@
 	p.Discard(d)
 	assert.Equal(t, p.running, 0)
 }
+
+// TestCarrierReopensItsShare resets a carrier's connections while the endpoint is so busy
+// that dials are slow. The carrier must open its share again within a second, and other
+// daemons' pools must not.
+func TestCarrierReopensItsShare(t *testing.T) {
+	for _, isCarried := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &endpoint{limit: 40, slots: make(chan struct{}, 3)}
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			for range 12 {
+				wg.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+							e.occupy(18 * time.Millisecond)
+						}
+					}
+				})
+			}
+			p := newPool(e, Share{KeepOpen: 10, MaxOpen: 10, IsCarried: isCarried, Slots: 3})
+			for range 20 {
+				wg.Go(func() {
+					c, err := p.Get(time.Now().Add(900*time.Millisecond), 0, anyState)
+					if err != nil {
+						return
+					}
+					p.pauseRunning(c)
+					time.Sleep(time.Second)
+					p.Put(c)
+				})
+			}
+			time.Sleep(990 * time.Millisecond)
+			open := e.open.Load()
+			close(stop)
+			wg.Wait()
+			if isCarried {
+				assert.Check(t, open >= 8, "%d connections open", open)
+			} else {
+				assert.Check(t, open <= 3, "%d connections open", open)
+			}
+			p.Close()
+		})
+	}
+}
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -351,10 +351,12 @@
 		return false
 	}
 	isFirst := p.open == p.dialing
-	if isFirst {
+	isSlow := now.Before(p.slowDialUntil)
+	if isFirst || isSlow && p.isCarried && p.open < p.share {
+		// A carrier holds its share for seconds or longer, so a slow dial is worth the wait.
 		return p.dialing == 0
 	}
-	return now.After(p.slowDialUntil)
+	return !isSlow
 }
 
 // enqueue inserts a waiter in order. A statement that waits again keeps its position.
