--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -39,9 +39,6 @@
 	// decide from with many.
 	minCarriers = 2
 	maxCarriers = 4
-	// loadSlackPercent is how much more than the average an entry may carry in mode Home.
-	// Without slack, nearly every endpoint gets other carriers when one entry leaves.
-	loadSlackPercent = 25
 )
 
 // Mode is who holds the connections to the endpoints of a service.
@@ -105,25 +102,21 @@
 	Limit int
 }
 
-// Deal returns the carriers of each endpoint of a failure domain in mode Home. It bounds
-// how many endpoints an entry carries, because its link and processor bear few: by
-// loadSlackPercent above the average, rounded up, and by one more where that leaves too few
-// entries. When an entry or an endpoint joins or leaves, few others move.
+// Deal returns the carriers of each endpoint of a failure domain in mode Home: those that
+// carry the fewest endpoints so far, and among those the first by rendezvous hashing. The
+// entries carry equally many, to within one, because a carrier's link and processor bear
+// few. When an entry or an endpoint joins or leaves, few others move.
 func Deal(endpoints []Endpoint, entries []string) map[string][]string {
 	if len(entries) == 0 || len(endpoints) == 0 {
 		return nil
 	}
 	sorted := slices.SortedFunc(slices.Values(endpoints), func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	total := 0
-	for _, e := range sorted {
-		total += carrierCount(e.Limit, len(sorted), len(entries))
-	}
-	maxLoad := (total*(100+loadSlackPercent) + 100*len(entries) - 1) / (100 * len(entries))
 	load := make(map[string]int, len(entries))
 	dealt := make(map[string][]string, len(sorted))
 	for _, e := range sorted {
-		count := carrierCount(e.Limit, len(sorted), len(entries))
-		dealt[e.ID] = leastLoaded(Rank(e.ID, entries), load, maxLoad, count)
+		ranked := Rank(e.ID, entries)
+		slices.SortStableFunc(ranked, func(a, b string) int { return cmp.Compare(load[a], load[b]) })
+		dealt[e.ID] = ranked[:carrierCount(e.Limit, len(sorted), len(entries))]
 		for _, name := range dealt[e.ID] {
 			load[name]++
 		}
@@ -139,20 +132,6 @@
 	return min(max(min(perEndpoint, most), minCarriers), entries)
 }
 
-// leastLoaded returns the first count entries that carry less than maxLoad endpoints,
-// followed by the first others if those are too few.
-func leastLoaded(ranked []string, load map[string]int, maxLoad, count int) []string {
-	chosen := make([]string, 0, count)
-	for _, isSpare := range []bool{true, false} {
-		for _, name := range ranked {
-			if len(chosen) < count && (load[name] < maxLoad) == isSpare {
-				chosen = append(chosen, name)
-			}
-		}
-	}
-	return chosen
-}
-
 // Order returns an endpoint's carriers in mode Home in the order in which the entry self
 // asks them. A carrier uses its own connections; the others spread evenly.
 func Order(carriers []string, self string) []string {
--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -64,10 +64,10 @@
 	return list
 }
 
-// TestDealIsBounded checks, at the sizes of failure domains from 1 to 100 entries, that
-// endpoints get different carriers, that their shares fit the limit, and that no entry
-// carries many more endpoints than another.
-func TestDealIsBounded(t *testing.T) {
+// TestDealIsEven checks, at the sizes of failure domains from 1 to 100 entries, that
+// endpoints get different carriers, that their shares fit the limit, and that the
+// entries carry equally many endpoints.
+func TestDealIsEven(t *testing.T) {
 	for _, row := range []struct{ limit, endpoints, entries, carriers int }{
 		{35, 8, 24, 3}, {35, 8, 27, 3}, {51, 9, 21, 2}, {117, 133, 100, 2}, {35, 1, 24, 4},
 		{35, 8, 1, 1}, {35, 8, 2, 2}, {19, 8, 80, 2},
@@ -83,9 +83,9 @@
 			}
 			assert.Equal(t, len(distinct), len(carriers))
 		}
-		bound := (row.endpoints*row.carriers*5+4*row.entries-1)/(4*row.entries) + 1
+		most := (row.endpoints*row.carriers + row.entries - 1) / row.entries
 		for name, n := range load {
-			assert.Assert(t, n <= bound, "%+v: %s carries %d endpoints of at most %d", row, name, n, bound)
+			assert.Assert(t, n <= most, "%+v: %s carries %d endpoints", row, name, n)
 		}
 	}
 	assert.Equal(t, len(Deal(endpointsOf(35, 3), nil)), 0)
