control: operators see how many further losses the control group bears

A gauge at the leader, a column of hemlockctl fleet, and log lines when the number falls to 0 (with the silent voters) and rises again.

--- a/internal/cli/fleet/fleet.go
+++ b/internal/cli/fleet/fleet.go
@@ -28,6 +28,7 @@
 	termSeries          = "hemlockmast_control_term"
 	leadsSeries         = "hemlockmast_control_leads"
 	votersSeries        = "hemlockmast_control_voters"
+	lossesBorneSeries   = "hemlockmast_control_losses_borne"
 	promotionsSeries    = "hemlockmast_promotions_total"
 	requestsSeries      = "hemlockmast_requests_total"
 	refusalsSeries      = "hemlockmast_refusals_total"
@@ -74,7 +75,7 @@
 	}
 	wait.Wait()
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tPROMOTIONS\tREQUESTS\tREFUSALS")
+	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tBEARS\tPROMOTIONS\tREQUESTS\tREFUSALS")
 	var missing []string
 	for i, address := range addresses {
 		if daemons[i].err != nil {
@@ -121,8 +122,8 @@
 			role = "control, leads"
 		}
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", address, role, d.formatSum(configurationSeries), d.formatSum(termSeries),
-		d.formatSum(votersSeries), d.formatSum(promotionsSeries), d.formatSum(requestsSeries), d.formatSum(refusalsSeries))
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", address, role, d.formatSum(configurationSeries), d.formatSum(termSeries),
+		d.formatSum(votersSeries), d.formatSum(lossesBorneSeries), d.formatSum(promotionsSeries), d.formatSum(requestsSeries), d.formatSum(refusalsSeries))
 }
 
 // formatSum returns the sum of a metric over its series, or "-" if the daemon does
--- a/internal/cli/fleet/fleet_test.go
+++ b/internal/cli/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 func TestShow(t *testing.T) {
 	control := metrics.NewControl()
 	control.Member(4, true, 5, 17)
+	control.LossesBorne(1)
 	control.Promoted("leaving", time.Second, nil)
 	control.Promoted("gone", time.Second, nil)
 	entry := metrics.New()
@@ -38,7 +39,7 @@
 	assert.DeepEqual(t, missing.Addresses, addresses[2:])
 	lines := strings.Split(out.String(), "\n")
 	fields := func(i int) string { return strings.Join(strings.Fields(lines[i])[1:], " ") }
-	assert.Equal(t, fields(1), "control, leads 17 4 5 2 - -")
-	assert.Equal(t, fields(2), "entry 16 - - - 1 1")
+	assert.Equal(t, fields(1), "control, leads 17 4 5 1 2 - -")
+	assert.Equal(t, fields(2), "entry 16 - - - - 1 1")
 	assert.Assert(t, strings.Contains(lines[3], "no answer"))
 }
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -148,6 +148,7 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	last := ""
+	var losses lossWatch
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,6 +169,7 @@
 			}
 			config, _ := n.machine.Configuration()
 			n.cfg.Metrics.Member(st.Term, st.Role == agree.Leader, len(agree.Voters(st.Membership)), config.GetVersion())
+			losses.update(n, st)
 			n.removeSilentVoters(ctx, st)
 		}
 	}
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -25,6 +25,9 @@
 	// with more than fullVoters voters. It is much longer than a restart or a network
 	// partition.
 	removeSilentAfter = 20 * time.Second
+	// maxVoterSilence is how long a voter may be silent before it counts as lost: longer than
+	// an election.
+	maxVoterSilence = time.Second
 	// fullVoters is the number of voters of a complete group. In a group of this size or
 	// smaller, silent voters are not removed.
 	fullVoters = 4
@@ -96,6 +99,42 @@
 	n.hub.SetRemoteEntries(address, nil)
 }
 
+// lossWatch logs when the control group stops and starts again to bear a further loss.
+type lossWatch struct{ isExposed bool }
+
+// update handles a new status of this member.
+func (l *lossWatch) update(n *Node, st control.Status) {
+	if st.Role != agree.Leader {
+		n.cfg.Metrics.LossesUnknown()
+		l.isExposed = false
+		return
+	}
+	borne, silent := lossesBorne(st)
+	n.cfg.Metrics.LossesBorne(borne)
+	isExposed := borne == 0
+	switch {
+	case isExposed && !l.isExposed:
+		n.log.Info("control group bears no further loss", "voters", len(agree.Voters(st.Membership)), "silent", silent)
+	case !isExposed && l.isExposed:
+		n.log.Info("control group bears a loss again", "voters", len(agree.Voters(st.Membership)), "losses", borne)
+	}
+	l.isExposed = isExposed
+}
+
+// lossesBorne returns, from the leader's status, how many more voters may be lost before
+// the rest is no majority, and for how long each silent voter has not replied.
+func lossesBorne(st control.Status) (losses int, silent map[string]string) {
+	voters := agree.Voters(st.Membership)
+	silent = make(map[string]string)
+	for _, id := range voters {
+		if since := time.Duration(st.TicksSinceReply[id]) * tick; id != st.Self && since > maxVoterSilence {
+			silent[id.String()] = since.String()
+		}
+	}
+	majority := len(voters)/2 + 1
+	return max(0, len(voters)-len(silent)-majority), silent
+}
+
 // removeSilentVoters removes voters whose VM was replaced: the group then has more than
 // fullVoters voters, and the former VM's voter remains silent.
 func (n *Node) removeSilentVoters(ctx context.Context, st control.Status) {
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -184,7 +184,7 @@
 		if len(d.Carriers) == 0 {
 			delete(carriers, d.FailureDomain)
 		}
-		v.log.V(1).Info("carriers known", "failureDomain", d.FailureDomain, "carriers", len(d.Carriers))
+		v.log.Info("carriers known", "failureDomain", d.FailureDomain, "carriers", len(d.Carriers))
 	}
 	v.carriers = carriers
 	return true
--- a/internal/proxy/hop/client.go
+++ b/internal/proxy/hop/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -23,8 +24,9 @@
 const (
 	// dialTimeout bounds opening a connection to a carrier.
 	dialTimeout = 250 * time.Millisecond
-	// downBackoff is how long the client skips a carrier that did not answer.
-	downBackoff = time.Second
+	// probeInterval is the time between two attempts to reach a carrier that did not answer.
+	// Probes run in the background, so that no statement waits for a carrier that is lost.
+	probeInterval = 250 * time.Millisecond
 	// maxIdleStreams bounds the idle streams kept open to one carrier. A stream idle for
 	// longer than idleTimeout is not used again.
 	maxIdleStreams = 8
@@ -45,8 +47,8 @@
 type peer struct {
 	// idle holds the idle streams, the most recently used last.
 	idle []idleStream
-	// downUntil is when the client stops skipping the carrier.
-	downUntil time.Time
+	// isDown is set from a failure until a probe was answered.
+	isDown bool
 }
 
 // idleStream is a stream without a loan.
@@ -60,12 +62,12 @@
 	return &Client{dial: dial, log: log, peers: make(map[string]*peer)}
 }
 
-// IsDown reports whether the client skips a carrier because it recently did not answer.
+// IsDown reports whether a carrier did not answer and has not been reached again yet.
 func (c *Client) IsDown(carrier string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[carrier]
-	return p != nil && time.Now().Before(p.downUntil)
+	return p != nil && p.isDown
 }
 
 // KeepOnly forgets all carriers that are not in the lists and closes the idle streams to
@@ -93,21 +95,58 @@
 	}
 }
 
-// markDown marks a carrier that did not answer as down. It closes the carrier's idle
-// streams, which are most likely broken as well.
+// markDown marks a carrier that did not answer as down and probes it until it answers. It
+// closes the carrier's idle streams, which are most likely broken as well.
 func (c *Client) markDown(carrier string, cause error) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	p := c.peer(carrier)
-	wasDown := time.Now().Before(p.downUntil)
-	p.downUntil = time.Now().Add(downBackoff)
 	closeStreams(p.idle)
 	p.idle = nil
-	c.mu.Unlock()
-	if !wasDown {
-		c.log.Info("carrier passed over", "carrier", carrier, "for", downBackoff.String(), "error", cause.Error())
+	if p.isDown {
+		return
+	}
+	p.isDown = true
+	c.log.Info("carrier down", "carrier", carrier, "error", cause.Error())
+	go c.probe(carrier, p)
+}
+
+// probe waits until a carrier answers, or until the client has forgotten it.
+func (c *Client) probe(carrier string, p *peer) {
+	start := time.Now()
+	for {
+		time.Sleep(probeInterval/2 + rand.N(probeInterval/2))
+		answers := c.answers(carrier)
+		c.mu.Lock()
+		isForgotten := c.peers[carrier] != p
+		if answers {
+			p.isDown = false
+		}
+		c.mu.Unlock()
+		if answers || isForgotten {
+			c.log.Info("carrier no longer probed", "carrier", carrier, "answers", answers, "after", time.Since(start).String())
+			return
+		}
 	}
 }
 
+// answers reports whether a carrier answers a request on a new stream.
+func (c *Client) answers(carrier string) bool {
+	s, err := c.dialStream(carrier)
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	_, err = exchange(s, probeRequest(), time.Now().Add(keepaliveTimeout))
+	return err == nil
+}
+
+// probeRequest returns a request that every carrier refuses, because no endpoint has an
+// empty id.
+func probeRequest() *carrypb.Request {
+	return &carrypb.Request{Kind: &carrypb.Request_Borrow{Borrow: &carrypb.Borrow{}}}
+}
+
 // peer returns the record of a carrier and creates it if needed. mu must be held.
 func (c *Client) peer(carrier string) *peer {
 	p := c.peers[carrier]
@@ -132,13 +171,19 @@
 		last.Close()
 	}
 	c.mu.Unlock()
+	s, err = c.dialStream(carrier)
+	return s, true, err
+}
+
+// dialStream opens a stream to a carrier.
+func (c *Client) dialStream(carrier string) (*stream, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx, "tcp", carrier)
 	if err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	return newStream(raw), true, nil
+	return newStream(raw), nil
 }
 
 // putStream keeps a stream for the next loan, or closes it if enough are idle.
--- a/internal/proxy/hop/hop_test.go
+++ b/internal/proxy/hop/hop_test.go
@@ -221,18 +221,30 @@
 	}, logr.Discard())
 }
 
-// TestSilentCarrierIsMarkedDown borrows from a carrier that never answers. The client
-// must give it up long before the deadline, and skip it for downBackoff.
+// TestSilentCarrierIsMarkedDown borrows from a carrier that does not answer. The client must
+// give it up long before the deadline, skip it as long as it is silent, and no longer once
+// it answers.
 func TestSilentCarrierIsMarkedDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		client := newPipeClient(func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+		var isBack atomic.Bool
+		client := newPipeClient(func(conn net.Conn) {
+			if isBack.Load() {
+				serveWithPause(conn)
+				return
+			}
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		defer client.KeepOnly(nil)
 		started := time.Now()
 		_, err := client.Borrow("c", newBorrowRequest(10*time.Second))
 		var unreachable *UnreachableError
 		assert.Assert(t, errors.As(err, &unreachable), "%v", err)
 		assert.Assert(t, time.Since(started) <= keepaliveTimeout)
 		assert.Assert(t, client.IsDown("c"))
-		time.Sleep(downBackoff)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, client.IsDown("c"))
+		isBack.Store(true)
+		time.Sleep(probeInterval + keepaliveTimeout)
 		assert.Assert(t, !client.IsDown("c"))
 	})
 }
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -119,6 +119,8 @@
 		return "lent"
 	case errors.As(err, &unreachable):
 		return "carrier_lost"
+	case errors.As(err, &full) && full.Expected:
+		return "queue_too_long"
 	case errors.As(err, &full):
 		return "none_free"
 	}
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -14,22 +14,28 @@
 	registry *prometheus.Registry
 
 	term, leads, voters prometheus.Gauge
-	revision            prometheus.Gauge
-	proposals           *prometheus.HistogramVec
-	promotions          *prometheus.CounterVec
-	promotionTime       prometheus.Histogram
-	reports             *prometheus.CounterVec
-	positions           *prometheus.CounterVec
+	// lossesBorne has a series only while this member leads.
+	lossesBorne   *prometheus.GaugeVec
+	revision      prometheus.Gauge
+	proposals     *prometheus.HistogramVec
+	promotions    *prometheus.CounterVec
+	promotionTime prometheus.Histogram
+	reports       *prometheus.CounterVec
+	positions     *prometheus.CounterVec
 }
 
 // NewControl returns the metrics of one control daemon, registered in their own registry.
 func NewControl() *ControlSet {
 	buckets := prometheus.ExponentialBuckets(0.001, 3, 9)
 	s := &ControlSet{
-		registry:  prometheus.NewRegistry(),
-		term:      gauge("control_term", "Term of the control group as this member knows it."),
-		leads:     gauge("control_leads", "1 while this member leads the control group."),
-		voters:    gauge("control_voters", "Members of the control group that vote."),
+		registry: prometheus.NewRegistry(),
+		term:     gauge("control_term", "Term of the control group as this member knows it."),
+		leads:    gauge("control_leads", "1 while this member leads the control group."),
+		voters:   gauge("control_voters", "Members of the control group that vote."),
+		lossesBorne: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "control_losses_borne",
+			Help: "Voters that may still be lost before the control group stops, as its leader knows it.",
+		}, nil),
 		revision:  gauge("config_revision", "Revision of the configuration agreed on."),
 		proposals: histogram("control_proposal_seconds", "Time from a proposal to its outcome.", buckets, "outcome"),
 		promotions: counter("promotions_total", "Promotions that this member attempted, by reason and outcome.",
@@ -42,7 +48,7 @@
 		Buckets: []float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30},
 	})
 	s.registry.MustRegister(
-		s.term, s.leads, s.voters, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
+		s.term, s.leads, s.voters, s.lossesBorne, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
@@ -66,6 +72,13 @@
 	s.revision.Set(float64(revision))
 }
 
+// LossesBorne records how many more voters may be lost before the control group stops. Only
+// the leader knows.
+func (s *ControlSet) LossesBorne(n int) { s.lossesBorne.WithLabelValues().Set(float64(n)) }
+
+// LossesUnknown removes what LossesBorne recorded, when this member no longer leads.
+func (s *ControlSet) LossesUnknown() { s.lossesBorne.Reset() }
+
 // outcomeLabel returns the value of an outcome label.
 func outcomeLabel(err error) string {
 	if err != nil {
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -73,6 +73,7 @@
 	s := NewControl()
 	failure := errors.New("no answer")
 	s.Member(4, true, 5, 17)
+	s.LossesBorne(2)
 	s.Proposed(2*time.Millisecond, nil)
 	s.Proposed(time.Second, failure)
 	s.Promoted("leaving", 400*time.Millisecond, nil)
@@ -84,6 +85,7 @@
 		`hemlockmast_control_term 4`,
 		`hemlockmast_control_leads 1`,
 		`hemlockmast_control_voters 5`,
+		`hemlockmast_control_losses_borne 2`,
 		`hemlockmast_config_revision 17`,
 		`hemlockmast_control_proposal_seconds_count{outcome="done"} 1`,
 		`hemlockmast_control_proposal_seconds_count{outcome="failed"} 1`,
@@ -96,5 +98,7 @@
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
 	}
 	s.Member(4, false, 5, 17)
+	s.LossesUnknown()
 	assert.Assert(t, strings.Contains(scrape(s), "hemlockmast_control_leads 0\n"))
+	assert.Assert(t, !strings.Contains(scrape(s), "hemlockmast_control_losses_borne"))
 }
