proxy: a statement's turn must be expected within an eighth of its target

Links and round trips take most of the rest of the target, and earlier attempts of the caller, which the wire does not show.

--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -44,11 +44,11 @@
 }
 
 // turnBy returns the time by which the turn of a statement that starts to wait now must be
-// expected to come: a quarter of the latency that callers of its route expect. The rest is
+// expected to come: an eighth of the latency that callers of its route expect. The rest is
 // left for the statement itself and for earlier attempts of the caller, of which this
 // daemon does not know.
 func turnBy(route *fleetpb.Route, now, waitDeadline time.Time) time.Time {
-	by := now.Add(time.Duration(route.TargetMs) * time.Millisecond / 4)
+	by := now.Add(time.Duration(route.TargetMs) * time.Millisecond / 8)
 	if route.TargetMs == 0 || waitDeadline.Before(by) {
 		return waitDeadline
 	}
