--- a/internal/proxy/carried_test.go
+++ b/internal/proxy/carried_test.go
@@ -14,6 +14,7 @@
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/proxy/carrier"
 	"hemlockmast/internal/proxy/hop"
+	"hemlockmast/internal/proxy/pool"
 	"hemlockmast/platform/standin"
 )
 
@@ -25,11 +26,25 @@
 	loanServer    *hop.Server
 	listener      net.Listener
 
-	// mu guards conns, the streams of borrowers.
+	// mu guards loanServer and conns, the streams of borrowers.
 	mu    sync.Mutex
 	conns []net.Conn
 }
 
+// fullLender is a carrier whose queue is too long for every statement.
+type fullLender struct{ hop.Lender }
+
+func (fullLender) Lend(r hop.BorrowRequest) (hop.Loan, error) {
+	return nil, &pool.FullError{Endpoint: r.Endpoint, Expected: true}
+}
+
+// fillQueue makes the entry refuse every loan because of its queue.
+func (l *lendingEntry) fillQueue() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loanServer = hop.NewServer(fullLender{l.server}, logr.Discard(), l.metrics.Fault)
+}
+
 // newLendingEntries returns n entries of one failure domain that serve one group and lend to
 // each other there.
 func newLendingEntries(t *testing.T, n int) (*standin.Group, []*lendingEntry) {
@@ -85,14 +100,20 @@
 		}
 		l.mu.Lock()
 		l.conns = append(l.conns, conn)
+		server := l.loanServer
 		l.mu.Unlock()
-		go l.loanServer.Serve(conn)
+		go server.Serve(conn)
 	}
 }
 
 // kill makes the entry unreachable for borrowers: it closes the listener and all streams.
 func (l *lendingEntry) kill() {
 	_ = l.listener.Close()
+	l.dropStreams()
+}
+
+// dropStreams closes all streams of borrowers.
+func (l *lendingEntry) dropStreams() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, conn := range l.conns {
@@ -327,3 +348,31 @@
 		assert.Assert(t, l == list[0] || l.loanServer.Loans() == 0)
 	}
 }
+
+// TestFullQueue fills the queue of the carrier that an entry asks first. Where each carrier
+// of the endpoint has a queue of its own, the next one is asked; once theirs are full as
+// well, and where the others are only successors, the statement is refused at once.
+func TestFullQueue(t *testing.T) {
+	group, list := newHomeEntries(t, 4)
+	carriers, b := homeCarriers(group, list)
+	carriers[0].fillQueue()
+	b.session("current").ok("STORE item v0")
+	for _, l := range carriers {
+		l.fillQueue()
+		l.dropStreams()
+	}
+	assertRefusedAtOnce(t, b)
+	group, list = newLendingEntries(t, 5)
+	b = borrower(group, list)
+	carrierOf(list, group.Nodes()[0].ID).fillQueue()
+	assertRefusedAtOnce(t, b)
+}
+
+// assertRefusedAtOnce checks that an entry refuses a write long before its time is over.
+func assertRefusedAtOnce(t *testing.T, l *lendingEntry) {
+	t.Helper()
+	c := l.session("current")
+	start := time.Now()
+	c.fails("STORE item v1", "TOOMANY queue is too long")
+	assert.Assert(t, time.Since(start) < 150*time.Millisecond)
+}
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -43,10 +43,10 @@
 	// mu guards the fields below; only hop.Client's lock is taken while it is held.
 	mu sync.Mutex
 	// carriers are the entries that may lend, in the order in which this daemon asks them;
-	// empty where connections are not carried. crossesDomains is set if they are in another
-	// failure domain.
+	// empty where connections are not carried. The other two fields are those of assignment.
 	carriers       []string
 	crossesDomains bool
+	isHome         bool
 	// downUntil is when the endpoint stops counting as down because its carrier could not
 	// reach it. skipUntil is, by carrier, when such a carrier is asked again.
 	downUntil time.Time
@@ -66,7 +66,7 @@
 	if !slices.Equal(src.carriers, a.carriers) {
 		src.skipUntil = nil
 	}
-	src.carriers, src.crossesDomains = a.carriers, a.crossesDomains
+	src.carriers, src.crossesDomains, src.isHome = a.carriers, a.crossesDomains, a.isHome
 }
 
 // lendingCarriers returns the carriers to ask for a loan, in order. It returns none if this
@@ -91,15 +91,18 @@
 // After any of them no statement has run.
 func (src *source) Get(r hop.BorrowRequest) (*pool.Conn, error) {
 	r.Endpoint = src.endpoint.Id
+	var tooLong error
 	for _, name := range src.lendingCarriers() {
 		c, err := src.server.hop.Borrow(name, r)
 		src.server.cfg.Metrics.Loan(loanOutcome(err))
+		src.recordReach(name, err)
 		var unreachable *hop.UnreachableError
-		if errors.As(err, &unreachable) {
-			src.recordLostCarrier()
-			if time.Now().Before(r.WaitDeadline) {
-				continue
-			}
+		if errors.As(err, &unreachable) && time.Now().Before(r.WaitDeadline) {
+			continue
+		}
+		if src.mayQueueElsewhere(err) {
+			tooLong = err
+			continue
 		}
 		if err == nil {
 			src.activeLoans.Add(1)
@@ -107,9 +110,24 @@
 		src.recordLoan(name, err)
 		return c, err
 	}
+	if tooLong != nil {
+		return nil, tooLong
+	}
 	return src.local.GetInTime(r.TurnBy, r.WaitDeadline, r.Priority, r.Needs)
 }
 
+// mayQueueElsewhere reports whether a carrier refused a loan because of its queue, while
+// another carrier of the endpoint has a queue of its own.
+func (src *source) mayQueueElsewhere(err error) bool {
+	var full *pool.FullError
+	if !errors.As(err, &full) || !full.Expected {
+		return false
+	}
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	return src.isHome
+}
+
 // loanOutcome returns the metric label for the outcome of a loan request.
 func loanOutcome(err error) string {
 	var unreachable *hop.UnreachableError
@@ -127,9 +145,9 @@
 	return "endpoint_refused"
 }
 
-// recordLoan records whether a carrier reached the endpoint, as the result of Borrow shows.
-// After a *pool.DownError the statement itself does not move on to the successor: if the
-// endpoint is gone, it would wait there as well.
+// recordLoan records what the result of Borrow shows about an endpoint: whether its carrier
+// reached it. After a *pool.DownError the statement itself does not move on to the next
+// carrier: if the endpoint is gone, it would wait there as well.
 func (src *source) recordLoan(carrier string, err error) {
 	var down *pool.DownError
 	isDown := errors.As(err, &down)
@@ -137,9 +155,6 @@
 		return
 	}
 	now := time.Now()
-	if isDown {
-		src.server.reachability.failed(src.server.isInOtherDomain(src.endpoint), now)
-	}
 	src.mu.Lock()
 	defer src.mu.Unlock()
 	src.downUntil = time.Time{}
@@ -153,13 +168,23 @@
 	src.skipUntil[carrier] = now.Add(carrierSkipTime)
 }
 
-// recordLostCarrier records that a carrier did not answer. If it is in another failure
-// domain, this daemon may be cut off from there.
-func (src *source) recordLostCarrier() {
+// recordReach records what the result of Borrow shows about the endpoint's failure domain. A
+// carrier there either answers or not; a carrier in this failure domain may not reach the
+// endpoint.
+func (src *source) recordReach(carrier string, err error) {
 	src.mu.Lock()
 	crossesDomains := src.crossesDomains
 	src.mu.Unlock()
-	src.server.reachability.failed(crossesDomains, time.Now())
+	var down *pool.DownError
+	now := time.Now()
+	switch {
+	case !crossesDomains && errors.As(err, &down):
+		src.server.reachability.failed(src.server.isInOtherDomain(src.endpoint), now)
+	case crossesDomains && src.server.hop.IsDown(carrier):
+		src.server.reachability.failed(true, now)
+	case crossesDomains:
+		src.server.reachability.answered(true, now)
+	}
 }
 
 // Put returns a connection on which no statement and no transaction is in progress.
