proxy, fleetctl: names that say what they hold

r.r, textOn, hindrance, carryBelow, directFrom and recordCover were on the list of the issue: request.statement, textFor, obstacle, minDirectConns, resumeDirectConns, recordCovered.

--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -24,7 +24,7 @@
 		for _, e := range svc.others {
 			status, err := w.status(ctx, e)
 			if err == nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY && !status.Received.Less(primaryStatus.Received) {
-				return w.recordCover(ctx, svc, e.Id, primaryStatus.Received)
+				return w.recordCovered(ctx, svc, e.Id, primaryStatus.Received)
 			}
 		}
 		wait.For(ctx, stallSampleInterval)
@@ -33,10 +33,10 @@
 	return false
 }
 
-// recordCover has the control group record that the ended replicas of a service are
+// recordCovered has the control group record that the ended replicas of a service are
 // covered. by is the id of the running replica that holds everything up to pos. It returns
 // false if it must be retried.
-func (w *watcher) recordCover(ctx context.Context, svc serviceState, by string, pos logpos.Pos) bool {
+func (w *watcher) recordCovered(ctx context.Context, svc serviceState, by string, pos logpos.Pos) bool {
 	cover := &fleetpb.Cover{}
 	for _, e := range svc.ended {
 		cover.EndpointIds = append(cover.EndpointIds, e.Id)
--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -66,9 +66,9 @@
 	src.Discard(c)
 }
 
-// textOn returns the statement's text for a connection. Names of prepared statements are
+// textFor returns the statement's text for a connection. Names of prepared statements are
 // those of the connection; everything else is as the caller wrote it.
-func (ss *session) textOn(c *pool.Conn, r resolvedStatement) string {
+func (ss *session) textFor(c *pool.Conn, r resolvedStatement) string {
 	if r.shape == nil {
 		return r.st.Text
 	}
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// carryBelow and directFrom are connections per entry. Below carryBelow the connections
-	// are carried; from directFrom on, each entry opens its own again. An entry needs at
+	// minDirectConns and resumeDirectConns are connections per entry. Below minDirectConns the connections
+	// are carried; from resumeDirectConns on, each entry opens its own again. An entry needs at
 	// least two, so that a statement finds a connection while an idle transaction holds
 	// the other. The hysteresis keeps entries that come and go from switching the mode
 	// back and forth.
-	carryBelow = 2
-	directFrom = 3
+	minDirectConns    = 2
+	resumeDirectConns = 3
 	// minShare is the smallest number of connections that a carrier is given. Idle
 	// transactions would hold most of a smaller share.
 	minShare = 8
@@ -62,9 +62,9 @@
 // connection limit, entries the number of all entries and domains the number of their
 // failure domains. previous is the last result, for the hysteresis.
 func ChooseMode(limit, entries, domains int, previous Mode) Mode {
-	minPerEntry := carryBelow
+	minPerEntry := minDirectConns
 	if previous != Direct {
-		minPerEntry = directFrom
+		minPerEntry = resumeDirectConns
 	}
 	if max(0, limit-reservedConns)/max(entries, 1) >= minPerEntry {
 		return Direct
--- a/internal/proxy/place/place.go
+++ b/internal/proxy/place/place.go
@@ -59,11 +59,11 @@
 	AvgStatementTime time.Duration
 }
 
-// hindrance is what keeps a candidate from answering now, the least serious first.
-type hindrance int
+// obstacle is what keeps a candidate from answering now, the least serious first.
+type obstacle int
 
 const (
-	none hindrance = iota
+	none obstacle = iota
 	// busy: the endpoint has no room; a slot becomes free within a statement's time.
 	busy
 	// lagging: the endpoint recently lacked the position that the read must see.
@@ -72,9 +72,9 @@
 	down
 )
 
-// hindranceOf returns the most serious hindrance of a candidate for a read that must see
+// obstacleOf returns the most serious obstacle of a candidate for a read that must see
 // floor.
-func hindranceOf(c Candidate, floor logpos.Pos) hindrance {
+func obstacleOf(c Candidate, floor logpos.Pos) obstacle {
 	switch {
 	case c.Down:
 		return down
@@ -89,17 +89,17 @@
 // Choose returns the index of the candidate to send a read to, or -1 for none. floor is
 // the log position that the read must see. tried reports which candidates have been tried
 // already. A candidate that is down is never chosen, and any other only if no candidate,
-// tried ones included, has a less serious hindrance: a hindered endpoint would refuse the
+// tried ones included, has a less serious obstacle: such an endpoint would refuse the
 // read, and refusals take time from an endpoint that is full.
 func Choose(candidates []Candidate, floor logpos.Pos, tried func(id string) bool) int {
-	minHindrance := down
+	minObstacle := down
 	for _, c := range candidates {
-		minHindrance = min(minHindrance, hindranceOf(c, floor))
+		minObstacle = min(minObstacle, obstacleOf(c, floor))
 	}
 	best := -1
 	var bestCost time.Duration
 	for i, c := range candidates {
-		if tried(c.ID) || c.Down || hindranceOf(c, floor) > minHindrance {
+		if tried(c.ID) || c.Down || obstacleOf(c, floor) > minObstacle {
 			continue
 		}
 		if cost := cost(c); best < 0 || cost < bestCost {
@@ -120,7 +120,7 @@
 // MayHedge reports whether an endpoint may get a hedged read. The read would only add
 // load to an endpoint that is slow, busy, lagging or down.
 func MayHedge(c Candidate, floor logpos.Pos) bool {
-	return hindranceOf(c, floor) == none && c.AvgStatementTime <= maxHedgeStatementTime
+	return obstacleOf(c, floor) == none && c.AvgStatementTime <= maxHedgeStatementTime
 }
 
 // cost estimates how long a read at c takes, with penalties for what the read costs
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -44,7 +44,7 @@
 		return stmt.Reply{Err: refusal}
 	}
 	request := &request{
-		ss: ss, route: route, r: r, bootArrival: bootArrival, arrivedAt: arrival,
+		ss: ss, route: route, statement: r, bootArrival: bootArrival, arrivedAt: arrival,
 		deadline:     ss.deadline(route, arrival),
 		waitDeadline: arrival.Add(time.Duration(route.TimeoutMs) * time.Millisecond / waitDivisor),
 		tried:        make(map[string]bool),
@@ -87,8 +87,8 @@
 type request struct {
 	ss    *session
 	route *fleetpb.Route
-	// r is the statement to run, with its session state.
-	r resolvedStatement
+	// statement is the statement to run, with its session state.
+	statement resolvedStatement
 	// bootArrival is when the statement arrived, on the clock of package boottime.
 	bootArrival time.Duration
 	// arrivedAt is when the statement arrived, on the monotonic clock.
@@ -181,14 +181,14 @@
 func (r *request) writeAt(t target) (reply stmt.Reply, done bool) {
 	r.recordAttempt(t)
 	server := r.ss.server
-	c, refusal := r.ss.getConn(t, r.route, r.r, false, r.waitDeadline, r.deadline)
+	c, refusal := r.ss.getConn(t, r.route, r.statement, false, r.waitDeadline, r.deadline)
 	if refusal != nil {
 		return r.failed(refusal), false
 	}
 	requestedAt := boottime.Now()
 	sentAt := time.Now()
 	stopWatch := server.watchStall(t)
-	reply, err := c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	reply, err := c.Do(r.deadline, r.ss.textFor(c, r.statement), r.statement.st.ID, logpos.Pos{})
 	stopWatch()
 	if err != nil {
 		t.pool.Discard(c)
@@ -215,7 +215,7 @@
 func (r *request) guardedReadAt(t target) (reply stmt.Reply, done bool) {
 	r.recordAttempt(t)
 	server := r.ss.server
-	c, refusal := r.ss.getConn(t, r.route, r.r, true, r.waitDeadline, r.deadline)
+	c, refusal := r.ss.getConn(t, r.route, r.statement, true, r.waitDeadline, r.deadline)
 	if refusal != nil {
 		return r.failed(refusal), false
 	}
@@ -228,7 +228,7 @@
 		return begun, !begun.Err.Code.NotRun()
 	}
 	sentAt := time.Now()
-	reply, err = c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, logpos.Pos{})
+	reply, err = c.Do(r.deadline, r.ss.textFor(c, r.statement), r.statement.st.ID, logpos.Pos{})
 	if err != nil {
 		t.pool.Discard(c)
 		server.failed(t, err)
@@ -395,12 +395,12 @@
 // readAt reads at an endpoint. It uses only fields that do not change while the statement
 // runs, because the session may continue before a hedged read ends.
 func (r *request) readAt(t target, floor logpos.Pos, isOwnWrite bool) (reply stmt.Reply, done bool) {
-	c, refusal := r.ss.getConn(t, r.route, r.r, true, r.waitDeadline, r.deadline)
+	c, refusal := r.ss.getConn(t, r.route, r.statement, true, r.waitDeadline, r.deadline)
 	if refusal != nil {
 		return r.failed(refusal), false
 	}
 	sentAt := time.Now()
-	reply, err := c.Do(r.deadline, r.ss.textOn(c, r.r), r.r.st.ID, floor)
+	reply, err := c.Do(r.deadline, r.ss.textFor(c, r.statement), r.statement.st.ID, floor)
 	if err != nil {
 		t.pool.Discard(c)
 		r.ss.server.failed(t, err)
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -229,7 +229,7 @@
 			return ss.brokenStatement(r.st, err)
 		}
 		requestedAt := boottime.Now()
-		reply, err := tx.conn.Do(deadline, ss.textOn(tx.conn, r), r.st.ID, logpos.Pos{})
+		reply, err := tx.conn.Do(deadline, ss.textFor(tx.conn, r), r.st.ID, logpos.Pos{})
 		if err != nil {
 			return ss.brokenStatement(r.st, err)
 		}
