--- a/internal/proxy/assignment.go
+++ b/internal/proxy/assignment.go
@@ -20,8 +20,6 @@
 	carriers []string
 	// crossesDomains is set if the carriers are in another failure domain.
 	crossesDomains bool
-	// isHome is set if several carriers share the endpoint, each with a queue of its own.
-	isHome bool
 	// share is this daemon's share of the endpoint's connections.
 	share pool.Share
 }
@@ -85,7 +83,7 @@
 // entries of its own failure domain.
 func (a *assigner) assignHome(carriers []string, limit int, e *fleetpb.Endpoint) assignment {
 	as := assignment{
-		carriers: carrier.Order(carriers, a.self), crossesDomains: e.FailureDomain != a.failureDomain, isHome: true,
+		carriers: carrier.Order(carriers, a.self), crossesDomains: e.FailureDomain != a.failureDomain,
 		share: pool.Share{MaxOpen: minExtra, IsCarried: true},
 	}
 	if slices.Contains(carriers, a.self) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -201,7 +201,7 @@
 		a = assignment{share: pool.Share{MaxOpen: minExtra}}
 	}
 	endpoint := stmt.Endpoint{ID: e.Id, Service: e.Service, Address: e.Address}
-	src := &source{endpoint: e, server: s, carriers: a.carriers, crossesDomains: a.crossesDomains, isHome: a.isHome}
+	src := &source{endpoint: e, server: s, carriers: a.carriers, crossesDomains: a.crossesDomains}
 	src.local = pool.New(endpoint, s.cfg.Dialer, a.share, func(err error) {
 		s.reachability.failed(s.isInOtherDomain(e), time.Now())
 		s.report(e, fleetpb.Suspicion_SUSPICION_UNREACHABLE, err)
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -43,10 +43,10 @@
 	// mu guards the fields below; only hop.Client's lock is taken while it is held.
 	mu sync.Mutex
 	// carriers are the entries that may lend, in the order in which this daemon asks them;
-	// empty where connections are not carried. The other two fields are those of assignment.
+	// empty where connections are not carried. crossesDomains is set if they are in another
+	// failure domain.
 	carriers       []string
 	crossesDomains bool
-	isHome         bool
 	// downUntil is when the endpoint stops counting as down because its carrier could not
 	// reach it. skipUntil is, by carrier, when such a carrier is asked again.
 	downUntil time.Time
@@ -66,7 +66,7 @@
 	if !slices.Equal(src.carriers, a.carriers) {
 		src.skipUntil = nil
 	}
-	src.carriers, src.crossesDomains, src.isHome = a.carriers, a.crossesDomains, a.isHome
+	src.carriers, src.crossesDomains = a.carriers, a.crossesDomains
 }
 
 // lendingCarriers returns the carriers to ask for a loan, in order. It returns none if this
@@ -91,7 +91,6 @@
 // After any of them no statement has run.
 func (src *source) Get(r hop.BorrowRequest) (*pool.Conn, error) {
 	r.Endpoint = src.endpoint.Id
-	var tooLong error
 	for _, name := range src.lendingCarriers() {
 		c, err := src.server.hop.Borrow(name, r)
 		src.server.cfg.Metrics.Loan(loanOutcome(err))
@@ -100,34 +99,15 @@
 		if errors.As(err, &unreachable) && time.Now().Before(r.WaitDeadline) {
 			continue
 		}
-		if src.mayQueueElsewhere(err) {
-			tooLong = err
-			continue
-		}
 		if err == nil {
 			src.activeLoans.Add(1)
 		}
 		src.recordLoan(name, err)
 		return c, err
 	}
-	if tooLong != nil {
-		return nil, tooLong
-	}
 	return src.local.GetInTime(r.TurnBy, r.WaitDeadline, r.Priority, r.Needs)
 }
 
-// mayQueueElsewhere reports whether a carrier refused a loan because of its queue, while
-// another carrier of the endpoint has a queue of its own.
-func (src *source) mayQueueElsewhere(err error) bool {
-	var full *pool.FullError
-	if !errors.As(err, &full) || !full.Expected {
-		return false
-	}
-	src.mu.Lock()
-	defer src.mu.Unlock()
-	return src.isHome
-}
-
 // loanOutcome returns the metric label for the outcome of a loan request.
 func loanOutcome(err error) string {
 	var unreachable *hop.UnreachableError
