--- a/internal/controlgroup/agree/change.go
+++ b/internal/controlgroup/agree/change.go
@@ -105,11 +105,7 @@
 			return
 		}
 		if silent := n.silentVoter(); silent != (ID{}) && n.cfg.ReplaceSilentTicks > 0 && len(Voters(m)) >= minVotersToReplace {
-			if n.progress[silent].ticksSinceReply >= n.cfg.ReplaceSilentTicks {
-				_ = n.appendMembership(silent.Name, withoutMembers(m, func(other *agreepb.Member) bool {
-					return IDOf(other.Id) == silent
-				}))
-			}
+			n.removeIfSilentForLong(silent)
 			return
 		}
 		if len(Voters(m)) >= MaxVoters {
@@ -120,6 +116,17 @@
 	}
 }
 
+// removeIfSilentForLong removes a voter that has been silent for ReplaceSilentTicks. Until
+// then, a learner waits, since the voter may return.
+func (n *Node) removeIfSilentForLong(id ID) {
+	if n.progress[id].ticksSinceReply < n.cfg.ReplaceSilentTicks {
+		return
+	}
+	_ = n.appendMembership(id.Name, withoutMembers(n.members.current().membership, func(m *agreepb.Member) bool {
+		return IDOf(m.Id) == id
+	}))
+}
+
 // silentVoter returns the voter that has not replied for the longest time, among those
 // that missed a heartbeat or have not replied to this leader at all; the zero ID if
 // there is none.
--- a/internal/proxy/carrier/carrier.go
+++ b/internal/proxy/carrier/carrier.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// minDirectConns and resumeDirectConns are connections per entry. Below minDirectConns the connections
-	// are carried; from resumeDirectConns on, each entry opens its own again. An entry needs at
-	// least two, so that a statement finds a connection while an idle transaction holds
-	// the other. The hysteresis keeps entries that come and go from switching the mode
-	// back and forth.
+	// minDirectConns and resumeDirectConns are connections per entry. Below minDirectConns
+	// the connections are carried; from resumeDirectConns on, each entry opens its own
+	// again. An entry needs at least two, so that a statement finds a connection while an
+	// idle transaction holds the other. The hysteresis keeps entries that come and go from
+	// switching the mode back and forth.
 	minDirectConns    = 2
 	resumeDirectConns = 3
 	// minShare is the smallest number of connections that a carrier is given. Idle
@@ -126,7 +126,7 @@
 
 // carrierCount returns how many carriers an endpoint gets in a failure domain.
 func carrierCount(limit, endpoints, entries int) int {
-	most := min(maxCarriers, HomeShare(limit, minShare))
+	most := min(maxCarriers, max(0, limit-reservedConns)/minShare)
 	// Rounding to the nearest keeps the count when an entry leaves an even deal.
 	perEndpoint := (2*entries + endpoints) / (2 * endpoints)
 	return min(max(min(perEndpoint, most), minCarriers), entries)
--- a/internal/proxy/source.go
+++ b/internal/proxy/source.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxCarriersTried is how many carriers are asked for one loan before this daemon opens
-	// a connection of its own: the carrier and its successor.
+	// a connection of its own.
 	maxCarriersTried = 2
 	// maxCarrierRank is how many entries at the head of the ranking may be asked. If none of
 	// them lends, more has failed than a VM or two, and this daemon opens a connection of
@@ -24,7 +24,7 @@
 	// down: about as long as the carrier itself waits before it dials again.
 	endpointDownTime = 250 * time.Millisecond
 	// carrierSkipTime is how long a carrier that cannot reach the endpoint is skipped in
-	// favour of its successor. A network partition may separate one VM from an endpoint
+	// favour of the next one. A network partition may separate one VM from an endpoint
 	// that others of its failure domain reach.
 	carrierSkipTime = time.Second
 )
