--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -8,6 +8,9 @@
 //   - If every replica but one is paused and that one holds what the others hold,
 //     its log contains every acknowledged commit, and no later commit is acknowledged
 //     before it is in this log. It can be promoted while the old primary still serves.
+//   - If the old primary stepped down, no further commit is acknowledged, and its log
+//     contains every acknowledged commit. A replica that has received all of it can be
+//     promoted, or else the old primary itself.
 //   - If all replicas are paused, no further commit is acknowledged, and the most
 //     up-to-date log among them contains every acknowledged commit. The old primary
 //     need not answer for this.
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -39,8 +39,8 @@
 	return fmt.Sprintf("service %s has no replica to promote", e.Service)
 }
 
-// NotCaughtUpError reports that the candidate, or any candidate if Endpoint is empty,
-// did not receive all acknowledged commits in time.
+// NotCaughtUpError reports that the candidate did not receive all acknowledged commits in
+// time.
 type NotCaughtUpError struct{ Endpoint string }
 
 func (e *NotCaughtUpError) Error() string {
