e2e: TestWithoutMajority sets up without a short deadline

Traced: the cluster's start does not wait until replicas are connected, and the first commit is confirmed only then.

--- a/internal/testing/e2e/majority_test.go
+++ b/internal/testing/e2e/majority_test.go
@@ -14,9 +14,12 @@
 func TestWithoutMajority(t *testing.T) {
 	c := startControlled(t)
 	ctx := testContext(t)
+	// The first commits also wait until the replicas are connected, so they have no short
+	// deadline.
+	setup := connect(t, ctx, url(c.Daemons[0]))
+	mustExec(t, ctx, setup, "CREATE TABLE t (k text PRIMARY KEY, v int)")
+	mustExec(t, ctx, setup, "INSERT INTO t (k, v) VALUES ('before', 1)")
 	writer := connect(t, ctx, url(c.Daemons[0])+"?hemlock.deadline=500ms")
-	mustExec(t, ctx, writer, "CREATE TABLE t (k text PRIMARY KEY, v int)")
-	mustExec(t, ctx, writer, "INSERT INTO t (k, v) VALUES ('before', 1)")
 	awaitReplicas(t, ctx, c)
 	primary := primarySlot(c)
 	for slot, e := range c.Endpoints["g"] {
