--- a/internal/proxy/align.go
+++ b/internal/proxy/align.go
@@ -43,12 +43,15 @@
 	return c, nil
 }
 
+// turnDivisor sets by when a statement's turn must be expected to come: the latency that
+// callers of its route expect, divided by turnDivisor. The rest is left for the statement
+// itself and for earlier attempts of the caller, of which this daemon does not know.
+const turnDivisor = 8
+
 // turnBy returns the time by which the turn of a statement that starts to wait now must be
-// expected to come: an eighth of the latency that callers of its route expect. The rest is
-// left for the statement itself and for earlier attempts of the caller, of which this
-// daemon does not know.
+// expected to come.
 func turnBy(route *fleetpb.Route, now, waitDeadline time.Time) time.Time {
-	by := now.Add(time.Duration(route.TargetMs) * time.Millisecond / 8)
+	by := now.Add(time.Duration(route.TargetMs) * time.Millisecond / turnDivisor)
 	if route.TargetMs == 0 || waitDeadline.Before(by) {
 		return waitDeadline
 	}
