--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -308,17 +308,11 @@
 // accepts an endpoint that this runner made step down in an earlier attempt. Errors:
 // *NotPrimaryError, those of stmt.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	conn, err := a.Dialer.Dial(dialCtx, a.plan.Primary)
+	conn, status, err := a.connectPrimary(ctx)
 	if err != nil {
 		return stmt.Status{}, err
 	}
 	defer conn.Close()
-	status, err := conn.Status(time.Now().Add(commandTimeout))
-	if err != nil {
-		return stmt.Status{}, err
-	}
 	if status.Role != stmt.Primary && !a.hasSteppedDown(a.plan.Primary.ID) {
 		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
@@ -373,24 +367,32 @@
 // isPrimary reports whether one of the plan's endpoints says that it is the primary.
 func (a *attempt) isPrimary(ctx context.Context, id string) bool {
 	if id == a.plan.Primary.ID {
-		status, err := a.primaryStatus(ctx)
-		return err == nil && status.Role == stmt.Primary
+		conn, status, err := a.connectPrimary(ctx)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return status.Role == stmt.Primary
 	}
 	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
 	return a.runCommand(i, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary
 }
 
-// primaryStatus requests the status of the plan's primary over a new connection. Errors:
-// those of stmt.
-func (a *attempt) primaryStatus(ctx context.Context) (stmt.Status, error) {
+// connectPrimary connects to the plan's primary and requests its status. The caller closes
+// the connection. Errors: those of stmt.
+func (a *attempt) connectPrimary(ctx context.Context) (stmt.Conn, stmt.Status, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	conn, err := a.Dialer.Dial(dialCtx, a.plan.Primary)
 	if err != nil {
-		return stmt.Status{}, err
+		return nil, stmt.Status{}, err
 	}
-	defer conn.Close()
-	return conn.Status(time.Now().Add(commandTimeout))
+	status, err := conn.Status(time.Now().Add(commandTimeout))
+	if err != nil {
+		conn.Close()
+		return nil, stmt.Status{}, err
+	}
+	return conn, status, nil
 }
 
 // resumeReplicas resumes replication at the paused replicas.
--- a/internal/proxy/carried_test.go
+++ b/internal/proxy/carried_test.go
@@ -323,25 +323,28 @@
 	}
 }
 
-// TestDealtAnew replaces the carriers of a failure domain by others, as when control learns
-// of a loss: the former carriers keep no more connections than any entry may have.
+// TestDealtAnew replaces the carriers of a failure domain by a single one, as when control
+// learns of a loss. The former ones are gone, and must not be asked any more.
 func TestDealtAnew(t *testing.T) {
 	group, list := newHomeEntries(t, 4)
 	carriers, b := homeCarriers(group, list)
-	for i := range 10 {
-		b.session("current").ok(fmt.Sprintf("STORE item v%d", i))
-	}
+	b.session("current").ok("STORE item v0")
 	for _, l := range list {
 		l.view.Apply(&fleetpb.FollowResponse{Current: true, Entries: 1000, EntryDomains: 3, Carriers: []*fleetpb.DomainCarriers{
 			{FailureDomain: "a", Digest: 2, Carriers: []string{list[0].address}},
 		}})
 	}
+	for _, l := range carriers {
+		if l != list[0] {
+			l.kill()
+		}
+	}
 	c := b.session("current")
 	c.ok("STORE item after")
 	assert.Assert(t, strings.HasPrefix(c.ok("FETCH item"), "ROW after|"))
-	for _, l := range carriers {
-		assert.Assert(t, l == list[0] || l.loanServer.Loans() == 0)
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	assert.Assert(t, !strings.Contains(strings.Join(b.logLines, "\n"), "carrier down"))
 }
 
 // TestFullQueue fills the queue of the carrier that an entry asks first. The statement must
--- a/internal/proxy/pool/pool.go
+++ b/internal/proxy/pool/pool.go
@@ -5,8 +5,6 @@
 package pool
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -344,21 +342,6 @@
 	return at
 }
 
-// mayDial reports whether another connection may be opened. A second one has to wait
-// until the first is open, which shows how long a dial takes. mu must be held.
-func (p *Pool) mayDial(now time.Time) bool {
-	if p.open >= p.maxOpen || p.dialing >= maxConcurrentDials || now.Before(p.noDialUntil) {
-		return false
-	}
-	isFirst := p.open == p.dialing
-	isSlow := now.Before(p.slowDialUntil)
-	if isFirst || isSlow && p.isCarried && p.open < p.share {
-		// A carrier holds its share for seconds or longer, so a slow dial is worth the wait.
-		return p.dialing == 0
-	}
-	return !isSlow
-}
-
 // enqueue inserts a waiter in order. A statement that waits again keeps its position.
 // mu must be held.
 func (p *Pool) enqueue(key queueKey) *waiter {
@@ -401,104 +384,6 @@
 	return nil, &FullError{Endpoint: p.Endpoint.ID}
 }
 
-// closeExpired closes connections whose idle timeout has passed. It keeps the last open
-// connection, unless the share is 0. mu must be held.
-func (p *Pool) closeExpired() {
-	for len(p.idle) > 0 && (p.open > 1 || p.share == 0) {
-		timeout := p.currentIdleTimeout()
-		if time.Since(p.idle[0].idleSince) < timeout {
-			return
-		}
-		p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
-}
-
-// currentIdleTimeout returns the idle timeout that applies to the longest unused
-// connection. mu must be held.
-func (p *Pool) currentIdleTimeout() time.Duration {
-	switch {
-	case p.share == 0 && time.Since(p.lastFullAt) < refusalWindow:
-		return scarceIdleTimeout
-	case p.share == 0:
-		return onDemandIdleTimeout
-	case p.open > p.share:
-		return extraIdleTimeout
-	}
-	return idleTimeout
-}
-
-// sweep closes connections whose idle timeout has passed.
-func (p *Pool) sweep() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeExpired()
-}
-
-// dial opens a connection that tryAcquire has already counted. A statement's deadline must
-// not decide whether the endpoint counts as reached. The attempt therefore continues in
-// the background after the deadline, and its connection goes to the pool.
-func (p *Pool) dial(deadline time.Time) (*Conn, error) {
-	type result struct {
-		conn *Conn
-		err  error
-	}
-	done := make(chan result, 1)
-	go func() {
-		conn, err := p.establish()
-		done <- result{conn, err}
-	}()
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case r := <-done:
-		return r.conn, r.err
-	case <-timer.C:
-	}
-	go func() {
-		if r := <-done; r.conn != nil {
-			p.inFlight.Add(1)
-			p.Put(r.conn)
-		}
-	}()
-	return nil, &FullError{Endpoint: p.Endpoint.ID}
-}
-
-// establish opens one connection and updates the pool's counters.
-func (p *Pool) establish() (*Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	started := time.Now()
-	raw, err := p.dialer.Dial(ctx, p.Endpoint)
-	var refused *stmt.RefusedError
-	isFull := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dialing--
-	if err != nil {
-		p.running--
-	}
-	if time.Since(started) > slowDialThreshold {
-		p.slowDialUntil = time.Now().Add(slowDialBackoff)
-	}
-	if err == nil {
-		p.wakeNext()
-		c := NewConn(raw)
-		c.pool, c.isRunning = p, true
-		return c, nil
-	}
-	p.open--
-	if isFull {
-		p.lastFullAt = time.Now()
-		p.noDialUntil = p.lastFullAt.Add(dialBackoff)
-	} else {
-		p.markDown()
-	}
-	p.wakeNext()
-	return nil, err
-}
-
 // NewConn returns a Conn without session values or prepared statements.
 func NewConn(raw stmt.Conn) *Conn {
 	return &Conn{Conn: raw, Values: make(map[string]string), Prepared: make(map[string]string), idleSince: time.Now()}
