standin: a pause holds against primaries of a lower term

Cause: the stand-in kept each pause until RESUME and ended only that of the promoted endpoint, so no test could tell which pause a promote ends.

--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -403,3 +403,26 @@
 		assert.Assert(t, f.write(0, "b"))
 	}
 }
+
+// TestPauseHoldsAgainstLowerTerms plays the terms of pauses as seen on the users' bench.
+func TestPauseHoldsAgainstLowerTerms(t *testing.T) {
+	f := newFixture(t)
+	conn, err := f.runner.Dialer.Dial(t.Context(), f.endpoint(2))
+	assert.NilError(t, err)
+	defer conn.Close()
+	deadline := time.Now().Add(5 * time.Second)
+	for _, row := range []struct{ term, held uint64 }{{2, 2}, {1, 2}, {3, 3}, {2, 2}, {3, 3}} {
+		status, err := conn.Pause(deadline, row.term)
+		assert.NilError(t, err)
+		assert.Equal(t, status.PausedTerm, row.held)
+	}
+	assert.Equal(t, f.group.Promote("svc-1", 1), 200)
+	status, err := conn.Status(deadline)
+	assert.NilError(t, err)
+	assert.Equal(t, status.Term, uint64(1), "a pause for term 3 holds against the primary of term 2")
+	assert.Equal(t, f.group.Promote("svc-0", 2), 200)
+	status, err = conn.Status(deadline)
+	assert.NilError(t, err)
+	assert.Equal(t, status.Term, uint64(3))
+	assert.Equal(t, status.PausedTerm, uint64(0))
+}
