promotion: log each order, its answer and each call with its outcome

Cause: the record of the incident does not tell which endpoint a holder paused or resumed, in which term of the control group it led, nor whether a call to the platform was answered. Change: a log line for every status, PAUSE, RESUME and STEPDOWN with the endpoint's position and pause, and for every call with its duration and outcome; service, token and lead term on each. Repeated status requests are logged in debug mode only. Result: tests of promotion and fleetctl pass; no decision is changed.

--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -318,6 +318,7 @@
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
 		Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: result.Token,
+		LeadTerm: w.node.control.Status().Term,
 	}
 	started := time.Now()
 	newPrimary, err := w.runner.Run(ctx, plan)
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -31,6 +31,15 @@
 	maxPromoteCalls = 3
 )
 
+// Orders to endpoints, for logs. orderPoll is a repeated status request.
+const (
+	orderStatus   = "status"
+	orderPoll     = "poll"
+	orderPause    = "pause"
+	orderResume   = "resume"
+	orderStepDown = "step down"
+)
+
 // Promoter asks the platform to promote an endpoint. Errors: *ConflictError and
 // *OutcomeUnknownError; any other error means that nothing was changed.
 type Promoter interface {
@@ -63,6 +72,8 @@
 	Replicas  []Replica
 	// Token is the fencing token, which no other plan uses.
 	Token uint64
+	// LeadTerm is the term in which the caller leads the control group, for logs.
+	LeadTerm uint64
 }
 
 // Runner carries out promotions. It is safe for concurrent use.
@@ -115,7 +126,7 @@
 func (r *Runner) Run(ctx context.Context, plan Plan) (string, error) {
 	a := &attempt{
 		Runner: r, plan: plan,
-		log:      r.Log.WithValues("service", plan.Service, "token", plan.Token),
+		log:      r.Log.WithValues("service", plan.Service, "token", plan.Token, "leadTerm", plan.LeadTerm),
 		conns:    make([]stmt.Conn, len(plan.Replicas)),
 		replicas: make([]ReplicaState, len(plan.Replicas)),
 	}
@@ -191,7 +202,7 @@
 			return
 		}
 		a.conns[i] = conn
-		a.runCommand(i, func(deadline time.Time) (stmt.Status, error) { return conn.Status(deadline) })
+		a.runCommand(i, orderStatus, func(deadline time.Time) (stmt.Status, error) { return conn.Status(deadline) })
 	})
 }
 
@@ -208,11 +219,12 @@
 // runCommand runs a command at replica i and stores the status that it returns. It
 // retries while the endpoint is busy, for at most commandTimeout, and reports whether
 // the endpoint answered.
-func (a *attempt) runCommand(i int, command func(deadline time.Time) (stmt.Status, error)) bool {
+func (a *attempt) runCommand(i int, name string, command func(deadline time.Time) (stmt.Status, error)) bool {
 	deadline := time.Now().Add(commandTimeout)
 	for {
 		status, err := command(deadline)
 		if err == nil {
+			a.logStatus(a.replicas[i].ID, name, status)
 			a.replicas[i].Status = status
 			a.replicas[i].Reached = true
 			return true
@@ -220,7 +232,7 @@
 		var refused *stmt.RefusedError
 		busy := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeBusy
 		if !busy || time.Now().After(deadline) {
-			a.log.Info("replica did not answer", "endpoint", a.replicas[i].ID, "error", err.Error())
+			a.log.Info("endpoint did not answer", "endpoint", a.replicas[i].ID, "order", name, "error", err.Error())
 			a.replicas[i].Reached = false
 			return false
 		}
@@ -228,6 +240,17 @@
 	}
 }
 
+// logStatus logs an endpoint's answer to an order. Answers to status requests that are
+// repeated until something changes are only logged in debug mode.
+func (a *attempt) logStatus(id, order string, status stmt.Status) {
+	log := a.log
+	if order == orderPoll {
+		log = log.V(1)
+	}
+	log.Info("endpoint answered", "endpoint", id, "order", order, "primary", status.Role == stmt.Primary, "term", status.Term,
+		"position", status.Received.String(), "pausedTerm", status.PausedTerm)
+}
+
 // forEachReplica runs f concurrently for every replica and waits for all calls to
 // return.
 func (a *attempt) forEachReplica(f func(i int, r Replica)) {
@@ -245,7 +268,7 @@
 		if r.ID == except || !a.replicas[i].Reached {
 			return
 		}
-		a.replicas[i].Paused = a.runCommand(i, func(deadline time.Time) (stmt.Status, error) {
+		a.replicas[i].Paused = a.runCommand(i, orderPause, func(deadline time.Time) (stmt.Status, error) {
 			return a.conns[i].Pause(deadline, term)
 		})
 	})
@@ -264,7 +287,7 @@
 			return ReplicaState{}, &NotCaughtUpError{Endpoint: id}
 		}
 		time.Sleep(statusPollInterval)
-		a.runCommand(i, a.conns[i].Status)
+		a.runCommand(i, orderPoll, a.conns[i].Status)
 	}
 }
 
@@ -298,7 +321,7 @@
 		time.Sleep(statusPollInterval)
 		a.forEachReplica(func(i int, _ Replica) {
 			if a.replicas[i].Reached {
-				a.runCommand(i, a.conns[i].Status)
+				a.runCommand(i, orderPoll, a.conns[i].Status)
 			}
 		})
 	}
@@ -319,6 +342,7 @@
 	term := max(NextTerm(a.replicas), status.Term+1)
 	final, err := conn.StepDown(time.Now().Add(commandTimeout), term)
 	if err == nil {
+		a.logStatus(a.plan.Primary.ID, orderStepDown, final)
 		a.setSteppedDown(a.plan.Primary.ID, true)
 	}
 	return final, err
@@ -340,17 +364,26 @@
 	var err error
 	for range maxPromoteCalls {
 		callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
+		started := time.Now()
 		err = a.Promoter.Promote(callCtx, a.plan.Service, id, a.plan.Token)
 		cancel()
+		a.log.Info("platform called", "endpoint", id, "took", time.Since(started).String(), "outcome", describeOutcome(err))
 		var unknown *OutcomeUnknownError
 		if !errors.As(err, &unknown) {
 			return err
 		}
-		a.log.Info("platform did not answer the promotion call", "endpoint", id, "error", err.Error())
 	}
 	return err
 }
 
+// describeOutcome returns the outcome of a call to the platform for logs.
+func describeOutcome(err error) string {
+	if err == nil {
+		return "accepted"
+	}
+	return err.Error()
+}
+
 // awaitTakeover waits until the endpoint reports that it is the primary. Errors:
 // *TakeoverTimeoutError.
 func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
@@ -375,7 +408,7 @@
 		return status.Role == stmt.Primary
 	}
 	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
-	return a.runCommand(i, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary
+	return a.runCommand(i, orderPoll, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary
 }
 
 // connectPrimary connects to the plan's primary and requests its status. The caller closes
@@ -399,7 +432,7 @@
 func (a *attempt) resumeReplicas() {
 	a.forEachReplica(func(i int, _ Replica) {
 		if a.replicas[i].Paused {
-			a.runCommand(i, a.conns[i].Resume)
+			a.runCommand(i, orderResume, a.conns[i].Resume)
 			a.replicas[i].Paused = false
 		}
 	})
