--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -37,7 +37,7 @@
 // covered. by is the id of the running replica that holds everything up to pos. It returns
 // false if it must be retried.
 func (w *watcher) recordCovered(ctx context.Context, svc serviceState, by string, pos logpos.Pos) bool {
-	cover := &fleetpb.Cover{}
+	cover := &fleetpb.Cover{Service: svc.service, Position: positionProto(pos)}
 	for _, e := range svc.ended {
 		cover.EndpointIds = append(cover.EndpointIds, e.Id)
 	}
--- /dev/null
+++ b/internal/fleet/fleetctl/promote.go
@@ -0,0 +1,174 @@
+package fleetctl
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/fleetstate"
+	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
+)
+
+// promote replaces a service's primary and records the new one. It returns false if it must
+// be retried.
+func (w *watcher) promote(ctx context.Context, svc serviceState, r replacement) bool {
+	if r.primaryServes && len(svc.ended) > 0 && w.coverEnded(ctx, svc) {
+		svc.ended = nil
+	}
+	token, ok := w.beginAttempt(ctx, &svc)
+	if !ok {
+		return false
+	}
+	started := time.Now()
+	result, err := w.runner.Run(ctx, w.plan(svc, r, token))
+	w.node.cfg.Metrics.Promoted(r.reason, time.Since(started), err)
+	var other *promotion.OtherPrimaryError
+	if errors.As(err, &other) {
+		w.log.Info("another endpoint leads already", "service", svc.service, "token", token, "endpoint", other.Endpoint)
+		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint})
+	}
+	if err != nil {
+		w.log.Info("promotion failed", "service", svc.service, "reason", r.reason, "token", token, "error", err.Error())
+		w.closeAttempt(&fleetpb.CloseAttempt{
+			Service: svc.service, Token: token, CallRefused: result.CallRefused, PausesLeft: result.PausesLeft,
+		})
+		return false
+	}
+	w.log.Info("promotion done", "service", svc.service, "reason", r.reason, "token", token, "from", svc.primary.Id, "to", result.Primary)
+	return w.record(svc, &fleetpb.SetPrimary{
+		EndpointId: result.Primary, Token: token, Term: result.Term, Inherited: positionProto(result.Inherited), PausesLeft: result.PausesLeft,
+	})
+}
+
+// beginAttempt allocates a token and updates what svc holds of earlier attempts. ok is false
+// if the control group does not answer, or if the service has another primary by now.
+func (w *watcher) beginAttempt(ctx context.Context, svc *serviceState) (token uint64, ok bool) {
+	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
+		AllocateToken: &fleetpb.AllocateToken{Service: svc.service, Holder: w.node.cfg.Name},
+	}}
+	result, err := w.node.propose(ctx, allocate)
+	if err != nil {
+		w.log.Info("control group did not allocate a token for a promotion", "service", svc.service, "error", err.Error())
+		return 0, false
+	}
+	svc.attempt = w.node.machine.Attempt(svc.service)
+	if w.node.machine.Primary(svc.service).Number != svc.record.Number || svc.attempt.Token != result.Token {
+		w.log.Info("promotion is out of date before it started", "service", svc.service, "token", result.Token)
+		return 0, false
+	}
+	return result.Token, true
+}
+
+// plan returns the plan of an attempt.
+func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
+	plan := promotion.Plan{
+		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
+		Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
+		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered,
+		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
+	}
+	for _, c := range svc.attempt.Calls {
+		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
+	}
+	return plan
+}
+
+// planReplicas returns the replicas of a service for a promotion plan.
+func (w *watcher) planReplicas(svc serviceState) []promotion.Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []promotion.Replica
+	for _, e := range svc.others {
+		lastSeen, ok := w.lastSeenAt[e.Id]
+		list = append(list, promotion.Replica{
+			Endpoint: stmtEndpoint(e),
+			Leaving:  e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+			Covered:  ok && w.lastSeenAt[svc.primary.Id].Sub(lastSeen) > minAnnouncementGap,
+		})
+	}
+	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		// The primary has ended as well. No missing commit can come back, so there is
+		// nothing to wait for.
+		return list
+	}
+	for _, e := range svc.ended {
+		list = append(list, promotion.Replica{Endpoint: stmtEndpoint(e), Leaving: true, Ended: true})
+	}
+	return list
+}
+
+// record has the control group record a service's primary, also if the lead was lost
+// meanwhile. It returns false if it must be retried.
+func (w *watcher) record(svc serviceState, set *fleetpb.SetPrimary) bool {
+	set.Service, set.IfNumber = svc.service, svc.record.Number
+	result, err := w.node.propose(context.Background(), &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: set}})
+	if err != nil {
+		w.log.Info("control group did not record the primary", "service", svc.service, "endpoint", set.EndpointId, "error", err.Error())
+		return false
+	}
+	w.log.Info("primary recorded", "service", svc.service, "endpoint", set.EndpointId, "taken", result.Taken)
+	return true
+}
+
+// closeAttempt has the control group record how an attempt ended without a new primary, also
+// if the lead was lost meanwhile. If that fails, the attempt counts as unfinished and its
+// call as open, which is safe.
+func (w *watcher) closeAttempt(c *fleetpb.CloseAttempt) {
+	cmd := &fleetpb.Command{Kind: &fleetpb.Command_CloseAttempt{CloseAttempt: c}}
+	if _, err := w.node.propose(context.Background(), cmd); err != nil {
+		w.log.Info("control group did not record the end of an attempt", "service", c.Service, "token", c.Token, "error", err.Error())
+	}
+}
+
+// finishAttempt ends the pauses that unfinished attempts left while the primary serves: it
+// replaces the primary if a replica is paused or a call is open. It returns false if it must
+// be retried, also if some replica does not answer.
+func (w *watcher) finishAttempt(ctx context.Context, svc serviceState) bool {
+	states := w.replicaStates(ctx, svc)
+	status, err := w.status(ctx, svc.primary)
+	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
+		return false
+	}
+	if len(svc.attempt.Calls) > 0 || promotion.AnyPaused(states, status.Term+1) {
+		return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
+	}
+	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
+	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
+	return true
+}
+
+func positionProto(pos logpos.Pos) *fleetpb.LogPosition {
+	return &fleetpb.LogPosition{Term: pos.Term, Index: pos.Index}
+}
+
+// recorder records what attempts are about to do in the replicated state. It implements
+// promotion.Recorder.
+type recorder struct{ node *Node }
+
+// RecordStepDown implements promotion.Recorder.
+func (r recorder) RecordStepDown(ctx context.Context, service string, token uint64) error {
+	return r.propose(ctx, service, token, &fleetpb.Command{Kind: &fleetpb.Command_RecordStepDown{
+		RecordStepDown: &fleetpb.RecordStepDown{Service: service, Token: token},
+	}})
+}
+
+// RecordCall implements promotion.Recorder.
+func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known []string) error {
+	return r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
+		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID, KnownEndpointIds: known},
+	}})
+}
+
+func (r recorder) propose(ctx context.Context, service string, token uint64, cmd *fleetpb.Command) error {
+	result, err := r.node.propose(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	if !result.Taken {
+		return &promotion.SupersededError{Service: service, Token: token}
+	}
+	return nil
+}
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -88,7 +87,9 @@
 func newWatcher(n *Node) *watcher {
 	return &watcher{
 		node: n, log: n.log.WithName("watch"),
-		runner:           &promotion.Runner{Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Log: n.log.WithName("promotion")},
+		runner: &promotion.Runner{
+			Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Recorder: recorder{n}, Log: n.log.WithName("promotion"),
+		},
 		lastSeenAt:       make(map[string]time.Time),
 		unreachableAt:    make(map[string]map[string]time.Time),
 		stalledAt:        make(map[string]time.Time),
@@ -128,21 +129,33 @@
 	w.unreachableAt[r.EndpointId][r.FailureDomain] = time.Now()
 }
 
-// run checks all services periodically until ctx ends.
+// run checks all services periodically until ctx ends. Actions end when this member loses the
+// lead of the control group.
 func (w *watcher) run(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	leadCtx, endLead := ctx, context.CancelFunc(func() {})
+	isLeader := false
 	for {
 		select {
 		case <-ctx.Done():
+			endLead()
 			return
 		case <-ticker.C:
 		}
-		if !w.node.isLeader() {
+		wasLeader := isLeader
+		isLeader = w.node.isLeader()
+		switch {
+		case isLeader && !wasLeader:
+			leadCtx, endLead = context.WithCancel(ctx)
+		case !isLeader && wasLeader:
+			endLead()
+		}
+		if !isLeader {
 			continue
 		}
 		for _, svc := range w.services() {
-			w.startAction(ctx, svc)
+			w.startAction(leadCtx, svc)
 		}
 	}
 }
@@ -159,6 +172,8 @@
 	// ended are the replicas that have ended and are not covered: one of them and the
 	// primary may have been the only endpoints with some acknowledged commit.
 	ended []*fleetpb.Endpoint
+	// attempt is what is agreed on about attempts to replace the primary.
+	attempt *fleetpb.Attempt
 }
 
 // services returns the configured services.
@@ -170,7 +185,7 @@
 	}
 	var list []serviceState
 	for _, s := range config.GetServices() {
-		svc := serviceState{service: s.Name, record: w.node.machine.Primary(s.Name)}
+		svc := serviceState{service: s.Name, record: w.node.machine.Primary(s.Name), attempt: w.node.machine.Attempt(s.Name)}
 		for _, e := range byService[s.Name] {
 			switch {
 			case e.Id == svc.record.EndpointId:
@@ -251,6 +266,8 @@
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
 	case len(svc.ended) > 0:
 		return func(ctx context.Context) bool { return w.coverEnded(ctx, svc) }
+	case svc.attempt.Unfinished:
+		return func(ctx context.Context) bool { return w.finishAttempt(ctx, svc) }
 	case w.isOverloaded(svc.service, svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.relievePrimary(ctx, svc) }
 	}
@@ -290,6 +307,7 @@
 	reasonDemoted    = "demoted"
 	reasonStalled    = "stalled"
 	reasonOverloaded = "overloaded"
+	reasonUnfinished = "unfinished"
 )
 
 // replacement is why and how a primary is replaced.
@@ -300,77 +318,3 @@
 	// preferred, if not empty, is the id of the replica to promote.
 	preferred string
 }
-
-// promote replaces a service's primary and records the new one. It returns false if it must
-// be retried.
-func (w *watcher) promote(ctx context.Context, svc serviceState, r replacement) bool {
-	if r.primaryServes && len(svc.ended) > 0 && w.coverEnded(ctx, svc) {
-		svc.ended = nil
-	}
-	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
-		AllocateToken: &fleetpb.AllocateToken{Service: svc.service, Holder: w.node.cfg.Name},
-	}}
-	result, err := w.node.propose(ctx, allocate)
-	if err != nil {
-		w.log.Info("control group did not allocate a token for a promotion", "service", svc.service, "error", err.Error())
-		return false
-	}
-	plan := promotion.Plan{
-		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
-		Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: result.Token,
-		LeadTerm: w.node.control.Status().Term,
-	}
-	started := time.Now()
-	newPrimary, err := w.runner.Run(ctx, plan)
-	w.node.cfg.Metrics.Promoted(r.reason, time.Since(started), err)
-	var other *promotion.OtherPrimaryError
-	if errors.As(err, &other) {
-		w.log.Info("another endpoint leads already", "service", svc.service, "token", plan.Token, "endpoint", other.Endpoint)
-		return w.record(ctx, svc, other.Endpoint)
-	}
-	if err != nil {
-		w.log.Info("promotion failed", "service", svc.service, "reason", r.reason, "token", plan.Token, "error", err.Error())
-		return false
-	}
-	w.log.Info("promotion done", "service", svc.service, "reason", r.reason, "token", plan.Token, "from", svc.primary.Id, "to", newPrimary)
-	return w.record(ctx, svc, newPrimary)
-}
-
-// planReplicas returns the replicas of a service for a promotion plan.
-func (w *watcher) planReplicas(svc serviceState) []promotion.Replica {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var list []promotion.Replica
-	for _, e := range svc.others {
-		lastSeen, ok := w.lastSeenAt[e.Id]
-		list = append(list, promotion.Replica{
-			Endpoint:              stmtEndpoint(e),
-			Leaving:               e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			PrimaryAnnouncedLater: ok && w.lastSeenAt[svc.primary.Id].Sub(lastSeen) > minAnnouncementGap,
-		})
-	}
-	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-		// The primary has ended as well. No missing commit can come back, so there is
-		// nothing to wait for.
-		return list
-	}
-	for _, e := range svc.ended {
-		list = append(list, promotion.Replica{Endpoint: stmtEndpoint(e), Leaving: true, Ended: true})
-	}
-	return list
-}
-
-// record has the control group record a service's primary. It returns false if it must be
-// retried.
-func (w *watcher) record(ctx context.Context, svc serviceState, id string) bool {
-	cmd := &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: &fleetpb.SetPrimary{
-		Service: svc.service, EndpointId: id, IfNumber: svc.record.Number,
-	}}}
-	result, err := w.node.propose(ctx, cmd)
-	if err != nil {
-		w.log.Info("control group did not record the primary", "service", svc.service, "endpoint", id, "error", err.Error())
-		return false
-	}
-	w.log.Info("primary recorded", "service", svc.service, "endpoint", id, "taken", result.Taken)
-	return true
-}
--- /dev/null
+++ b/internal/fleet/fleetstate/attempts.go
@@ -0,0 +1,167 @@
+package fleetstate
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/shared/logpos"
+)
+
+// Attempt returns what is agreed on about attempts to replace a service's primary. The
+// caller must not modify it.
+func (m *Machine) Attempt(service string) *fleetpb.Attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.attempts[service]; a != nil {
+		return a
+	}
+	return &fleetpb.Attempt{Service: service}
+}
+
+// copyAttempt returns a copy of a service's attempt for modification, or an empty one.
+// Attempts in the map are shared with readers and never modified.
+func (m *Machine) copyAttempt(service string) *fleetpb.Attempt {
+	if a := m.attempts[service]; a != nil {
+		return proto.CloneOf(a)
+	}
+	return &fleetpb.Attempt{Service: service}
+}
+
+func (m *Machine) sortedAttempts() []*fleetpb.Attempt {
+	list := make([]*fleetpb.Attempt, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *fleetpb.Attempt) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+// allocateToken begins an attempt. It returns a token of at least a.Least that was never
+// allocated for the service before, so that no two attempts use the same one, even if the
+// same holder requests them. The attempt is unfinished from now on, as its holder may send
+// an order without a further record.
+func (m *Machine) allocateToken(a *fleetpb.AllocateToken) uint64 {
+	p := m.copyPrimary(a.Service)
+	p.Token = max(p.Token+1, a.Least)
+	m.primaries[a.Service] = p
+	attempt := m.copyAttempt(a.Service)
+	attempt.Token, attempt.Holder = p.Token, a.Holder
+	attempt.WasUnfinished, attempt.Unfinished, attempt.Ended = attempt.Unfinished, true, false
+	m.attempts[a.Service] = attempt
+	return p.Token
+}
+
+// recordStepDown records that the primary will be ordered to step down, unless the attempt
+// has ended or a newer one has begun.
+func (m *Machine) recordStepDown(r *fleetpb.RecordStepDown) bool {
+	attempt := m.copyAttempt(r.Service)
+	if attempt.Token != r.Token || attempt.Ended {
+		return false
+	}
+	attempt.StepDownOrdered = true
+	m.attempts[r.Service] = attempt
+	return true
+}
+
+// recordCall records a call to the platform before it is made, unless the attempt has ended, a
+// newer one has begun, or the service has an endpoint that the attempt does not know.
+func (m *Machine) recordCall(r *fleetpb.RecordCall) bool {
+	attempt := m.copyAttempt(r.Service)
+	if attempt.Token != r.Token || attempt.Ended || !m.areKnown(r.Service, r.KnownEndpointIds) {
+		return false
+	}
+	attempt.Calls = append(attempt.Calls, &fleetpb.PromoteCall{Token: r.Token, EndpointId: r.EndpointId})
+	m.attempts[r.Service] = attempt
+	return true
+}
+
+// areKnown reports whether ids has every endpoint of the service that has not ended.
+func (m *Machine) areKnown(service string, ids []string) bool {
+	for _, e := range m.endpoints.All() {
+		hasEnded := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
+		if e.Service == service && !hasEnded && !slices.Contains(ids, e.Id) {
+			return false
+		}
+	}
+	return true
+}
+
+// closeAttempt records how an attempt ended without a new primary, unless a newer one has
+// begun.
+func (m *Machine) closeAttempt(c *fleetpb.CloseAttempt) bool {
+	attempt := m.copyAttempt(c.Service)
+	if attempt.Token != c.Token {
+		return false
+	}
+	if c.CallRefused {
+		attempt.Calls = slices.DeleteFunc(attempt.Calls, func(call *fleetpb.PromoteCall) bool { return call.Token == c.Token })
+	}
+	attempt.Ended = true
+	mayBePaused := !c.NonePaused && (c.PausesLeft || attempt.WasUnfinished)
+	attempt.Unfinished = mayBePaused || len(attempt.Calls) > 0
+	m.attempts[c.Service] = attempt
+	return true
+}
+
+// setPrimary replaces the primary of a service if its record still has the expected number
+// and names another endpoint. It also ends the calls that the platform can no longer carry
+// out.
+func (m *Machine) setPrimary(s *fleetpb.SetPrimary) bool {
+	p := m.copyPrimary(s.Service)
+	if p.Number != s.IfNumber {
+		return false
+	}
+	m.endAttempt(s)
+	isChanged := p.EndpointId != s.EndpointId
+	p.EndpointId, p.Term = s.EndpointId, max(p.Term, s.Term)
+	if isChanged {
+		p.Inherited = s.Inherited
+		p.Number++
+	}
+	m.primaries[s.Service] = p
+	return isChanged
+}
+
+// endAttempt ends the attempt of a service that has a new primary. Calls with a token up to
+// that of the call that was carried out are over. Without this token, it is at least the
+// lowest one of a call for the endpoint. The service needs another attempt if a call is left,
+// or unless no replica is known to be paused.
+func (m *Machine) endAttempt(s *fleetpb.SetPrimary) {
+	attempt := m.copyAttempt(s.Service)
+	carriedOut := s.Token
+	for _, c := range attempt.Calls {
+		if carriedOut == 0 && c.EndpointId == s.EndpointId {
+			carriedOut = c.Token
+		}
+	}
+	attempt.Calls = slices.DeleteFunc(attempt.Calls, func(c *fleetpb.PromoteCall) bool { return c.Token <= carriedOut })
+	if s.Token == attempt.Token && !s.PausesLeft {
+		attempt.Unfinished = len(attempt.Calls) > 0
+	}
+	attempt.StepDownOrdered, attempt.Ended = false, true
+	m.attempts[s.Service] = attempt
+}
+
+// cover records that the given endpoints held no acknowledged commit that another endpoint
+// of the service lacks, and up to which position this one holds the log.
+func (m *Machine) cover(c *fleetpb.Cover) {
+	for _, id := range c.EndpointIds {
+		m.covered[id] = true
+	}
+	if c.Position == nil {
+		return
+	}
+	attempt := m.copyAttempt(c.Service)
+	if Position(attempt.Floor).Less(Position(c.Position)) {
+		attempt.Floor = c.Position
+		m.attempts[c.Service] = attempt
+	}
+}
+
+// Position returns p as a position, or the empty one for nil.
+func Position(p *fleetpb.LogPosition) logpos.Pos {
+	return logpos.Pos{Term: p.GetTerm(), Index: p.GetIndex()}
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -29,8 +29,10 @@
 	// endpoints are part of the replicated state so that they survive a restart of all
 	// control daemons and entries need not wait for the next announcements.
 	endpoints *registry.Table
-	// covered holds the ids of ended endpoints that no promotion needs any more.
+	// covered holds the ids of endpoints that do not run and that no promotion needs any more.
 	covered map[string]bool
+	// attempts holds, by service, what is agreed on about attempts to replace its primary.
+	attempts map[string]*fleetpb.Attempt
 }
 
 // New returns a machine with an empty state. onChange is called after each applied command
@@ -41,7 +43,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
-		covered: make(map[string]bool),
+		covered: make(map[string]bool), attempts: make(map[string]*fleetpb.Attempt),
 	}
 }
 
@@ -104,10 +106,14 @@
 			delete(m.covered, kind.Announce.Id)
 		}
 	case *fleetpb.Command_Cover:
-		for _, id := range kind.Cover.EndpointIds {
-			m.covered[id] = true
-		}
+		m.cover(kind.Cover)
 		result.Taken = true
+	case *fleetpb.Command_RecordStepDown:
+		result.Taken = m.recordStepDown(kind.RecordStepDown)
+	case *fleetpb.Command_RecordCall:
+		result.Taken = m.recordCall(kind.RecordCall)
+	case *fleetpb.Command_CloseAttempt:
+		result.Taken = m.closeAttempt(kind.CloseAttempt)
 	}
 	result.Version = m.config.GetConfiguration().GetVersion()
 	return result
@@ -123,29 +129,6 @@
 	return true
 }
 
-// allocateToken returns a token of at least a.Least that was never allocated for the service
-// before, so that no two promotions of the service use the same one, even if the same holder
-// requests them.
-func (m *Machine) allocateToken(a *fleetpb.AllocateToken) uint64 {
-	p := m.copyPrimary(a.Service)
-	p.Token = max(p.Token+1, a.Least)
-	m.primaries[a.Service] = p
-	return p.Token
-}
-
-// setPrimary replaces the primary of a service if its record still has the expected number
-// and names another endpoint.
-func (m *Machine) setPrimary(s *fleetpb.SetPrimary) bool {
-	p := m.copyPrimary(s.Service)
-	if p.Number != s.IfNumber || p.EndpointId == s.EndpointId {
-		return false
-	}
-	p.EndpointId = s.EndpointId
-	p.Number++
-	m.primaries[s.Service] = p
-	return true
-}
-
 // copyPrimary returns a copy of a service's primary record for modification, or an empty
 // record if the service has none. Records in the map are shared with readers and never
 // modified.
@@ -161,7 +144,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
-		Covered: slices.Sorted(maps.Keys(m.covered))})
+		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts()})
 }
 
 // Restore implements control.StateMachine.
@@ -184,6 +167,10 @@
 	for _, id := range state.Covered {
 		m.covered[id] = true
 	}
+	m.attempts = make(map[string]*fleetpb.Attempt)
+	for _, a := range state.Attempts {
+		m.attempts[a.Service] = a
+	}
 	m.mu.Unlock()
 	m.onChange()
 	return nil
--- /dev/null
+++ b/internal/fleet/promotion/call.go
@@ -0,0 +1,96 @@
+package promotion
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"hemlockmast/internal/shared/stmt"
+)
+
+const (
+	// promoteCallTimeout bounds one call to the platform.
+	promoteCallTimeout = 1500 * time.Millisecond
+	// maxPromoteCalls limits the calls to the platform with the same token.
+	maxPromoteCalls = 3
+)
+
+// Promoter asks the platform to promote an endpoint. Errors: *ConflictError and
+// *OutcomeUnknownError; any other error means that nothing was changed.
+type Promoter interface {
+	Promote(ctx context.Context, service, endpointID string, token uint64) error
+}
+
+// callPromoter asks the platform to promote an endpoint. If a call is not answered, it
+// calls again with the same endpoint and token, which is idempotent.
+func (a *attempt) callPromoter(ctx context.Context, id string) error {
+	var err error
+	for range maxPromoteCalls {
+		err = a.callOnce(ctx, id)
+		var unknown *OutcomeUnknownError
+		if !errors.As(err, &unknown) {
+			a.result.CallRefused = err != nil
+			return err
+		}
+	}
+	return err
+}
+
+// callOnce makes one call unless the context has ended.
+func (a *attempt) callOnce(ctx context.Context, id string) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
+	defer cancel()
+	started := time.Now()
+	err := a.Promoter.Promote(callCtx, a.plan.Service, id, a.plan.Token)
+	outcome := "accepted"
+	if err != nil {
+		outcome = err.Error()
+	}
+	a.log.Info("platform called", "endpoint", id, "took", time.Since(started).String(), "outcome", outcome)
+	return err
+}
+
+// awaitTakeover waits until the endpoint reports that it is the primary. Errors:
+// *TakeoverTimeoutError.
+func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
+	deadline := time.Now().Add(takeoverTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		status, ok := a.statusOf(ctx, id)
+		if ok && status.Role == stmt.Primary {
+			a.noteTakeover(id, status)
+			return nil
+		}
+		time.Sleep(statusPollInterval)
+	}
+	return &TakeoverTimeoutError{Endpoint: id}
+}
+
+// statusOf requests the status of one of the plan's endpoints.
+func (a *attempt) statusOf(ctx context.Context, id string) (stmt.Status, bool) {
+	if id == a.plan.Primary.ID {
+		conn, status, err := a.connectPrimary(ctx)
+		if err != nil {
+			return stmt.Status{}, false
+		}
+		conn.Close()
+		return status, true
+	}
+	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
+	ok := a.runCommand(i, orderPoll, a.conns[i].Status)
+	return a.replicas[i].Status, ok
+}
+
+// noteTakeover records the new primary's first status. Pauses with its term or a lower one
+// end by themselves.
+func (a *attempt) noteTakeover(id string, status stmt.Status) {
+	a.result.Primary, a.result.Term, a.result.Inherited = id, status.Term, status.Received
+	a.result.PausesLeft = slices.ContainsFunc(a.replicas, func(s ReplicaState) bool {
+		return s.ID != id && s.Status.PausedTerm > status.Term
+	})
+	a.log.Info("new primary answers", "endpoint", id, "term", status.Term, "position", status.Received.String(),
+		"highest", a.result.Highest.String(), "pausesLeft", a.result.PausesLeft)
+}
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -4,7 +4,8 @@
 // A promotion never loses an acknowledged commit, for these reasons:
 //
 //   - An acknowledged commit is in the log of the primary and of at least one
-//     synchronous replica. A paused replica receives nothing.
+//     synchronous replica. A paused replica receives nothing from a primary whose term is
+//     lower than that of the pause.
 //   - If every replica but one is paused and that one holds what the others hold,
 //     its log contains every acknowledged commit, and no later commit is acknowledged
 //     before it is in this log. It can be promoted while the old primary still serves.
@@ -14,6 +15,11 @@
 //   - If all replicas are paused, no further commit is acknowledged, and the most
 //     up-to-date log among them contains every acknowledged commit. The old primary
 //     need not answer for this.
+//
+// Pauses hold until the platform has carried out a promotion: no daemon ends one. The
+// control group records each call to the platform before it is made, so that a later
+// attempt, of any daemon, knows the calls that may still be carried out. See
+// docs/decisions/0088-pauses-end-with-a-promotion.md.
 package promotion
 
 import (
@@ -38,34 +44,60 @@
 	// Reached means that the endpoint answered the last command and Status holds
 	// its answer.
 	Reached bool
-	// Dead means that the endpoint's process is known to have stopped well before the
-	// primary. The other replicas are then assumed to have received everything that its
-	// log holds.
-	Dead bool
-	// Paused means that the endpoint receives nothing from the primary.
-	Paused bool
+	// Dead means that the endpoint does not run and that another replica holds every
+	// acknowledged commit of its log.
+	Dead   bool
 	Status stmt.Status
 }
 
+// Call is a call to the platform that may still be carried out.
+type Call struct {
+	Token      uint64
+	EndpointID string
+}
+
 // position returns the end of the received log. Positions compare by term, then by
 // index.
 func (s ReplicaState) position() logpos.Pos {
 	return logpos.Pos{Term: s.Status.Received.Term, Index: s.Status.Received.Index}
 }
 
-// NextTerm returns a term higher than any term that a replica has seen.
-func NextTerm(replicas []ReplicaState) uint64 {
-	var term uint64
+// isPausedFor reports whether the endpoint receives nothing from a primary of a term below
+// term, as far as its last status shows.
+func (s ReplicaState) isPausedFor(term uint64) bool { return s.Dead || s.Status.PausedTerm >= term }
+
+// NextTerm returns the term to which the next promotion leads, if known is the last known term
+// of a primary and no call is open.
+func NextTerm(replicas []ReplicaState, known uint64) uint64 {
 	for _, s := range replicas {
-		term = max(term, s.Status.Term, s.Status.PausedTerm, s.Status.Received.Term)
+		known = max(known, s.Status.Term, s.Status.Received.Term)
 	}
-	return term + 1
+	return known + 1
+}
+
+// PauseTerm returns the term with which replicas are paused for the promotion of the endpoint
+// with the given id; next is that of NextTerm. A promotion leads to the next term and ends
+// the pauses. Open calls for other endpoints may lead to further terms before that, and their
+// primaries must not acknowledge commits either.
+func PauseTerm(next uint64, open []Call, id string) uint64 {
+	changes, leader := uint64(0), ""
+	for _, c := range open {
+		if c.EndpointID != leader {
+			changes++
+		}
+		leader = c.EndpointID
+	}
+	if changes > 0 && leader == id {
+		changes--
+	}
+	return next + changes
 }
 
 // MostUpToDate returns the reached replica with the most up-to-date log. Among equal
-// logs it prefers a replica that is not leaving, then the lowest id, so that a retry
-// chooses the same one. ok is false if no replica was reached.
-func MostUpToDate(replicas []ReplicaState) (latest ReplicaState, ok bool) {
+// logs it prefers the endpoint of the last open call, then a replica that is not leaving,
+// then the lowest id, so that a retry chooses the same one. ok is false if no replica was
+// reached.
+func MostUpToDate(replicas []ReplicaState, open []Call) (latest ReplicaState, ok bool) {
 	reached := slices.DeleteFunc(slices.Clone(replicas), func(s ReplicaState) bool { return !s.Reached })
 	if len(reached) == 0 {
 		return ReplicaState{}, false
@@ -73,12 +105,18 @@
 	return slices.MaxFunc(reached, func(a, b ReplicaState) int {
 		return cmp.Or(
 			a.position().Compare(b.position()),
+			compareBool(isCalled(open, a.ID), isCalled(open, b.ID)),
 			-compareBool(a.Leaving, b.Leaving),
 			-cmp.Compare(a.ID, b.ID),
 		)
 	}), true
 }
 
+// isCalled reports whether the last open call is for the endpoint.
+func isCalled(open []Call, id string) bool {
+	return len(open) > 0 && open[len(open)-1].EndpointID == id
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -89,16 +127,25 @@
 	return -1
 }
 
-// Successor returns the replica to promote while the primary still serves: the
-// preferred one if it was reached and is not leaving, otherwise the most up-to-date
-// one that is not leaving. ok is false if there is none.
-func Successor(replicas []ReplicaState, preferred string) (ReplicaState, bool) {
-	staying := slices.DeleteFunc(slices.Clone(replicas), func(s ReplicaState) bool { return s.Leaving })
-	i := slices.IndexFunc(staying, func(s ReplicaState) bool { return s.ID == preferred && s.Reached })
-	if i >= 0 {
-		return staying[i], true
+// Successor returns the replica to promote while the primary still serves, the only one that
+// will not be paused: the endpoint of the last open call, else the preferred one, else the
+// most up-to-date one that is not leaving. next is that of NextTerm. ok is false if there is
+// none, or if it is paused already.
+func Successor(replicas []ReplicaState, open []Call, next uint64, preferred string) (ReplicaState, bool) {
+	candidates := slices.DeleteFunc(slices.Clone(replicas), func(s ReplicaState) bool {
+		return !s.Reached || s.Leaving || s.isPausedFor(next)
+	})
+	if len(open) > 0 {
+		preferred = open[len(open)-1].EndpointID
 	}
-	return MostUpToDate(staying)
+	i := slices.IndexFunc(candidates, func(s ReplicaState) bool { return s.ID == preferred })
+	switch {
+	case i >= 0:
+		return candidates[i], true
+	case len(open) > 0:
+		return ReplicaState{}, false
+	}
+	return MostUpToDate(candidates, nil)
 }
 
 // ReliefCandidate returns the replica to promote when replicas have received the
@@ -127,11 +174,38 @@
 	return "", false
 }
 
-// AllPaused reports whether no replica other than except can receive a commit: each is
-// paused or dead.
-func AllPaused(replicas []ReplicaState, except string) bool {
+// AllAnswer reports whether each replica was reached or is dead, so that all of them can be
+// paused.
+func AllAnswer(replicas []ReplicaState) bool {
+	for _, s := range replicas {
+		if !s.Reached && !s.Dead {
+			return false
+		}
+	}
+	return true
+}
+
+// AllPaused reports whether no replica other than except can receive a commit from a primary
+// of a term below term: each is paused or dead.
+func AllPaused(replicas []ReplicaState, term uint64, except string) bool {
+	for _, s := range replicas {
+		if s.ID != except && !s.isPausedFor(term) {
+			return false
+		}
+	}
+	return true
+}
+
+// AnyPaused reports whether a reached replica is paused for the term or a higher one.
+func AnyPaused(replicas []ReplicaState, term uint64) bool {
+	return slices.ContainsFunc(replicas, func(s ReplicaState) bool { return s.Reached && s.isPausedFor(term) })
+}
+
+// HasAll reports whether the log of a primary that stepped down ends no earlier than that of
+// each reached replica. If not, the primary has lost its log.
+func HasAll(primary stmt.Status, replicas []ReplicaState) bool {
 	for _, s := range replicas {
-		if s.ID != except && !s.Paused && !s.Dead {
+		if s.Reached && primary.Received.Less(s.position()) {
 			return false
 		}
 	}
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -1,6 +1,10 @@
 package promotion
 
-import "fmt"
+import (
+	"fmt"
+
+	"hemlockmast/internal/shared/logpos"
+)
 
 // OutcomeUnknownError reports a promotion that may have been carried out or may still be
 // carried out later.
@@ -70,3 +74,26 @@
 func (e *NotPrimaryError) Error() string {
 	return fmt.Sprintf("endpoint %s is not the primary and cannot step down", e.Endpoint)
 }
+
+// BelowFloorError reports that the most up-to-date log that can be promoted lacks commits
+// which may have been acknowledged.
+type BelowFloorError struct {
+	Endpoint        string
+	Position, Floor logpos.Pos
+}
+
+func (e *BelowFloorError) Error() string {
+	return fmt.Sprintf("the log of endpoint %s ends at %s, before %s, up to which commits may have been acknowledged",
+		e.Endpoint, e.Position, e.Floor)
+}
+
+// SupersededError reports that an attempt must not go on: a newer attempt has begun, the
+// service has another primary, or it has an endpoint that the attempt does not know.
+type SupersededError struct {
+	Service string
+	Token   uint64
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("the attempt for service %s with token %d is superseded, or an endpoint is not known to it", e.Service, e.Token)
+}
--- a/internal/fleet/promotion/explore_test.go
+++ b/internal/fleet/promotion/explore_test.go
@@ -13,7 +13,7 @@
 
 // modelState is one state of a small model of a service: a primary with two replicas,
 // commits, and one promotion that pauses, chooses and promotes step by step. The model
-// decides with the package's own functions (NextTerm, MostUpToDate, Successor,
+// decides with the package's own functions (MostUpToDate, Successor,
 // AllPaused, IsCaughtUp).
 type modelState struct {
 	// logs holds, by endpoint, the numbers of the commits received, one digit each.
@@ -34,12 +34,16 @@
 	chosen      int
 }
 
+var pausedTerm = map[bool]uint64{true: 2}
+
 func (s modelState) replicas(planned bool) []ReplicaState {
 	var list []ReplicaState
 	for i := 1; i < 3; i++ {
 		list = append(list, ReplicaState{
-			ID: fmt.Sprint(i), Reached: s.reached[i], Paused: s.knownPaused[i],
-			Status: stmt.Status{Term: 1, Received: logpos.Pos{Term: 1, Index: uint64(len(s.seen[i]))}},
+			ID: fmt.Sprint(i), Reached: s.reached[i],
+			Status: stmt.Status{
+				Term: 1, Received: logpos.Pos{Term: 1, Index: uint64(len(s.seen[i]))}, PausedTerm: pausedTerm[s.knownPaused[i]],
+			},
 		})
 	}
 	return list
@@ -94,7 +98,7 @@
 			n.reached[i], n.seen[i] = true, n.logs[i]
 		}
 		if planned {
-			successor, _ := Successor(n.replicas(true), "")
+			successor, _ := Successor(n.replicas(true), nil, 2, "")
 			n.chosen = int(successor.ID[0] - '0')
 		}
 		n.step = 1
@@ -113,14 +117,14 @@
 		if planned {
 			n.seen[n.chosen] = n.logs[n.chosen]
 			replicas := n.replicas(true)
-			if !AllPaused(replicas, fmt.Sprint(n.chosen)) || !IsCaughtUp(replicas[n.chosen-1], replicas) {
+			if !AllPaused(replicas, 2, fmt.Sprint(n.chosen)) || !IsCaughtUp(replicas[n.chosen-1], replicas) {
 				return nil
 			}
 		} else {
-			if !AllPaused(n.replicas(false), "") {
+			if !AllPaused(n.replicas(false), 2, "") {
 				return nil
 			}
-			latest, _ := MostUpToDate(n.replicas(false))
+			latest, _ := MostUpToDate(n.replicas(false), nil)
 			n.chosen = int(latest.ID[0] - '0')
 		}
 		n.step = 3
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -46,10 +48,32 @@
 	return nil
 }
 
+// recorder keeps the records that attempts make, for the plans of later attempts.
+type recorder struct {
+	mu              sync.Mutex
+	stepDownOrdered bool
+	calls           []promotion.Call
+}
+
+func (r *recorder) RecordStepDown(context.Context, string, uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stepDownOrdered = true
+	return nil
+}
+
+func (r *recorder) RecordCall(_ context.Context, _ string, call promotion.Call, _ []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, call)
+	return nil
+}
+
 type fixture struct {
 	t        *testing.T
 	group    *standin.Group
 	promoter *promoter
+	recorder *recorder
 	runner   *promotion.Runner
 }
 
@@ -58,8 +82,9 @@
 	assert.NilError(t, err)
 	t.Cleanup(group.Close)
 	p := &promoter{group: group}
-	return &fixture{t: t, group: group, promoter: p, runner: &promotion.Runner{
-		Dialer: platform.Dialer{Name: "control"}, Promoter: p,
+	r := &recorder{}
+	return &fixture{t: t, group: group, promoter: p, recorder: r, runner: &promotion.Runner{
+		Dialer: platform.Dialer{Name: "control"}, Promoter: p, Recorder: r,
 		Log: funcr.New(func(_, args string) { t.Log(args) }, funcr.Options{}),
 	}}
 }
@@ -69,8 +94,12 @@
 	return stmt.Endpoint{ID: n.ID, Service: "svc", Address: n.Address}
 }
 
+// plan returns a plan for the next attempt, which knows the records of the earlier ones.
 func (f *fixture) plan(token uint64, serves bool) promotion.Plan {
+	f.recorder.mu.Lock()
+	defer f.recorder.mu.Unlock()
 	return promotion.Plan{
+		StepDownOrdered: f.recorder.stepDownOrdered, OpenCalls: slices.Clone(f.recorder.calls),
 		Service: "svc", Primary: f.endpoint(0), PrimaryServes: serves, Token: token,
 		Replicas: []promotion.Replica{{Endpoint: f.endpoint(1)}, {Endpoint: f.endpoint(2)}},
 	}
@@ -114,9 +143,9 @@
 	assert.Assert(t, f.write(0, "a"))
 	f.group.Nodes()[0].Set(standin.Faults{Down: true})
 	f.group.Nodes()[1].Set(standin.Faults{})
-	primary, err := f.runner.Run(t.Context(), f.plan(1, false))
+	result, err := f.runner.Run(t.Context(), f.plan(1, false))
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-2")
+	assert.Equal(t, result.Primary, "svc-2")
 	f.assertNothingLost()
 	// A write is acknowledged only if the other replica was resumed.
 	assert.Assert(t, f.write(2, "b"))
@@ -146,11 +175,11 @@
 	assert.Assert(t, f.write(0, "b"))
 	f.group.Nodes()[0].Set(standin.Faults{Down: true})
 	plan := f.plan(1, false)
-	plan.Replicas[1].PrimaryAnnouncedLater = true
+	plan.Replicas[1].Covered = true
 	plan.Replicas[1].Address = "127.0.0.1:1"
-	primary, err := f.runner.Run(t.Context(), plan)
+	result, err := f.runner.Run(t.Context(), plan)
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-1")
+	assert.Equal(t, result.Primary, "svc-1")
 	f.assertNothingLost()
 }
 
@@ -222,9 +251,9 @@
 	f := newFixture(t)
 	assert.Assert(t, f.write(0, "a"))
 	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
-	primary, err := f.runner.Run(t.Context(), f.plan(1, true))
+	result, err := f.runner.Run(t.Context(), f.plan(1, true))
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-1")
+	assert.Equal(t, result.Primary, "svc-1")
 	f.assertNothingLost()
 }
 
@@ -232,9 +261,9 @@
 	f := newFixture(t)
 	plan := f.plan(1, true)
 	plan.Replicas[0].Leaving = true
-	primary, err := f.runner.Run(t.Context(), plan)
+	result, err := f.runner.Run(t.Context(), plan)
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-2")
+	assert.Equal(t, result.Primary, "svc-2")
 }
 
 func TestUnansweredCallIsRepeatedWithItsToken(t *testing.T) {
@@ -242,10 +271,10 @@
 		f := newFixture(t)
 		f.promoter.unanswered, f.promoter.dropUnanswered = 2, dropUnanswered
 		f.group.Nodes()[0].Set(standin.Faults{Down: true})
-		primary, err := f.runner.Run(t.Context(), f.plan(4, false))
+		result, err := f.runner.Run(t.Context(), f.plan(4, false))
 		assert.NilError(t, err)
 		for _, call := range f.promoter.calls {
-			assert.Equal(t, call, primary+"/4")
+			assert.Equal(t, call, result.Primary+"/4")
 		}
 	}
 }
@@ -319,9 +348,9 @@
 	assert.Assert(t, f.write(0, "a"))
 	plan := f.plan(1, true)
 	plan.Preferred = "svc-2"
-	primary, err := f.runner.Run(t.Context(), plan)
+	result, err := f.runner.Run(t.Context(), plan)
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-2")
+	assert.Equal(t, result.Primary, "svc-2")
 	f.assertNothingLost()
 }
 
@@ -377,9 +406,9 @@
 	assert.Equal(t, len(f.promoter.calls), 0)
 	f.group.Nodes()[2].Set(standin.Faults{})
 	f.group.Nodes()[1].Set(standin.Faults{Silent: true})
-	primary, err := f.runner.Run(t.Context(), f.plan(2, true))
+	result, err := f.runner.Run(t.Context(), f.plan(2, true))
 	assert.NilError(t, err)
-	assert.Equal(t, primary, "svc-2")
+	assert.Equal(t, result.Primary, "svc-2")
 	f.assertNothingLost()
 }
 
@@ -394,9 +423,9 @@
 		f.group.Nodes()[2].Set(standin.Faults{Down: true})
 		plan := f.plan(1, serves)
 		plan.Replicas[1].Leaving, plan.Replicas[1].Ended = true, true
-		primary, err := f.runner.Run(t.Context(), plan)
+		result, err := f.runner.Run(t.Context(), plan)
 		assert.NilError(t, err)
-		assert.Equal(t, primary, "svc-0")
+		assert.Equal(t, result.Primary, "svc-0")
 		assert.Equal(t, f.group.Primary().ID, "svc-0")
 		f.assertNothingLost()
 		f.group.Nodes()[1].Set(standin.Faults{})
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -4,12 +4,11 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -25,27 +24,8 @@
 	takeoverTimeout = 4 * time.Second
 	// statusPollInterval is the time between two status requests to an endpoint.
 	statusPollInterval = 40 * time.Millisecond
-	// promoteCallTimeout bounds one call to the platform.
-	promoteCallTimeout = 1500 * time.Millisecond
-	// maxPromoteCalls limits the calls to the platform with the same token.
-	maxPromoteCalls = 3
 )
 
-// Orders to endpoints, for logs. orderPoll is a repeated status request.
-const (
-	orderStatus   = "status"
-	orderPoll     = "poll"
-	orderPause    = "pause"
-	orderResume   = "resume"
-	orderStepDown = "step down"
-)
-
-// Promoter asks the platform to promote an endpoint. Errors: *ConflictError and
-// *OutcomeUnknownError; any other error means that nothing was changed.
-type Promoter interface {
-	Promote(ctx context.Context, service, endpointID string, token uint64) error
-}
-
 // Replica is an endpoint that may be promoted.
 type Replica struct {
 	stmt.Endpoint
@@ -54,9 +34,9 @@
 	// Ended means that the endpoint and its log are gone, and that it may have been the
 	// only replica with some acknowledged commit.
 	Ended bool
-	// PrimaryAnnouncedLater means that the primary announced itself well after this
-	// endpoint's last announcement; see ReplicaState.Dead.
-	PrimaryAnnouncedLater bool
+	// Covered means that another replica holds every acknowledged commit of the endpoint's
+	// log, unless the endpoint was started again since.
+	Covered bool
 }
 
 // Plan describes one promotion.
@@ -72,39 +52,53 @@
 	Replicas  []Replica
 	// Token is the fencing token, which no other plan uses.
 	Token uint64
+	// Term is the last known term of a primary; 0 if unknown.
+	Term uint64
+	// OpenCalls are the calls of earlier attempts that may still be carried out, by token.
+	OpenCalls []Call
+	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
+	// down.
+	StepDownOrdered bool
+	// Floor is a position that the log of the new primary must reach.
+	Floor logpos.Pos
 	// LeadTerm is the term in which the caller leads the control group, for logs.
 	LeadTerm uint64
 }
 
+// Result describes how an attempt ended.
+type Result struct {
+	// Primary is the id of the new primary; empty after an error.
+	Primary string
+	// Term is the new primary's term, Inherited the end of its log when it first reported
+	// that it leads, and Highest the highest position that an endpoint reported before.
+	Term               uint64
+	Inherited, Highest logpos.Pos
+	// PausesLeft means that an endpoint may be paused, or may be ordered to step down by a
+	// late order.
+	PausesLeft bool
+	// CallRefused means that the attempt's recorded call was not made, or that the platform
+	// refused it each time.
+	CallRefused bool
+}
+
+// Recorder records what an attempt is about to do in the replicated state, so that later
+// attempts of any daemon know it. A record is refused once a newer attempt has begun.
+// Errors: *SupersededError, and those of the control group, after which the record may or
+// may not be made.
+type Recorder interface {
+	// RecordStepDown records that the primary will be ordered to step down.
+	RecordStepDown(ctx context.Context, service string, token uint64) error
+	// RecordCall records a call to the platform. known are the ids of all endpoints that
+	// the attempt has paused or accounted for.
+	RecordCall(ctx context.Context, service string, call Call, known []string) error
+}
+
 // Runner carries out promotions. It is safe for concurrent use.
 type Runner struct {
 	Dialer   stmt.Dialer
 	Promoter Promoter
+	Recorder Recorder
 	Log      logr.Logger
-
-	// mu guards steppedDown: the ids of the primaries that this runner made step down
-	// and for which it has not called the platform since. Their services have no primary.
-	mu          sync.Mutex
-	steppedDown map[string]bool
-}
-
-func (r *Runner) hasSteppedDown(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.steppedDown[id]
-}
-
-func (r *Runner) setSteppedDown(id string, isSteppedDown bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.steppedDown == nil {
-		r.steppedDown = make(map[string]bool)
-	}
-	if isSteppedDown {
-		r.steppedDown[id] = true
-	} else {
-		delete(r.steppedDown, id)
-	}
 }
 
 // attempt is the state of one promotion in progress. conns and replicas have an element
@@ -116,162 +110,146 @@
 
 	conns    []stmt.Conn
 	replicas []ReplicaState
+	// pauseTerm is the lowest term of the pauses that the attempt counts on; 0 if it counts
+	// on none.
+	pauseTerm uint64
+	// isStepDownOrdered means that this attempt or an earlier one may have ordered the
+	// primary to step down.
+	isStepDownOrdered bool
+	result            Result
 }
 
-// Run carries out the plan and returns the id of the new primary. It resumes the
-// replicas that it paused, also on an error, unless the outcome is unknown: the platform
-// may then still carry out the promotion. Errors: *OtherPrimaryError, *NoCandidateError,
-// *UnsafeError and *NotCaughtUpError before the platform is called; those of Promoter and
+// Run carries out the plan. The context ends when the caller must no longer promote; no call
+// is made after that. Replicas stay paused until an endpoint is promoted, whichever attempt
+// does it. Errors: *OtherPrimaryError, *NoCandidateError, *UnsafeError, *NotCaughtUpError
+// and those of Recorder before the platform is called; those of Promoter and
 // *TakeoverTimeoutError after that.
-func (r *Runner) Run(ctx context.Context, plan Plan) (string, error) {
+func (r *Runner) Run(ctx context.Context, plan Plan) (Result, error) {
 	a := &attempt{
 		Runner: r, plan: plan,
-		log:      r.Log.WithValues("service", plan.Service, "token", plan.Token, "leadTerm", plan.LeadTerm),
-		conns:    make([]stmt.Conn, len(plan.Replicas)),
-		replicas: make([]ReplicaState, len(plan.Replicas)),
+		log:               r.Log.WithValues("service", plan.Service, "token", plan.Token, "leadTerm", plan.LeadTerm),
+		conns:             make([]stmt.Conn, len(plan.Replicas)),
+		replicas:          make([]ReplicaState, len(plan.Replicas)),
+		isStepDownOrdered: plan.StepDownOrdered,
 	}
 	defer a.close()
-	primary, err := a.execute(ctx)
-	var unknown *OutcomeUnknownError
-	if !errors.As(err, &unknown) {
-		a.resumeReplicas()
+	a.log.Info("promotion started", "primary", plan.Primary.ID, "planned", plan.PrimaryServes, "openCalls", plan.OpenCalls,
+		"stepDownOrdered", plan.StepDownOrdered, "floor", plan.Floor.String())
+	err := a.execute(ctx)
+	if ctx.Err() != nil {
+		a.log.Info("promotion interrupted", "error", ctx.Err().Error())
 	}
-	return primary, err
+	return a.result, err
 }
 
-func (a *attempt) execute(ctx context.Context) (string, error) {
+func (a *attempt) execute(ctx context.Context) error {
 	a.connectReplicas(ctx)
 	if id, ok := CurrentPrimary(a.replicas); ok {
 		// The plan predates a promotion. Only the new primary knows which commits were
 		// acknowledged since.
-		return "", &OtherPrimaryError{Endpoint: id}
+		return &OtherPrimaryError{Endpoint: id}
 	}
 	candidate, err := a.candidate(ctx)
 	if err != nil {
-		return "", err
+		return err
+	}
+	if candidate.position().Less(a.plan.Floor) {
+		return &BelowFloorError{Endpoint: candidate.ID, Position: candidate.position(), Floor: a.plan.Floor}
+	}
+	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
+	if err := a.Recorder.RecordCall(ctx, a.plan.Service, call, a.knownEndpoints()); err != nil {
+		return err
 	}
-	a.log.Info("promotion called", "endpoint", candidate.ID, "planned", a.plan.PrimaryServes,
-		"position", candidate.Status.Received.String())
-	a.setSteppedDown(a.plan.Primary.ID, false)
+	if err := a.confirmReplicas(ctx, candidate); err != nil {
+		a.result.CallRefused = true
+		return err
+	}
+	a.result.Highest = a.highestPosition(candidate)
+	a.log.Info("promotion called", "endpoint", candidate.ID, "position", candidate.Status.Received.String(),
+		"highest", a.result.Highest.String(), "pauseTerm", a.pauseTerm)
 	if err := a.callPromoter(ctx, candidate.ID); err != nil {
-		return "", err
+		return err
+	}
+	return a.awaitTakeover(ctx, candidate.ID)
+}
+
+// knownEndpoints returns the ids of the endpoints that the attempt accounts for.
+func (a *attempt) knownEndpoints() []string {
+	ids := []string{a.plan.Primary.ID}
+	for _, r := range a.plan.Replicas {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+func (a *attempt) highestPosition(candidate ReplicaState) logpos.Pos {
+	highest := candidate.position()
+	for _, s := range a.replicas {
+		highest = logpos.Max(highest, s.position())
 	}
-	return candidate.ID, a.awaitTakeover(ctx, candidate.ID)
+	return highest
 }
 
 // candidate chooses an endpoint whose log contains every acknowledged commit, now and
 // until it is promoted. To ensure that, it pauses the replicas; if some replica cannot be
-// paused, it makes the primary step down instead.
+// paused, it makes the primary step down instead. It pauses none if some replica does not
+// answer, because the pause of the others would be of no use.
 func (a *attempt) candidate(ctx context.Context) (ReplicaState, error) {
-	if a.plan.PrimaryServes {
-		candidate, ok := Successor(a.replicas, a.plan.Preferred)
-		if !ok {
-			return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
-		}
-		a.pauseReplicas(candidate.ID)
-		if !AllPaused(a.replicas, candidate.ID) {
-			return a.candidateAfterStepDown(ctx, candidate.ID)
-		}
-		return a.awaitCaughtUp(ctx, candidate.ID)
-	}
-	a.pauseReplicas("")
-	if !AllPaused(a.replicas, "") {
-		return a.candidateAfterStepDown(ctx, "")
-	}
-	latest, ok := MostUpToDate(a.replicas)
-	if !ok {
+	successor, ok := Successor(a.replicas, a.plan.OpenCalls, a.nextTerm(), a.plan.Preferred)
+	switch {
+	case a.plan.PrimaryServes && !ok && !AnyPaused(a.replicas, a.nextTerm()):
 		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
+	case !AllAnswer(a.replicas):
+		return a.candidateAfterStepDown(ctx)
+	case a.plan.PrimaryServes && ok:
+		return a.pauseOthers(ctx, successor.ID)
 	}
-	return latest, nil
-}
-
-// connectReplicas connects to all replicas and requests their status.
-func (a *attempt) connectReplicas(ctx context.Context) {
-	a.forEachReplica(func(i int, r Replica) {
-		s := &a.replicas[i]
-		s.ID, s.Leaving = r.ID, r.Leaving
-		if r.Ended {
-			return
-		}
-		dialCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-		defer cancel()
-		conn, err := a.Dialer.Dial(dialCtx, r.Endpoint)
-		if err != nil {
-			s.Dead = provesDead(err) && r.PrimaryAnnouncedLater
-			a.log.Info("replica cannot be reached", "endpoint", r.ID, "dead", s.Dead, "error", err.Error())
-			return
-		}
-		a.conns[i] = conn
-		a.runCommand(i, orderStatus, func(deadline time.Time) (stmt.Status, error) { return conn.Status(deadline) })
-	})
+	return a.pauseAll(ctx)
 }
 
-// provesDead reports whether a dial error proves that the endpoint is not running at its
-// address: nothing listens there, or another endpoint does.
-func provesDead(err error) bool {
-	var refused *stmt.RefusedError
-	if errors.As(err, &refused) {
-		return refused.Reply.Code == stmt.CodeMisrouted
+// pauseOthers pauses all replicas but the successor while the primary serves, and waits until
+// the successor holds what the others hold. If it does not in time, all replicas are paused:
+// the primary could acknowledge nothing, as the successor does not receive.
+func (a *attempt) pauseOthers(ctx context.Context, successor string) (ReplicaState, error) {
+	if !a.pauseReplicas(successor, successor) {
+		return a.candidateAfterStepDown(ctx)
+	}
+	candidate, err := a.awaitCaughtUp(ctx, successor)
+	var behind *NotCaughtUpError
+	if errors.As(err, &behind) && ctx.Err() == nil {
+		a.log.Info("all replicas are paused", "reason", err.Error())
+		return a.pauseAll(ctx)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return candidate, err
 }
 
-// runCommand runs a command at replica i and stores the status that it returns. It
-// retries while the endpoint is busy, for at most commandTimeout, and reports whether
-// the endpoint answered.
-func (a *attempt) runCommand(i int, name string, command func(deadline time.Time) (stmt.Status, error)) bool {
-	deadline := time.Now().Add(commandTimeout)
+// pauseAll pauses all replicas and returns the most up-to-date one.
+func (a *attempt) pauseAll(ctx context.Context) (ReplicaState, error) {
+	expected, ok := MostUpToDate(a.replicas, a.plan.OpenCalls)
+	if !ok {
+		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
+	}
 	for {
-		status, err := command(deadline)
-		if err == nil {
-			a.logStatus(a.replicas[i].ID, name, status)
-			a.replicas[i].Status = status
-			a.replicas[i].Reached = true
-			return true
+		if !a.pauseReplicas(expected.ID, "") {
+			return a.candidateAfterStepDown(ctx)
 		}
-		var refused *stmt.RefusedError
-		busy := errors.As(err, &refused) && refused.Reply.Code == stmt.CodeBusy
-		if !busy || time.Now().After(deadline) {
-			a.log.Info("endpoint did not answer", "endpoint", a.replicas[i].ID, "order", name, "error", err.Error())
-			a.replicas[i].Reached = false
-			return false
+		latest, ok := MostUpToDate(a.replicas, a.plan.OpenCalls)
+		if !ok {
+			return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
 		}
-		time.Sleep(statusPollInterval)
-	}
-}
-
-// logStatus logs an endpoint's answer to an order. Answers to status requests that are
-// repeated until something changes are only logged in debug mode.
-func (a *attempt) logStatus(id, order string, status stmt.Status) {
-	log := a.log
-	if order == orderPoll {
-		log = log.V(1)
+		if AllPaused(a.replicas, a.pauseTermFor(latest.ID), "") {
+			return latest, nil
+		}
+		// Another replica than expected has the latest log, and an open call requires
+		// pauses of a higher term for it.
+		expected = latest
 	}
-	log.Info("endpoint answered", "endpoint", id, "order", order, "primary", status.Role == stmt.Primary, "term", status.Term,
-		"position", status.Received.String(), "pausedTerm", status.PausedTerm)
 }
 
-// forEachReplica runs f concurrently for every replica and waits for all calls to
-// return.
-func (a *attempt) forEachReplica(f func(i int, r Replica)) {
-	var wait sync.WaitGroup
-	for i, r := range a.plan.Replicas {
-		wait.Go(func() { f(i, r) })
-	}
-	wait.Wait()
-}
+func (a *attempt) nextTerm() uint64 { return NextTerm(a.replicas, a.plan.Term) }
 
-// pauseReplicas pauses replication at all reached replicas other than except.
-func (a *attempt) pauseReplicas(except string) {
-	term := NextTerm(a.replicas)
-	a.forEachReplica(func(i int, r Replica) {
-		if r.ID == except || !a.replicas[i].Reached {
-			return
-		}
-		a.replicas[i].Paused = a.runCommand(i, orderPause, func(deadline time.Time) (stmt.Status, error) {
-			return a.conns[i].Pause(deadline, term)
-		})
-	})
+func (a *attempt) pauseTermFor(id string) uint64 {
+	return PauseTerm(a.nextTerm(), a.plan.OpenCalls, id)
 }
 
 // awaitCaughtUp waits until the candidate has received everything that the paused
@@ -296,20 +274,32 @@
 // that has received all of it is a safe candidate. If none has in time, the primary itself
 // is: it sends nothing while it does not lead, so waiting longer does not help. Errors:
 // *UnsafeError if the primary does not step down, and the context's.
-func (a *attempt) candidateAfterStepDown(ctx context.Context, preferred string) (ReplicaState, error) {
+func (a *attempt) candidateAfterStepDown(ctx context.Context) (ReplicaState, error) {
 	final, err := a.stepDown(ctx)
 	if err != nil {
 		a.log.Info("primary did not step down", "endpoint", a.plan.Primary.ID, "error", err.Error())
 		return ReplicaState{}, a.unsafeError()
 	}
-	a.resumeReplicas()
+	a.pauseTerm = 0
+	candidate, err := a.awaitFinalPosition(ctx, final)
+	if err != nil {
+		return ReplicaState{}, err
+	}
+	if a.pauseTermFor(candidate.ID) > a.nextTerm() && !a.pauseReplicas(candidate.ID, candidate.ID) {
+		// The primary of an open call could acknowledge commits with an unpaused replica.
+		return ReplicaState{}, a.unsafeError()
+	}
+	return candidate, nil
+}
+
+// awaitFinalPosition returns a replica that has received everything up to the final status of
+// the primary, which stepped down, or the primary if none has in time. Errors: the context's.
+func (a *attempt) awaitFinalPosition(ctx context.Context, final stmt.Status) (ReplicaState, error) {
 	deadline := time.Now().Add(catchUpTimeout)
 	for {
-		for i, s := range a.replicas {
-			isWanted := preferred == "" || s.ID == preferred
-			if s.Reached && isWanted && !s.position().Less(final.Received) {
-				return a.replicas[i], nil
-			}
+		latest, ok := MostUpToDate(a.replicas, a.plan.OpenCalls)
+		if ok && !latest.position().Less(final.Received) {
+			return latest, nil
 		}
 		if ctx.Err() != nil {
 			return ReplicaState{}, ctx.Err()
@@ -327,115 +317,51 @@
 	}
 }
 
-// stepDown makes the plan's primary step down and returns its final status. It also
-// accepts an endpoint that this runner made step down in an earlier attempt. Errors:
-// *NotPrimaryError, those of stmt.
+// stepDown makes the plan's primary step down and returns its final status, which holds
+// every acknowledged commit. It also accepts a replica that was ordered to step down before,
+// as no other endpoint can have been promoted since if no call for one is open. Errors:
+// *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
 	conn, status, err := a.connectPrimary(ctx)
 	if err != nil {
 		return stmt.Status{}, err
 	}
 	defer conn.Close()
-	if status.Role != stmt.Primary && !a.hasSteppedDown(a.plan.Primary.ID) {
-		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
-	}
-	term := max(NextTerm(a.replicas), status.Term+1)
-	final, err := conn.StepDown(time.Now().Add(commandTimeout), term)
-	if err == nil {
-		a.logStatus(a.plan.Primary.ID, orderStepDown, final)
-		a.setSteppedDown(a.plan.Primary.ID, true)
-	}
-	return final, err
-}
-
-func (a *attempt) unsafeError() error {
-	e := &UnsafeError{Service: a.plan.Service}
-	for _, s := range a.replicas {
-		if !s.Paused && !s.Dead {
-			e.NotPaused = append(e.NotPaused, s.ID)
+	if status.Role == stmt.Primary {
+		status, err = a.orderStepDown(ctx, conn, status.Term+1)
+		if err != nil {
+			return stmt.Status{}, err
 		}
 	}
-	return e
-}
-
-// callPromoter asks the platform to promote an endpoint. If a call is not answered, it
-// calls again with the same endpoint and token, which is idempotent.
-func (a *attempt) callPromoter(ctx context.Context, id string) error {
-	var err error
-	for range maxPromoteCalls {
-		callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
-		started := time.Now()
-		err = a.Promoter.Promote(callCtx, a.plan.Service, id, a.plan.Token)
-		cancel()
-		a.log.Info("platform called", "endpoint", id, "took", time.Since(started).String(), "outcome", describeOutcome(err))
-		var unknown *OutcomeUnknownError
-		if !errors.As(err, &unknown) {
-			return err
-		}
+	if !a.isStepDownOrdered || a.hasOpenCallForReplica() || !HasAll(status, a.replicas) {
+		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
-	return err
+	return status, nil
 }
 
-// describeOutcome returns the outcome of a call to the platform for logs.
-func describeOutcome(err error) string {
-	if err == nil {
-		return "accepted"
+// orderStepDown records the order and sends it.
+func (a *attempt) orderStepDown(ctx context.Context, conn stmt.Conn, term uint64) (stmt.Status, error) {
+	if err := a.Recorder.RecordStepDown(ctx, a.plan.Service, a.plan.Token); err != nil {
+		return stmt.Status{}, err
 	}
-	return err.Error()
+	a.isStepDownOrdered, a.result.PausesLeft = true, true
+	status, err := conn.StepDown(time.Now().Add(commandTimeout), term)
+	a.logAnswer(a.plan.Primary.ID, orderStepDown, status, err)
+	return status, err
 }
 
-// awaitTakeover waits until the endpoint reports that it is the primary. Errors:
-// *TakeoverTimeoutError.
-func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
-	deadline := time.Now().Add(takeoverTimeout)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if a.isPrimary(ctx, id) {
-			return nil
-		}
-		time.Sleep(statusPollInterval)
-	}
-	return &TakeoverTimeoutError{Endpoint: id}
+func (a *attempt) hasOpenCallForReplica() bool {
+	return slices.ContainsFunc(a.plan.OpenCalls, func(c Call) bool { return c.EndpointID != a.plan.Primary.ID })
 }
 
-// isPrimary reports whether one of the plan's endpoints says that it is the primary.
-func (a *attempt) isPrimary(ctx context.Context, id string) bool {
-	if id == a.plan.Primary.ID {
-		conn, status, err := a.connectPrimary(ctx)
-		if err != nil {
-			return false
+func (a *attempt) unsafeError() error {
+	e := &UnsafeError{Service: a.plan.Service}
+	for _, s := range a.replicas {
+		if !s.Dead && (!s.Reached || !s.isPausedFor(a.pauseTerm)) {
+			e.NotPaused = append(e.NotPaused, s.ID)
 		}
-		conn.Close()
-		return status.Role == stmt.Primary
 	}
-	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
-	return a.runCommand(i, orderPoll, a.conns[i].Status) && a.replicas[i].Status.Role == stmt.Primary
-}
-
-// connectPrimary connects to the plan's primary and requests its status. The caller closes
-// the connection. Errors: those of stmt.
-func (a *attempt) connectPrimary(ctx context.Context) (stmt.Conn, stmt.Status, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	conn, err := a.Dialer.Dial(dialCtx, a.plan.Primary)
-	if err != nil {
-		return nil, stmt.Status{}, err
-	}
-	status, err := conn.Status(time.Now().Add(commandTimeout))
-	if err != nil {
-		conn.Close()
-		return nil, stmt.Status{}, err
-	}
-	return conn, status, nil
-}
-
-// resumeReplicas resumes replication at the paused replicas.
-func (a *attempt) resumeReplicas() {
-	a.forEachReplica(func(i int, _ Replica) {
-		if a.replicas[i].Paused {
-			a.runCommand(i, orderResume, a.conns[i].Resume)
-			a.replicas[i].Paused = false
-		}
-	})
+	return e
 }
 
 func (a *attempt) close() {
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -47,9 +47,9 @@
 	f := newFixture(t)
 	assert.Assert(t, f.write(0, "a"))
 	dialer := f.runner.Dialer
-	former := &promotion.Runner{Dialer: pausedBeforeFailing{cutDialer{dialer, "", "svc-0"}, "svc-1"}, Promoter: f.promoter, Log: f.runner.Log}
+	former := &promotion.Runner{Dialer: pausedBeforeFailing{cutDialer{dialer, "", "svc-0"}, "svc-1"}, Promoter: f.promoter, Recorder: f.recorder, Log: f.runner.Log}
 	next := &promotion.Runner{
-		Dialer: cutDialer{dialer, "", "svc-0"}, Promoter: slowPromoter{f.promoter, 900 * time.Millisecond}, Log: f.runner.Log,
+		Dialer: cutDialer{dialer, "", "svc-0"}, Promoter: slowPromoter{f.promoter, 900 * time.Millisecond}, Recorder: f.recorder, Log: f.runner.Log,
 	}
 	failed, done := make(chan error), make(chan error)
 	go func() { _, err := former.Run(t.Context(), f.plan(1, false)); failed <- err }()
@@ -140,7 +140,7 @@
 	f.group.Nodes()[2].Set(standin.Faults{Down: true})
 	f.group.Nodes()[0].Set(standin.Faults{Down: true})
 	plan := f.plan(1, false)
-	plan.Replicas[1].PrimaryAnnouncedLater = true
+	plan.Replicas[1].Covered = true
 	plan.Replicas[1].Address = "127.0.0.1:1"
 	_, err := f.runner.Run(t.Context(), plan)
 	t.Log(err)
