promotion: an unanswered call stays open whatever its repetition is answered

Cause: the last error decided. A call without an answer whose repetition was refused (429, 409, or no connection) counted as refused, although the platform may carry it out seconds later. Evidence: TestUnansweredCallKeepsPausesWhenItsRepetitionIsRefused lost 1 acknowledged commit. Change: an attempt whose call was once unanswered ends with an unknown outcome unless a repetition succeeds. A throttled call is repeated after 100 ms instead of ending the attempt. A connection that cannot be opened proves that nothing was sent, so it leaves no call open.

--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockmast/internal/shared/stmt"
+	"hemlockmast/internal/shared/wait"
 )
 
 const (
@@ -14,26 +15,40 @@
 	promoteCallTimeout = 1500 * time.Millisecond
 	// maxPromoteCalls limits the calls to the platform with the same token.
 	maxPromoteCalls = 3
+	// throttledDelay is the delay before a call is repeated that was refused because of too
+	// many calls.
+	throttledDelay = 100 * time.Millisecond
 )
 
-// Promoter asks the platform to promote an endpoint. Errors: *ConflictError and
-// *OutcomeUnknownError; any other error means that nothing was changed.
+// Promoter asks the platform to promote an endpoint. Errors: *ConflictError,
+// *ThrottledError and *OutcomeUnknownError; after any other error, nothing was changed and
+// nothing will be.
 type Promoter interface {
 	Promote(ctx context.Context, service, endpointID string, token uint64) error
 }
 
-// callPromoter asks the platform to promote an endpoint. If a call is not answered, it
-// calls again with the same endpoint and token, which is idempotent.
+// callPromoter asks the platform to promote an endpoint. If a call is not answered or is
+// throttled, it calls again with the same endpoint and token, which is idempotent. An
+// unanswered call may be carried out later whatever its repetition is answered, so its error
+// is returned unless a repetition succeeds.
 func (a *attempt) callPromoter(ctx context.Context, id string) error {
-	var err error
+	var err, unanswered error
 	for range maxPromoteCalls {
 		err = a.callOnce(ctx, id)
 		var unknown *OutcomeUnknownError
-		if !errors.As(err, &unknown) {
-			a.result.CallRefused = err != nil
-			return err
+		var throttled *ThrottledError
+		if errors.As(err, &unknown) {
+			unanswered = err
+		} else if errors.As(err, &throttled) {
+			wait.For(ctx, throttledDelay)
+		} else {
+			break
 		}
 	}
+	if err != nil && unanswered != nil {
+		return unanswered
+	}
+	a.result.CallRefused = err != nil
 	return err
 }
 
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -87,6 +87,11 @@
 		e.Endpoint, e.Position, e.Floor)
 }
 
+// ThrottledError reports that the platform refused a call because of too many calls.
+type ThrottledError struct{}
+
+func (*ThrottledError) Error() string { return "the platform refuses calls because there are too many" }
+
 // SupersededError reports that an attempt must not go on: a newer attempt has begun, the
 // service has another primary, or it has an endpoint that the attempt does not know.
 type SupersededError struct {
