promotion: a dead replica is left out only if another one was seen to hold its log

What callers saw: an acknowledged write may be gone after a replica and then the primary ended. Cause: a replica that refused connections was left out if the primary had announced itself 1.5 s later, on the assumption that the other replicas had received everything by then. One that receives nothing (a fault of its link, a lag) breaks the assumption. Evidence: TestDeadReplicaMayHoldTheOnlyCopy lost 1 acknowledged commit. Change: replicas that entries report or that stop announcing themselves are probed at once. If the process is proved not to run, it is covered like a replica that ended: another replica is seen to hold what the primary held after that, and the control group records it together with the position, below which no later primary's log may end. Covering runs beside promotions, so that it delays none.

--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -11,42 +12,114 @@
 	"hemlockmast/internal/shared/wait"
 )
 
-// coverEnded checks whether the ended replicas of a service are covered, and has the
-// control group record it. They are covered, that is, no promotion needs their logs, once
-// a running replica holds everything that the primary held at a time after their end.
-// coverEnded returns false if it must be retried.
-func (w *watcher) coverEnded(ctx context.Context, svc serviceState) bool {
+// startCovering starts to cover a service's replicas that do not run, unless that is in
+// progress or was done within coverInterval.
+func (w *watcher) startCovering(ctx context.Context, svc serviceState) {
+	silent := w.silentReplicas(svc, time.Now())
+	if svc.primary == nil || len(svc.ended)+len(silent) == 0 || !w.tryMarkCovering(svc.service) {
+		return
+	}
+	go func() {
+		defer w.endCovering(svc.service)
+		missing := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
+		if len(missing) > 0 {
+			w.cover(ctx, svc, missing)
+		}
+	}()
+}
+
+func (w *watcher) tryMarkCovering(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.covering[service] || time.Now().Before(w.coverAt[service]) {
+		return false
+	}
+	w.covering[service] = true
+	return true
+}
+
+func (w *watcher) endCovering(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.covering[service] = false
+	w.coverAt[service] = time.Now().Add(coverInterval)
+}
+
+// silentReplicas returns the replicas that entries reported as unreachable or that no longer
+// announce themselves to this daemon, and that are not covered.
+func (w *watcher) silentReplicas(svc serviceState, now time.Time) []*fleetpb.Endpoint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*fleetpb.Endpoint
+	for _, e := range svc.others {
+		lastSeen, ok := w.lastSeenAt[e.Id]
+		isLate := ok && now.Sub(lastSeen) > w.node.cfg.Heartbeat+heartbeatMargin
+		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.node.machine.IsCovered(e.Id) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// deadReplicas returns the replicas whose processes are proved not to run. It forgets when an
+// endpoint that answers was last seen, as it announces itself to another daemon.
+func (w *watcher) deadReplicas(ctx context.Context, silent []*fleetpb.Endpoint) []*fleetpb.Endpoint {
+	var dead []*fleetpb.Endpoint
+	for _, e := range silent {
+		_, err := w.status(ctx, e)
+		if err == nil {
+			w.mu.Lock()
+			delete(w.lastSeenAt, e.Id)
+			delete(w.unreachableAt, e.Id)
+			w.mu.Unlock()
+			continue
+		}
+		if promotion.ProvesDead(err) {
+			dead = append(dead, e)
+		}
+	}
+	return dead
+}
+
+// cover checks whether replicas that do not run are covered, and has the control group record
+// it. They are covered, that is, no promotion needs their logs, once a running replica holds
+// everything that the primary held at a time after their end. cover returns false if they
+// are not.
+func (w *watcher) cover(ctx context.Context, svc serviceState, missing []*fleetpb.Endpoint) bool {
 	primaryStatus, err := w.status(ctx, svc.primary)
 	if err != nil || primaryStatus.Role != stmt.Primary {
 		return false
 	}
 	for range maxCoverAttempts {
 		for _, e := range svc.others {
+			if slices.Contains(missing, e) || e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
+				continue
+			}
 			status, err := w.status(ctx, e)
-			if err == nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_READY && !status.Received.Less(primaryStatus.Received) {
-				return w.recordCovered(ctx, svc, e.Id, primaryStatus.Received)
+			if err == nil && !status.Received.Less(primaryStatus.Received) {
+				return w.recordCovered(ctx, svc, missing, e.Id, primaryStatus.Received)
 			}
 		}
 		wait.For(ctx, stallSampleInterval)
 	}
-	w.log.Info("ended replicas are not covered yet", "service", svc.service, "position", primaryStatus.Received.String())
+	w.log.Info("replicas that do not run are not covered yet", "service", svc.service, "position", primaryStatus.Received.String())
 	return false
 }
 
-// recordCovered has the control group record that the ended replicas of a service are
-// covered. by is the id of the running replica that holds everything up to pos. It returns
-// false if it must be retried.
-func (w *watcher) recordCovered(ctx context.Context, svc serviceState, by string, pos logpos.Pos) bool {
+// recordCovered has the control group record that replicas which do not run are covered. by
+// is the id of the running replica that holds everything up to pos. It returns false if it
+// must be retried.
+func (w *watcher) recordCovered(ctx context.Context, svc serviceState, missing []*fleetpb.Endpoint, by string, pos logpos.Pos) bool {
 	cover := &fleetpb.Cover{Service: svc.service, Position: positionProto(pos)}
-	for _, e := range svc.ended {
+	for _, e := range missing {
 		cover.EndpointIds = append(cover.EndpointIds, e.Id)
 	}
 	cmd := &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: cover}}
 	if _, err := w.node.propose(ctx, cmd); err != nil {
-		w.log.Info("control group did not record that ended replicas are covered", "service", svc.service, "error", err.Error())
+		w.log.Info("control group did not record that replicas are covered", "service", svc.service, "error", err.Error())
 		return false
 	}
-	w.log.Info("ended replicas are covered", "service", svc.service, "endpoints", cover.EndpointIds,
+	w.log.Info("replicas that do not run are covered", "service", svc.service, "endpoints", cover.EndpointIds,
 		"by", by, "position", pos.String())
 	return true
 }
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -15,7 +15,7 @@
 // promote replaces a service's primary and records the new one. It returns false if it must
 // be retried.
 func (w *watcher) promote(ctx context.Context, svc serviceState, r replacement) bool {
-	if r.primaryServes && len(svc.ended) > 0 && w.coverEnded(ctx, svc) {
+	if r.primaryServes && len(svc.ended) > 0 && w.cover(ctx, svc, svc.ended) {
 		svc.ended = nil
 	}
 	token, ok := w.beginAttempt(ctx, &svc)
@@ -78,15 +78,12 @@
 
 // planReplicas returns the replicas of a service for a promotion plan.
 func (w *watcher) planReplicas(svc serviceState) []promotion.Replica {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var list []promotion.Replica
 	for _, e := range svc.others {
-		lastSeen, ok := w.lastSeenAt[e.Id]
 		list = append(list, promotion.Replica{
 			Endpoint: stmtEndpoint(e),
 			Leaving:  e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			Covered:  ok && w.lastSeenAt[svc.primary.Id].Sub(lastSeen) > minAnnouncementGap,
+			Covered:  w.node.machine.IsCovered(e.Id),
 		})
 	}
 	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -44,10 +44,12 @@
 	// action for a service, such as a promotion.
 	minRetryBackoff = 200 * time.Millisecond
 	maxRetryBackoff = 1500 * time.Millisecond
-	// minAnnouncementGap is how much later than a replica the primary must have announced
-	// itself to conclude that the replica, if dead, holds no commit that the other replicas
-	// lack.
-	minAnnouncementGap = 1500 * time.Millisecond
+	// coverInterval is the time between two tries to cover a service's replicas that do not
+	// run.
+	coverInterval = 300 * time.Millisecond
+	// heartbeatMargin is how late a replica's announcement may be before the replica is
+	// probed.
+	heartbeatMargin = 200 * time.Millisecond
 )
 
 // watcher detects failed, leaving, stalled and overloaded primaries and replaces them
@@ -82,6 +84,11 @@
 	busy         map[string]bool
 	retryAt      map[string]time.Time
 	retryBackoff map[string]time.Duration
+
+	// covering holds the services whose replicas are being covered, coverAt when the next try
+	// may start.
+	covering map[string]bool
+	coverAt  map[string]time.Time
 }
 
 func newWatcher(n *Node) *watcher {
@@ -98,6 +105,8 @@
 		busy:         make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
+		covering:     make(map[string]bool),
+		coverAt:      make(map[string]time.Time),
 	}
 }
 
@@ -155,6 +164,7 @@
 			continue
 		}
 		for _, svc := range w.services() {
+			w.startCovering(leadCtx, svc)
 			w.startAction(leadCtx, svc)
 		}
 	}
@@ -264,8 +274,6 @@
 		return func(ctx context.Context) bool { return w.confirmDemoted(ctx, svc) }
 	case w.isStalled(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
-	case len(svc.ended) > 0:
-		return func(ctx context.Context) bool { return w.coverEnded(ctx, svc) }
 	case svc.attempt.Unfinished:
 		return func(ctx context.Context) bool { return w.finishAttempt(ctx, svc) }
 	case w.isOverloaded(svc.service, svc.primary.Id, now):
--- /dev/null
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -0,0 +1,121 @@
+package fleetstate
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	fleetpb "hemlockmast/api/fleet"
+)
+
+func (m *Machine) apply(t *testing.T, cmd *fleetpb.Command) *fleetpb.CommandResult {
+	data, err := Encode(cmd)
+	assert.NilError(t, err)
+	result := &fleetpb.CommandResult{}
+	assert.NilError(t, proto.Unmarshal(m.Apply(0, data), result))
+	return result
+}
+
+func (m *Machine) begin(t *testing.T) uint64 {
+	return m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{AllocateToken: &fleetpb.AllocateToken{Service: "s"}}}).Token
+}
+
+func (m *Machine) recordCallFor(t *testing.T, token uint64, id string, known ...string) bool {
+	return m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
+		RecordCall: &fleetpb.RecordCall{Service: "s", Token: token, EndpointId: id, KnownEndpointIds: known},
+	}}).Taken
+}
+
+func (m *Machine) set(t *testing.T, s *fleetpb.SetPrimary) {
+	s.Service, s.IfNumber = "s", m.Primary("s").Number
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_SetPrimary{SetPrimary: s}})
+}
+
+func (m *Machine) close(t *testing.T, c *fleetpb.CloseAttempt) {
+	c.Service = "s"
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_CloseAttempt{CloseAttempt: c}})
+}
+
+func TestSupersededAttemptMayNotCall(t *testing.T) {
+	m := New(nil)
+	first, second := m.begin(t), m.begin(t)
+	assert.Assert(t, !m.recordCallFor(t, first, "a"))
+	assert.Assert(t, m.recordCallFor(t, second, "a"))
+}
+
+func TestAttemptMayNotCallAfterAChangeOfPrimary(t *testing.T) {
+	m := New(nil)
+	token := m.begin(t)
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "b"})
+	assert.Assert(t, !m.recordCallFor(t, token, "a"))
+}
+
+func TestAttemptMayNotCallIfAnEndpointIsUnknownToIt(t *testing.T) {
+	m := New(nil)
+	for id, state := range map[string]fleetpb.EndpointState{
+		"a": fleetpb.EndpointState_ENDPOINT_STATE_READY, "new": fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+		"gone": fleetpb.EndpointState_ENDPOINT_STATE_GONE,
+	} {
+		e := &fleetpb.Endpoint{Id: id, Service: "s", Address: "127.0.0.1:1" + id, State: state}
+		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}})
+	}
+	token := m.begin(t)
+	assert.Assert(t, !m.recordCallFor(t, token, "a", "a"))
+	assert.Assert(t, m.recordCallFor(t, token, "a", "a", "new"))
+}
+
+// TestOpenCallsAndUnfinishedAttempts has one row for each way in which an attempt ends.
+func TestOpenCallsAndUnfinishedAttempts(t *testing.T) {
+	for name, row := range map[string]struct {
+		end        func(m *Machine)
+		open       []uint64
+		unfinished bool
+	}{
+		"promoted":                  {func(m *Machine) { m.set(t, &fleetpb.SetPrimary{EndpointId: "c", Token: 3}) }, nil, false},
+		"promoted, pauses left":     {func(m *Machine) { m.set(t, &fleetpb.SetPrimary{EndpointId: "c", Token: 3, PausesLeft: true}) }, nil, true},
+		"earlier call carried out":  {func(m *Machine) { m.set(t, &fleetpb.SetPrimary{EndpointId: "b"}) }, []uint64{3}, true},
+		"some other endpoint leads": {func(m *Machine) { m.set(t, &fleetpb.SetPrimary{EndpointId: "x"}) }, []uint64{1, 2, 3}, true},
+		"refused":                   {func(m *Machine) { m.close(t, &fleetpb.CloseAttempt{Token: 3, CallRefused: true}) }, []uint64{1, 2}, true},
+		"not answered":              {func(m *Machine) { m.close(t, &fleetpb.CloseAttempt{Token: 3}) }, []uint64{1, 2, 3}, true},
+		"closed by another one":     {func(m *Machine) { m.close(t, &fleetpb.CloseAttempt{Token: 2, CallRefused: true}) }, []uint64{1, 2, 3}, true},
+	} {
+		m := New(nil)
+		for _, id := range []string{"a", "b", "c"} {
+			assert.Assert(t, m.recordCallFor(t, m.begin(t), id))
+		}
+		row.end(m)
+		var open []uint64
+		for _, c := range m.Attempt("s").Calls {
+			open = append(open, c.Token)
+		}
+		assert.DeepEqual(t, open, row.open)
+		assert.Equal(t, m.Attempt("s").Unfinished, row.unfinished, name)
+	}
+}
+
+func TestUnfinishedAttemptStaysSoUntilNothingIsPaused(t *testing.T) {
+	m := New(nil)
+	m.close(t, &fleetpb.CloseAttempt{Token: m.begin(t), PausesLeft: true})
+	m.close(t, &fleetpb.CloseAttempt{Token: m.begin(t)})
+	assert.Assert(t, m.Attempt("s").Unfinished)
+	m.close(t, &fleetpb.CloseAttempt{Token: m.Attempt("s").Token, NonePaused: true})
+	assert.Assert(t, !m.Attempt("s").Unfinished)
+}
+
+func TestAttemptsAndFloorSurviveASnapshot(t *testing.T) {
+	m := New(nil)
+	assert.Assert(t, m.recordCallFor(t, m.begin(t), "a"))
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{
+		Cover: &fleetpb.Cover{Service: "s", Position: &fleetpb.LogPosition{Term: 2, Index: 7}},
+	}})
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{
+		Cover: &fleetpb.Cover{Service: "s", Position: &fleetpb.LogPosition{Term: 1, Index: 9}},
+	}})
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	restored := New(nil)
+	assert.NilError(t, restored.Restore(data))
+	assert.Assert(t, proto.Equal(restored.Attempt("s"), m.Attempt("s")))
+	assert.Equal(t, Position(restored.Attempt("s").Floor).String(), "2/7")
+}
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -140,7 +140,6 @@
 	f.group.Nodes()[2].Set(standin.Faults{Down: true})
 	f.group.Nodes()[0].Set(standin.Faults{Down: true})
 	plan := f.plan(1, false)
-	plan.Replicas[1].Covered = true
 	plan.Replicas[1].Address = "127.0.0.1:1"
 	_, err := f.runner.Run(t.Context(), plan)
 	t.Log(err)
