fleetctl: endpoints unknown to an attempt are looked up here; checks beside actions

Change: once the record of a call is applied, the daemon compares the plan with the endpoints that it knows itself, which include the recorded ones. Whether an unfinished attempt left a pause is checked beside actions, so that a replica that does not answer delays no promotion.

--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -12,37 +12,69 @@
 	"hemlockmast/internal/shared/wait"
 )
 
-// startCovering starts to cover a service's replicas that do not run, unless that is in
-// progress or was done within coverInterval.
-func (w *watcher) startCovering(ctx context.Context, svc serviceState) {
+// startCheck starts a check of a service whose replicas may not run or may be paused, unless
+// one is in progress or was done within checkInterval. Checks run beside actions, so that
+// they delay none.
+func (w *watcher) startCheck(ctx context.Context, svc serviceState) {
 	silent := w.silentReplicas(svc, time.Now())
-	if svc.primary == nil || len(svc.ended)+len(silent) == 0 || !w.tryMarkCovering(svc.service) {
+	isNeeded := len(svc.ended)+len(silent) > 0 || svc.attempt.Unfinished
+	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
 	go func() {
-		defer w.endCovering(svc.service)
+		defer w.endCheck(svc.service)
 		missing := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
 		if len(missing) > 0 {
 			w.cover(ctx, svc, missing)
 		}
+		if svc.attempt.Unfinished {
+			w.checkPauses(ctx, svc)
+		}
 	}()
 }
 
-func (w *watcher) tryMarkCovering(service string) bool {
+func (w *watcher) tryMarkChecking(service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.covering[service] || time.Now().Before(w.coverAt[service]) {
+	if w.checking[service] || time.Now().Before(w.checkAt[service]) {
 		return false
 	}
-	w.covering[service] = true
+	w.checking[service] = true
 	return true
 }
 
-func (w *watcher) endCovering(service string) {
+func (w *watcher) endCheck(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checking[service] = false
+	w.checkAt[service] = time.Now().Add(checkInterval)
+}
+
+// checkPauses finds out whether an unfinished attempt left a replica paused or a call open,
+// while the primary serves. If so, the primary will be replaced, which ends the pauses. If
+// not, the attempt is closed. Nothing follows while some replica does not answer.
+func (w *watcher) checkPauses(ctx context.Context, svc serviceState) {
+	status, err := w.status(ctx, svc.primary)
+	states := w.replicaStates(ctx, svc)
+	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
+		return
+	}
+	if len(svc.attempt.Calls) > 0 || promotion.AnyPaused(states, status.Term+1) {
+		w.mu.Lock()
+		w.leftPaused[svc.service] = svc.attempt.Token
+		w.mu.Unlock()
+		return
+	}
+	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
+	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
+}
+
+// hasLeftPauses reports whether the last attempt for a service is unfinished and was found to
+// have left a replica paused or a call open.
+func (w *watcher) hasLeftPauses(a *fleetpb.Attempt) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.covering[service] = false
-	w.coverAt[service] = time.Now().Add(coverInterval)
+	return a.Unfinished && w.leftPaused[a.Service] == a.Token
 }
 
 // silentReplicas returns the replicas that entries reported as unreachable or that no longer
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
-	"hemlockmast/internal/shared/stmt"
 )
 
 // promote replaces a service's primary and records the new one. It returns false if it must
@@ -28,7 +28,7 @@
 	var other *promotion.OtherPrimaryError
 	if errors.As(err, &other) {
 		w.log.Info("another endpoint leads already", "service", svc.service, "token", token, "endpoint", other.Endpoint)
-		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint})
+		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint, Term: other.Term})
 	}
 	if err != nil {
 		w.log.Info("promotion failed", "service", svc.service, "reason", r.reason, "token", token, "error", err.Error())
@@ -120,23 +120,6 @@
 	}
 }
 
-// finishAttempt ends the pauses that unfinished attempts left while the primary serves: it
-// replaces the primary if a replica is paused or a call is open. It returns false if it must
-// be retried, also if some replica does not answer.
-func (w *watcher) finishAttempt(ctx context.Context, svc serviceState) bool {
-	states := w.replicaStates(ctx, svc)
-	status, err := w.status(ctx, svc.primary)
-	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
-		return false
-	}
-	if len(svc.attempt.Calls) > 0 || promotion.AnyPaused(states, status.Term+1) {
-		return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
-	}
-	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
-	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
-	return true
-}
-
 func positionProto(pos logpos.Pos) *fleetpb.LogPosition {
 	return &fleetpb.LogPosition{Term: pos.Term, Index: pos.Index}
 }
@@ -152,11 +135,22 @@
 	}})
 }
 
-// RecordCall implements promotion.Recorder.
+// RecordCall implements promotion.Recorder. Once the record is applied, this daemon knows
+// every endpoint that any control daemon had recorded before.
 func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known []string) error {
-	return r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
-		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID, KnownEndpointIds: known},
+	err := r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
+		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID},
 	}})
+	if err != nil {
+		return err
+	}
+	for _, e := range r.node.hub.Endpoints() {
+		hasEnded := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
+		if e.Service == service && !hasEnded && !slices.Contains(known, e.Id) {
+			return &promotion.UnknownEndpointError{Endpoint: e.Id}
+		}
+	}
+	return nil
 }
 
 func (r recorder) propose(ctx context.Context, service string, token uint64, cmd *fleetpb.Command) error {
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -39,13 +40,18 @@
 
 // replicaStates requests the status of the service's replicas.
 func (w *watcher) replicaStates(ctx context.Context, svc serviceState) []promotion.ReplicaState {
-	var list []promotion.ReplicaState
-	for _, e := range svc.others {
-		status, err := w.status(ctx, e)
-		list = append(list, promotion.ReplicaState{
-			ID: e.Id, Leaving: e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			Reached: err == nil, Status: status,
+	list := make([]promotion.ReplicaState, len(svc.others))
+	var wait sync.WaitGroup
+	for i, e := range svc.others {
+		wait.Go(func() {
+			status, err := w.status(ctx, e)
+			list[i] = promotion.ReplicaState{
+				ID: e.Id, Leaving: e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+				Reached: err == nil, Status: status,
+				Dead: err != nil && promotion.ProvesDead(err) && w.node.machine.IsCovered(e.Id),
+			}
 		})
 	}
+	wait.Wait()
 	return list
 }
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -44,9 +44,9 @@
 	// action for a service, such as a promotion.
 	minRetryBackoff = 200 * time.Millisecond
 	maxRetryBackoff = 1500 * time.Millisecond
-	// coverInterval is the time between two tries to cover a service's replicas that do not
-	// run.
-	coverInterval = 300 * time.Millisecond
+	// checkInterval is the time between two checks of a service with replicas that do not run
+	// or may be paused.
+	checkInterval = 300 * time.Millisecond
 	// heartbeatMargin is how late a replica's announcement may be before the replica is
 	// probed.
 	heartbeatMargin = 200 * time.Millisecond
@@ -85,10 +85,12 @@
 	retryAt      map[string]time.Time
 	retryBackoff map[string]time.Duration
 
-	// covering holds the services whose replicas are being covered, coverAt when the next try
-	// may start.
-	covering map[string]bool
-	coverAt  map[string]time.Time
+	// checking holds the services that are being checked, checkAt when the next check may
+	// start. leftPaused holds, by service, the token of an attempt that was found to have left
+	// a replica paused or a call open.
+	checking   map[string]bool
+	checkAt    map[string]time.Time
+	leftPaused map[string]uint64
 }
 
 func newWatcher(n *Node) *watcher {
@@ -105,8 +107,9 @@
 		busy:         make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
-		covering:     make(map[string]bool),
-		coverAt:      make(map[string]time.Time),
+		checking:     make(map[string]bool),
+		checkAt:      make(map[string]time.Time),
+		leftPaused:   make(map[string]uint64),
 	}
 }
 
@@ -164,7 +167,7 @@
 			continue
 		}
 		for _, svc := range w.services() {
-			w.startCovering(leadCtx, svc)
+			w.startCheck(leadCtx, svc)
 			w.startAction(leadCtx, svc)
 		}
 	}
@@ -274,8 +277,10 @@
 		return func(ctx context.Context) bool { return w.confirmDemoted(ctx, svc) }
 	case w.isStalled(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
-	case svc.attempt.Unfinished:
-		return func(ctx context.Context) bool { return w.finishAttempt(ctx, svc) }
+	case w.hasLeftPauses(svc.attempt):
+		return func(ctx context.Context) bool {
+			return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
+		}
 	case w.isOverloaded(svc.service, svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.relievePrimary(ctx, svc) }
 	}
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -66,11 +66,11 @@
 	return true
 }
 
-// recordCall records a call to the platform before it is made, unless the attempt has ended, a
-// newer one has begun, or the service has an endpoint that the attempt does not know.
+// recordCall records a call to the platform before it is made, unless the attempt has ended or
+// a newer one has begun.
 func (m *Machine) recordCall(r *fleetpb.RecordCall) bool {
 	attempt := m.copyAttempt(r.Service)
-	if attempt.Token != r.Token || attempt.Ended || !m.areKnown(r.Service, r.KnownEndpointIds) {
+	if attempt.Token != r.Token || attempt.Ended {
 		return false
 	}
 	attempt.Calls = append(attempt.Calls, &fleetpb.PromoteCall{Token: r.Token, EndpointId: r.EndpointId})
@@ -78,17 +78,6 @@
 	return true
 }
 
-// areKnown reports whether ids has every endpoint of the service that has not ended.
-func (m *Machine) areKnown(service string, ids []string) bool {
-	for _, e := range m.endpoints.All() {
-		hasEnded := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
-		if e.Service == service && !hasEnded && !slices.Contains(ids, e.Id) {
-			return false
-		}
-	}
-	return true
-}
-
 // closeAttempt records how an attempt ended without a new primary, unless a newer one has
 // begun.
 func (m *Machine) closeAttempt(c *fleetpb.CloseAttempt) bool {
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -165,13 +165,13 @@
 
 // CurrentPrimary returns the replica that reports itself as the primary. ok is false if
 // none does.
-func CurrentPrimary(replicas []ReplicaState) (id string, ok bool) {
+func CurrentPrimary(replicas []ReplicaState) (primary ReplicaState, ok bool) {
 	for _, s := range replicas {
 		if s.Reached && s.Status.Role == stmt.Primary {
-			return s.ID, true
+			return s, true
 		}
 	}
-	return "", false
+	return ReplicaState{}, false
 }
 
 // AllAnswer reports whether each replica was reached or is dead, so that all of them can be
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -61,7 +61,11 @@
 
 // OtherPrimaryError reports an outdated plan: another endpoint of the service is the
 // primary by now.
-type OtherPrimaryError struct{ Endpoint string }
+type OtherPrimaryError struct {
+	Endpoint string
+	// Term is the term in which it leads.
+	Term uint64
+}
 
 func (e *OtherPrimaryError) Error() string {
 	return fmt.Sprintf("endpoint %s is already the primary of the service", e.Endpoint)
@@ -92,13 +96,21 @@
 
 func (*ThrottledError) Error() string { return "the platform refuses calls because there are too many" }
 
-// SupersededError reports that an attempt must not go on: a newer attempt has begun, the
-// service has another primary, or it has an endpoint that the attempt does not know.
+// SupersededError reports that an attempt must not go on: a newer attempt has begun, or the
+// service has another primary.
 type SupersededError struct {
 	Service string
 	Token   uint64
 }
 
 func (e *SupersededError) Error() string {
-	return fmt.Sprintf("the attempt for service %s with token %d is superseded, or an endpoint is not known to it", e.Service, e.Token)
+	return fmt.Sprintf("the attempt for service %s with token %d is superseded", e.Service, e.Token)
+}
+
+// UnknownEndpointError reports that an attempt must not go on because its plan lacks an
+// endpoint of the service, which may have received acknowledged commits.
+type UnknownEndpointError struct{ Endpoint string }
+
+func (e *UnknownEndpointError) Error() string {
+	return fmt.Sprintf("endpoint %s announced itself after the attempt had begun", e.Endpoint)
 }
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -89,7 +89,8 @@
 	// RecordStepDown records that the primary will be ordered to step down.
 	RecordStepDown(ctx context.Context, service string, token uint64) error
 	// RecordCall records a call to the platform. known are the ids of all endpoints that
-	// the attempt has paused or accounted for.
+	// the attempt has paused or accounted for. It returns *UnknownEndpointError if the
+	// service has another one.
 	RecordCall(ctx context.Context, service string, call Call, known []string) error
 }
 
@@ -136,18 +137,19 @@
 	a.log.Info("promotion started", "primary", plan.Primary.ID, "planned", plan.PrimaryServes, "openCalls", plan.OpenCalls,
 		"stepDownOrdered", plan.StepDownOrdered, "floor", plan.Floor.String())
 	err := a.execute(ctx)
-	if ctx.Err() != nil {
-		a.log.Info("promotion interrupted", "error", ctx.Err().Error())
+	if err != nil && ctx.Err() != nil {
+		a.log.Info("promotion interrupted", "error", err.Error())
+		err = ctx.Err()
 	}
 	return a.result, err
 }
 
 func (a *attempt) execute(ctx context.Context) error {
 	a.connectReplicas(ctx)
-	if id, ok := CurrentPrimary(a.replicas); ok {
+	if other, ok := CurrentPrimary(a.replicas); ok {
 		// The plan predates a promotion. Only the new primary knows which commits were
 		// acknowledged since.
-		return &OtherPrimaryError{Endpoint: id}
+		return &OtherPrimaryError{Endpoint: other.ID, Term: other.Status.Term}
 	}
 	candidate, err := a.candidate(ctx)
 	if err != nil {
@@ -157,10 +159,11 @@
 		return &BelowFloorError{Endpoint: candidate.ID, Position: candidate.position(), Floor: a.plan.Floor}
 	}
 	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
-	if err := a.Recorder.RecordCall(ctx, a.plan.Service, call, a.knownEndpoints()); err != nil {
-		return err
+	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, a.knownEndpoints())
+	if err == nil {
+		err = a.confirmReplicas(ctx, candidate)
 	}
-	if err := a.confirmReplicas(ctx, candidate); err != nil {
+	if err != nil {
 		a.result.CallRefused = true
 		return err
 	}
