--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
@@ -16,14 +17,14 @@
 // one is in progress or was done within checkInterval. Checks run beside actions, so that
 // they delay none.
 func (w *watcher) startCheck(ctx context.Context, svc serviceState) {
-	silent := w.silentReplicas(svc, time.Now())
-	isNeeded := len(svc.ended)+len(silent) > 0 || svc.attempt.Unfinished
+	silent, restarted := w.silentReplicas(svc, time.Now()), w.restartedReplicas(svc)
+	isNeeded := len(svc.ended)+len(silent)+len(restarted) > 0 || svc.attempt.Unfinished
 	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
 	go func() {
 		defer w.endCheck(svc.service)
-		missing := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
+		missing := slices.Concat(svc.ended, restarted, w.deadReplicas(ctx, silent))
 		if len(missing) > 0 {
 			w.cover(ctx, svc, missing)
 		}
@@ -59,7 +60,8 @@
 	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
 		return
 	}
-	if len(svc.attempt.Calls) > 0 || promotion.AnyPaused(states, status.Term+1) {
+	openCalls := fleetstate.OpenCalls(svc.attempt, svc.primary.Id)
+	if len(openCalls) > 0 || promotion.AnyPaused(states, status.Term+1) {
 		w.mu.Lock()
 		w.leftPaused[svc.service] = svc.attempt.Token
 		w.mu.Unlock()
@@ -86,13 +88,28 @@
 	for _, e := range svc.others {
 		lastSeen, ok := w.lastSeenAt[e.Id]
 		isLate := ok && now.Sub(lastSeen) > w.node.cfg.Heartbeat+heartbeatMargin
-		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.node.machine.IsCovered(e.Id) {
+		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.isCovered(e) {
 			list = append(list, e)
 		}
 	}
 	return list
 }
 
+// restartedReplicas returns the endpoints, with the primary, that were started again and are
+// not covered since.
+func (w *watcher) restartedReplicas(svc serviceState) []*fleetpb.Endpoint {
+	var list []*fleetpb.Endpoint
+	for _, e := range svc.others {
+		if w.isRestarted(e) {
+			list = append(list, e)
+		}
+	}
+	if svc.primary != nil && w.isRestarted(svc.primary) {
+		list = append(list, svc.primary)
+	}
+	return list
+}
+
 // deadReplicas returns the replicas whose processes are proved not to run. It forgets when an
 // endpoint that answers was last seen, as it announces itself to another daemon.
 func (w *watcher) deadReplicas(ctx context.Context, silent []*fleetpb.Endpoint) []*fleetpb.Endpoint {
@@ -124,7 +141,7 @@
 	}
 	for range maxCoverAttempts {
 		for _, e := range svc.others {
-			if slices.Contains(missing, e) || e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
+			if e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
 				continue
 			}
 			status, err := w.status(ctx, e)
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -35,7 +35,9 @@
 		w.closeAttempt(&fleetpb.CloseAttempt{
 			Service: svc.service, Token: token, CallRefused: result.CallRefused, PausesLeft: result.PausesLeft,
 		})
-		return false
+		// An unanswered call is repeated at once, with a token that fences it.
+		var unknown *promotion.OutcomeUnknownError
+		return errors.As(err, &unknown)
 	}
 	w.log.Info("promotion done", "service", svc.service, "reason", r.reason, "token", token, "from", svc.primary.Id, "to", result.Primary)
 	return w.record(svc, &fleetpb.SetPrimary{
@@ -64,15 +66,17 @@
 
 // plan returns the plan of an attempt.
 func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
+	inherited := fleetstate.Position(svc.record.Inherited)
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
-		Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
-		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered,
-		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
+		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
+		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered, Inherited: inherited,
+		Floor: logpos.Max(inherited, fleetstate.Position(svc.attempt.Floor)), LeadTerm: w.node.control.Status().Term,
 	}
-	for _, c := range svc.attempt.Calls {
+	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
 	}
+	plan.PrimaryCalled = slices.ContainsFunc(svc.attempt.Calls, func(c *fleetpb.PromoteCall) bool { return c.EndpointId == svc.primary.Id })
 	return plan
 }
 
@@ -81,9 +85,10 @@
 	var list []promotion.Replica
 	for _, e := range svc.others {
 		list = append(list, promotion.Replica{
-			Endpoint: stmtEndpoint(e),
-			Leaving:  e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			Covered:  w.node.machine.IsCovered(e.Id),
+			Endpoint:  stmtEndpoint(e),
+			Leaving:   e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+			Covered:   w.isCovered(e),
+			Restarted: w.isRestarted(e),
 		})
 	}
 	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
@@ -97,6 +102,14 @@
 	return list
 }
 
+func (w *watcher) isCovered(e *fleetpb.Endpoint) bool {
+	return w.node.machine.IsCoveredSince(e.Id, e.BornMs)
+}
+
+func (w *watcher) isRestarted(e *fleetpb.Endpoint) bool {
+	return w.node.machine.IsRestarted(e.Id, e.BornMs)
+}
+
 // record has the control group record a service's primary, also if the lead was lost
 // meanwhile. It returns false if it must be retried.
 func (w *watcher) record(svc serviceState, set *fleetpb.SetPrimary) bool {
@@ -136,8 +149,8 @@
 }
 
 // RecordCall implements promotion.Recorder. Once the record is applied, this daemon knows
-// every endpoint that any control daemon had recorded before.
-func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known []string) error {
+// every announcement that any control daemon had recorded before.
+func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
 	err := r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
 		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID},
 	}})
@@ -149,6 +162,9 @@
 		if e.Service == service && !hasEnded && !slices.Contains(known, e.Id) {
 			return &promotion.UnknownEndpointError{Endpoint: e.Id}
 		}
+		if slices.Contains(dead, e.Id) && !r.node.machine.IsCoveredSince(e.Id, e.BornMs) {
+			return &promotion.UnknownEndpointError{Endpoint: e.Id}
+		}
 	}
 	return nil
 }
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -48,7 +48,7 @@
 			list[i] = promotion.ReplicaState{
 				ID: e.Id, Leaving: e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
 				Reached: err == nil, Status: status,
-				Dead: err != nil && promotion.ProvesDead(err) && w.node.machine.IsCovered(e.Id),
+				Dead: err != nil && promotion.ProvesDead(err) && w.isCovered(e),
 			}
 		})
 	}
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -90,7 +90,7 @@
 	}
 	attempt.Ended = true
 	mayBePaused := !c.NonePaused && (c.PausesLeft || attempt.WasUnfinished)
-	attempt.Unfinished = mayBePaused || len(attempt.Calls) > 0
+	attempt.Unfinished = mayBePaused || len(OpenCalls(attempt, m.copyPrimary(c.Service).EndpointId)) > 0
 	m.attempts[c.Service] = attempt
 	return true
 }
@@ -105,11 +105,14 @@
 	}
 	m.endAttempt(s)
 	isChanged := p.EndpointId != s.EndpointId
-	p.EndpointId, p.Term = s.EndpointId, max(p.Term, s.Term)
-	if isChanged {
+	p.EndpointId = s.EndpointId
+	if isChanged || s.Term > p.Term {
 		p.Inherited = s.Inherited
+	}
+	if isChanged {
 		p.Number++
 	}
+	p.Term = max(p.Term, s.Term)
 	m.primaries[s.Service] = p
 	return isChanged
 }
@@ -128,17 +131,29 @@
 	}
 	attempt.Calls = slices.DeleteFunc(attempt.Calls, func(c *fleetpb.PromoteCall) bool { return c.Token <= carriedOut })
 	if s.Token == attempt.Token && !s.PausesLeft {
-		attempt.Unfinished = len(attempt.Calls) > 0
+		attempt.Unfinished = len(OpenCalls(attempt, s.EndpointId)) > 0
 	}
 	attempt.StepDownOrdered, attempt.Ended = false, true
 	m.attempts[s.Service] = attempt
 }
 
+// OpenCalls returns the calls of earlier attempts that may still change the primary. The
+// platform changes nothing for the present primary, so its calls before those for other
+// endpoints do not count, unless it may have been ordered to step down.
+func OpenCalls(a *fleetpb.Attempt, primary string) []*fleetpb.PromoteCall {
+	calls := a.Calls
+	for len(calls) > 0 && calls[0].EndpointId == primary && !a.StepDownOrdered {
+		calls = calls[1:]
+	}
+	return calls
+}
+
 // cover records that the given endpoints held no acknowledged commit that another endpoint
 // of the service lacks, and up to which position this one holds the log.
 func (m *Machine) cover(c *fleetpb.Cover) {
 	for _, id := range c.EndpointIds {
 		m.covered[id] = true
+		delete(m.restarted, id)
 	}
 	if c.Position == nil {
 		return
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -105,3 +105,37 @@
 	assert.Assert(t, proto.Equal(restored.Attempt("s"), m.Attempt("s")))
 	assert.Equal(t, Position(restored.Attempt("s").Floor).String(), "2/7")
 }
+
+// TestRestartedEndpointIsNotCovered starts an endpoint again, covers it, and restores a
+// snapshot.
+func TestRestartedEndpointIsNotCovered(t *testing.T) {
+	m := New(nil)
+	announce := func(bornMs int64) {
+		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
+			Id: "a", Service: "s", Address: "127.0.0.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: bornMs,
+		}}})
+	}
+	cover := func() {
+		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{EndpointIds: []string{"a"}}}})
+	}
+	announce(1)
+	assert.Assert(t, !m.IsRestarted("a", 1))
+	assert.Assert(t, m.IsRestarted("a", 2), "this daemon knows a start that is not recorded yet")
+	cover()
+	assert.Assert(t, m.IsCoveredSince("a", 1) && !m.IsCoveredSince("a", 2))
+	announce(2)
+	assert.Assert(t, !m.IsCoveredSince("a", 2))
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, m.Restore(data))
+	assert.Assert(t, m.IsRestarted("a", 2))
+	cover()
+	assert.Assert(t, !m.IsRestarted("a", 2))
+}
+
+func TestCallsForThePresentPrimaryDoNotCount(t *testing.T) {
+	calls := []*fleetpb.PromoteCall{{Token: 1, EndpointId: "p"}, {Token: 2, EndpointId: "a"}, {Token: 3, EndpointId: "p"}}
+	assert.Equal(t, len(OpenCalls(&fleetpb.Attempt{Calls: calls}, "p")), 2)
+	assert.Equal(t, len(OpenCalls(&fleetpb.Attempt{Calls: calls, StepDownOrdered: true}, "p")), 3)
+	assert.Equal(t, len(OpenCalls(&fleetpb.Attempt{Calls: calls[:1]}, "p")), 0)
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -31,6 +31,9 @@
 	endpoints *registry.Table
 	// covered holds the ids of endpoints that do not run and that no promotion needs any more.
 	covered map[string]bool
+	// restarted holds the ids of endpoints that were started again, perhaps without their log,
+	// and are not covered since.
+	restarted map[string]bool
 	// attempts holds, by service, what is agreed on about attempts to replace its primary.
 	attempts map[string]*fleetpb.Attempt
 }
@@ -43,7 +46,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
-		covered: make(map[string]bool), attempts: make(map[string]*fleetpb.Attempt),
+		covered: make(map[string]bool), restarted: make(map[string]bool), attempts: make(map[string]*fleetpb.Attempt),
 	}
 }
 
@@ -100,11 +103,7 @@
 	case *fleetpb.Command_SetPrimary:
 		result.Taken = m.setPrimary(kind.SetPrimary)
 	case *fleetpb.Command_Announce:
-		result.Taken = len(m.endpoints.Merge(kind.Announce)) > 0
-		if kind.Announce.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			// The endpoint may have started again with the same id.
-			delete(m.covered, kind.Announce.Id)
-		}
+		result.Taken = m.announce(kind.Announce)
 	case *fleetpb.Command_Cover:
 		m.cover(kind.Cover)
 		result.Taken = true
@@ -119,6 +118,19 @@
 	return result
 }
 
+// announce records an endpoint.
+func (m *Machine) announce(e *fleetpb.Endpoint) bool {
+	held := m.endpoints.Get(e.Id)
+	isTaken := len(m.endpoints.Merge(e)) > 0
+	if e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		delete(m.covered, e.Id)
+	}
+	if held != nil && held.BornMs < e.BornMs {
+		m.restarted[e.Id] = true
+	}
+	return isTaken
+}
+
 // putConfiguration replaces the configuration if the version is higher than the current
 // one. Otherwise it changes nothing, even if the content differs.
 func (m *Machine) putConfiguration(put *fleetpb.PutConfiguration) bool {
@@ -144,7 +156,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
-		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts()})
+		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts(),
+		Restarted: slices.Sorted(maps.Keys(m.restarted))})
 }
 
 // Restore implements control.StateMachine.
@@ -163,10 +176,8 @@
 	for _, e := range state.Endpoints {
 		m.endpoints.Merge(e)
 	}
-	m.covered = make(map[string]bool)
-	for _, id := range state.Covered {
-		m.covered[id] = true
-	}
+	m.covered = setOf(state.Covered)
+	m.restarted = setOf(state.Restarted)
 	m.attempts = make(map[string]*fleetpb.Attempt)
 	for _, a := range state.Attempts {
 		m.attempts[a.Service] = a
@@ -207,6 +218,31 @@
 	return m.covered[id]
 }
 
+// IsCoveredSince reports whether the endpoint is covered and has not been started again after
+// bornMs, the start of the process in Unix milliseconds.
+func (m *Machine) IsCoveredSince(id string, bornMs int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.covered[id] && m.endpoints.Get(id).GetBornMs() >= bornMs
+}
+
+// IsRestarted reports whether an endpoint with the given start, in Unix milliseconds, was
+// started again and is not covered since.
+func (m *Machine) IsRestarted(id string, bornMs int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.endpoints.Get(id)
+	return m.restarted[id] || held != nil && held.BornMs < bornMs
+}
+
+func setOf(ids []string) map[string]bool {
+	set := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
 // Primary returns a copy of a service's primary record, or an empty record if the service
 // has none.
 func (m *Machine) Primary(service string) *fleetpb.Primary {
--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -13,7 +13,7 @@
 const (
 	// promoteCallTimeout bounds one call to the platform.
 	promoteCallTimeout = 1500 * time.Millisecond
-	// maxPromoteCalls limits the calls to the platform with the same token.
+	// maxPromoteCalls limits the calls to the platform of one attempt.
 	maxPromoteCalls = 3
 	// throttledDelay is the delay before a call is repeated that was refused because of too
 	// many calls.
@@ -27,28 +27,21 @@
 	Promote(ctx context.Context, service, endpointID string, token uint64) error
 }
 
-// callPromoter asks the platform to promote an endpoint. If a call is not answered or is
-// throttled, it calls again with the same endpoint and token, which is idempotent. An
-// unanswered call may be carried out later whatever its repetition is answered, so its error
-// is returned unless a repetition succeeds.
+// callPromoter asks the platform to promote an endpoint, again if the call is throttled. An
+// unanswered call is not repeated with its token, since the platform could then carry out
+// both, one of them late: the next attempt's token fences it.
 func (a *attempt) callPromoter(ctx context.Context, id string) error {
-	var err, unanswered error
+	var err error
 	for range maxPromoteCalls {
 		err = a.callOnce(ctx, id)
-		var unknown *OutcomeUnknownError
 		var throttled *ThrottledError
-		if errors.As(err, &unknown) {
-			unanswered = err
-		} else if errors.As(err, &throttled) {
-			wait.For(ctx, throttledDelay)
-		} else {
+		if !errors.As(err, &throttled) {
 			break
 		}
+		wait.For(ctx, throttledDelay)
 	}
-	if err != nil && unanswered != nil {
-		return unanswered
-	}
-	a.result.CallRefused = err != nil
+	var unknown *OutcomeUnknownError
+	a.result.CallRefused = err != nil && !errors.As(err, &unknown)
 	return err
 }
 
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -46,8 +46,11 @@
 	Reached bool
 	// Dead means that the endpoint does not run and that another replica holds every
 	// acknowledged commit of its log.
-	Dead   bool
-	Status stmt.Status
+	Dead bool
+	// LostLog means that the endpoint was started again and holds less than at the beginning
+	// of the present term. It may have held the only copy of a commit before.
+	LostLog bool
+	Status  stmt.Status
 }
 
 // Call is a call to the platform that may still be carried out.
@@ -174,11 +177,11 @@
 	return ReplicaState{}, false
 }
 
-// AllAnswer reports whether each replica was reached or is dead, so that all of them can be
-// paused.
+// AllAnswer reports whether each replica was reached with its log or is dead, so that pausing
+// all of them is of use.
 func AllAnswer(replicas []ReplicaState) bool {
 	for _, s := range replicas {
-		if !s.Reached && !s.Dead {
+		if !s.Reached && !s.Dead || s.LostLog {
 			return false
 		}
 	}
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -35,7 +35,8 @@
 			return
 		}
 		a.conns[i] = conn
-		a.runCommand(i, orderStatus, func(deadline time.Time) (stmt.Status, error) { return conn.Status(deadline) })
+		a.runCommand(i, orderStatus, conn.Status)
+		s.LostLog = r.Restarted && s.Reached && s.position().Less(a.plan.Inherited)
 	})
 }
 
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -37,6 +37,9 @@
 	// Covered means that another replica holds every acknowledged commit of the endpoint's
 	// log, unless the endpoint was started again since.
 	Covered bool
+	// Restarted means that the endpoint was started again, perhaps without its log, and that
+	// it is not covered since.
+	Restarted bool
 }
 
 // Plan describes one promotion.
@@ -46,6 +49,10 @@
 	Primary stmt.Endpoint
 	// PrimaryServes means that the primary is alive and serves until it is replaced.
 	PrimaryServes bool
+	// PrimaryRestarted means that the primary was started again, perhaps without its log.
+	PrimaryRestarted bool
+	// PrimaryCalled means that a call for the primary may still be carried out.
+	PrimaryCalled bool
 	// Preferred is the id of the replica to promote while the primary serves. If it is
 	// empty or cannot be promoted, Successor chooses another one.
 	Preferred string
@@ -59,6 +66,8 @@
 	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
 	// down.
 	StepDownOrdered bool
+	// Inherited is the end of the log with which the primary began to lead.
+	Inherited logpos.Pos
 	// Floor is a position that the log of the new primary must reach.
 	Floor logpos.Pos
 	// LeadTerm is the term in which the caller leads the control group, for logs.
@@ -89,9 +98,10 @@
 	// RecordStepDown records that the primary will be ordered to step down.
 	RecordStepDown(ctx context.Context, service string, token uint64) error
 	// RecordCall records a call to the platform. known are the ids of all endpoints that
-	// the attempt has paused or accounted for. It returns *UnknownEndpointError if the
-	// service has another one.
-	RecordCall(ctx context.Context, service string, call Call, known []string) error
+	// the attempt has paused or accounted for, dead those among them that it left out because
+	// they are covered. It returns *UnknownEndpointError if the service has another one, or
+	// if one is not covered any more.
+	RecordCall(ctx context.Context, service string, call Call, known, dead []string) error
 }
 
 // Runner carries out promotions. It is safe for concurrent use.
@@ -159,7 +169,8 @@
 		return &BelowFloorError{Endpoint: candidate.ID, Position: candidate.position(), Floor: a.plan.Floor}
 	}
 	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
-	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, a.knownEndpoints())
+	known, dead := a.accountedEndpoints()
+	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, known, dead)
 	if err == nil {
 		err = a.confirmReplicas(ctx, candidate)
 	}
@@ -176,13 +187,17 @@
 	return a.awaitTakeover(ctx, candidate.ID)
 }
 
-// knownEndpoints returns the ids of the endpoints that the attempt accounts for.
-func (a *attempt) knownEndpoints() []string {
-	ids := []string{a.plan.Primary.ID}
-	for _, r := range a.plan.Replicas {
-		ids = append(ids, r.ID)
+// accountedEndpoints returns the ids of all endpoints that the attempt accounts for, and of
+// those among them that it left out.
+func (a *attempt) accountedEndpoints() (known, dead []string) {
+	known = []string{a.plan.Primary.ID}
+	for _, s := range a.replicas {
+		known = append(known, s.ID)
+		if s.Dead {
+			dead = append(dead, s.ID)
+		}
 	}
-	return ids
+	return known, dead
 }
 
 func (a *attempt) highestPosition(candidate ReplicaState) logpos.Pos {
@@ -284,15 +299,16 @@
 		return ReplicaState{}, a.unsafeError()
 	}
 	a.pauseTerm = 0
-	candidate, err := a.awaitFinalPosition(ctx, final)
-	if err != nil {
-		return ReplicaState{}, err
+	if a.plan.PrimaryCalled {
+		// The call may make the primary lead again at any time.
+		return a.primaryState(final), nil
 	}
-	if a.pauseTermFor(candidate.ID) > a.nextTerm() && !a.pauseReplicas(candidate.ID, candidate.ID) {
-		// The primary of an open call could acknowledge commits with an unpaused replica.
-		return ReplicaState{}, a.unsafeError()
-	}
-	return candidate, nil
+	return a.awaitFinalPosition(ctx, final)
+}
+
+// primaryState returns the primary with its final status as a candidate.
+func (a *attempt) primaryState(final stmt.Status) ReplicaState {
+	return ReplicaState{ID: a.plan.Primary.ID, Reached: true, Status: final}
 }
 
 // awaitFinalPosition returns a replica that has received everything up to the final status of
@@ -309,7 +325,7 @@
 		}
 		if time.Now().After(deadline) {
 			a.log.Info("no replica caught up after the primary stepped down", "position", final.Received.String())
-			return ReplicaState{ID: a.plan.Primary.ID, Reached: true, Status: final}, nil
+			return a.primaryState(final), nil
 		}
 		time.Sleep(statusPollInterval)
 		a.forEachReplica(func(i int, _ Replica) {
@@ -321,8 +337,9 @@
 }
 
 // stepDown makes the plan's primary step down and returns its final status, which holds
-// every acknowledged commit. It also accepts a replica that was ordered to step down before,
-// as no other endpoint can have been promoted since if no call for one is open. Errors:
+// every acknowledged commit. It also accepts a replica that was ordered to step down before
+// and has not been started again, as no other endpoint can have been promoted since if no
+// call for one is open. Errors:
 // *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
 	conn, status, err := a.connectPrimary(ctx)
@@ -330,13 +347,14 @@
 		return stmt.Status{}, err
 	}
 	defer conn.Close()
+	isComplete := status.Role == stmt.Primary || !a.plan.PrimaryRestarted
 	if status.Role == stmt.Primary {
 		status, err = a.orderStepDown(ctx, conn, status.Term+1)
 		if err != nil {
 			return stmt.Status{}, err
 		}
 	}
-	if !a.isStepDownOrdered || a.hasOpenCallForReplica() || !HasAll(status, a.replicas) {
+	if !isComplete || !a.isStepDownOrdered || a.hasOpenCallForReplica() || !HasAll(status, a.replicas) {
 		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
 	return status, nil
@@ -360,7 +378,7 @@
 func (a *attempt) unsafeError() error {
 	e := &UnsafeError{Service: a.plan.Service}
 	for _, s := range a.replicas {
-		if !s.Dead && (!s.Reached || !s.isPausedFor(a.pauseTerm)) {
+		if !s.Dead && (!s.Reached || s.LostLog || !s.isPausedFor(a.pauseTerm)) {
 			e.NotPaused = append(e.NotPaused, s.ID)
 		}
 	}
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform/standin"
 )
@@ -100,6 +101,8 @@
 	_, err := f.runner.Run(t.Context(), f.plan(4, true))
 	var unknown *promotion.OutcomeUnknownError
 	assert.Check(t, errors.As(err, &unknown), "%v", err)
+	_, err = f.runner.Run(t.Context(), f.plan(5, true))
+	t.Log("repetition:", err)
 	f.setDeaf(p.calls[0])
 	t.Log("acknowledged before the late call:", f.write(0, "b"))
 	assert.Equal(t, f.group.Promote(p.calls[0], 4), 200)
@@ -145,3 +148,53 @@
 	t.Log(err)
 	f.assertNothingLost()
 }
+
+func TestReplicaThatCameBackEmptyMayHaveHeldTheOnlyCopy(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "b"))
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	f.group.Nodes()[1].LoseLog()
+	f.group.Nodes()[0].Set(standin.Faults{Silent: true})
+	plan := f.plan(1, false)
+	plan.Replicas[0].Restarted, plan.Inherited = true, logpos.Pos{Term: 1, Index: 1}
+	_, err := f.runner.Run(t.Context(), plan)
+	var unsafe *promotion.UnsafeError
+	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
+	assert.DeepEqual(t, unsafe.NotPaused, []string{"svc-1"})
+	f.assertNothingLost()
+}
+
+func TestPrimaryThatCameBackEmptyAfterItsStepDownIsNotPromoted(t *testing.T) {
+	f := newFixture(t)
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	plan := f.plan(1, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		standin.WaitFor(5*time.Second, func() bool { return f.group.Primary() == nil })
+		cancel()
+	}()
+	_, err := f.runner.Run(ctx, plan)
+	assert.ErrorIs(t, err, context.Canceled)
+	f.group.Nodes()[0].LoseLog()
+	plan = f.plan(2, false)
+	plan.PrimaryRestarted = true
+	_, err = f.runner.Run(t.Context(), plan)
+	var unsafe *promotion.UnsafeError
+	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
+	assert.Equal(t, len(f.promoter.calls), 0)
+}
+
+func TestOpenCallForThePrimaryIsNotOvertakenAfterAStepDown(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	plan := f.plan(2, true)
+	plan.PrimaryCalled = true
+	result, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Primary, "svc-0")
+}
