--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -22,8 +22,23 @@
 	promotionTime prometheus.Histogram
 	reports       *prometheus.CounterVec
 	positions     *prometheus.CounterVec
+
+	unfinishedAttempts, openCalls  prometheus.Gauge
+	orders, calls                  *prometheus.CounterVec
+	behindPrimaries, lostLeadEnded prometheus.Counter
 }
 
+// CallOutcome is the outcome of a call that asks the platform for a promotion.
+type CallOutcome string
+
+// Outcomes of calls to the platform. With CallUnanswered the platform may still carry the
+// call out.
+const (
+	CallAccepted   CallOutcome = "accepted"
+	CallRefused    CallOutcome = "refused"
+	CallUnanswered CallOutcome = "unanswered"
+)
+
 // NewControl returns the metrics of one control daemon, registered in their own registry.
 func NewControl() *ControlSet {
 	buckets := prometheus.ExponentialBuckets(0.001, 3, 9)
@@ -47,6 +62,7 @@
 		Namespace: namespace, Name: "promotion_seconds", Help: "Time of a promotion from its token to its record.",
 		Buckets: []float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30},
 	})
+	s.addAttempts()
 	s.registry.MustRegister(
 		s.term, s.leads, s.voters, s.lossesBorne, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -54,6 +70,22 @@
 	return s
 }
 
+// addAttempts adds the metrics of single attempts to replace a primary.
+func (s *ControlSet) addAttempts() {
+	s.unfinishedAttempts = gauge("attempts_unfinished",
+		"Services whose last attempt to replace the primary may have left endpoints paused, as this member knows it.")
+	s.openCalls = gauge("platform_calls_open",
+		"Calls to the platform that may still be carried out, as this member knows it.")
+	s.orders = counter("orders_total", "Orders sent to endpoints, by kind and outcome.", "order", "outcome")
+	s.calls = counter("platform_calls_total", "Calls to the platform for a promotion, by outcome.", "outcome")
+	s.behindPrimaries = singleCounter("primaries_behind_total",
+		"New primaries whose log lacked a position that an endpoint had reported before.")
+	s.lostLeadEnded = singleCounter("attempts_ended_by_lost_lead_total",
+		"Attempts to replace a primary that ended because this member no longer led.")
+	s.registry.MustRegister(
+		s.unfinishedAttempts, s.openCalls, s.orders, s.calls, s.behindPrimaries, s.lostLeadEnded)
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (s *ControlSet) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
@@ -106,3 +138,32 @@
 
 // PositionQueried counts an entry's query for the log position of a primary.
 func (s *ControlSet) PositionQueried(err error) { s.positions.WithLabelValues(outcomeLabel(err)).Inc() }
+
+// Attempts records the numbers of unfinished attempts and of open calls in the replicated
+// state.
+func (s *ControlSet) Attempts(unfinished, openCalls int) {
+	s.unfinishedAttempts.Set(float64(unfinished))
+	s.openCalls.Set(float64(openCalls))
+}
+
+// OrderSent counts an order to an endpoint and whether it was answered. order must be one of
+// a fixed set, as it becomes a label value.
+func (s *ControlSet) OrderSent(order string, answered bool) {
+	outcome := "unanswered"
+	if answered {
+		outcome = "answered"
+	}
+	s.orders.WithLabelValues(order, outcome).Inc()
+}
+
+// PlatformCalled counts a call to the platform.
+func (s *ControlSet) PlatformCalled(outcome CallOutcome) {
+	s.calls.WithLabelValues(string(outcome)).Inc()
+}
+
+// PrimaryBehind counts a new primary whose log lacks a position that an endpoint of the service
+// had reported before. Commits up to that position that were acknowledged are lost.
+func (s *ControlSet) PrimaryBehind() { s.behindPrimaries.Inc() }
+
+// LeadLost counts an attempt that ended because this member no longer led.
+func (s *ControlSet) LeadLost() { s.lostLeadEnded.Inc() }
--- a/internal/shared/metrics/metrics.go
+++ b/internal/shared/metrics/metrics.go
@@ -81,6 +81,7 @@
 	floors      *prometheus.CounterVec
 	loans       *prometheus.CounterVec
 	faults      prometheus.Counter
+	missing     prometheus.Counter
 
 	services, groups, slots labelValues
 }
@@ -91,12 +92,12 @@
 	s.addRequests()
 	s.addGroups()
 	s.revision = gauge("config_revision", "Revision of the configuration in force.")
-	s.faults = prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: namespace, Name: "session_faults_total", Help: "Sessions and streams ended by a fault of the program.",
-	})
+	s.faults = singleCounter("session_faults_total", "Sessions and streams ended by a fault of the program.")
+	s.missing = singleCounter("acknowledged_commits_missing_total",
+		"Primary records whose endpoint lacks a commit that this entry had seen acknowledged.")
 	s.current = gauge("config_current", "1 while the daemon has confirmed that its configuration is current.")
 	s.registry.MustRegister(
-		s.requests, s.reads, s.retries, s.refused, s.queueTime, s.latency, s.floors, s.loans, s.faults,
+		s.requests, s.reads, s.retries, s.refused, s.queueTime, s.latency, s.floors, s.loans, s.faults, s.missing,
 		s.failoverGap, s.connections, s.connLimit, s.revision, s.current,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -129,6 +130,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func singleCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
@@ -146,6 +151,9 @@
 // Loan counts a request for a connection to a carrier, by outcome.
 func (s *Set) Loan(outcome string) { s.loans.WithLabelValues(outcome).Inc() }
 
+// CommitMissing counts a primary record whose endpoint lacks an acknowledged commit.
+func (s *Set) CommitMissing() { s.missing.Inc() }
+
 // Fault counts a session or stream that ended by a panic.
 func (s *Set) Fault() { s.faults.Inc() }
 
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -35,6 +35,7 @@
 	s.Revision(12, true)
 	s.Loan("lent")
 	s.Fault()
+	s.CommitMissing()
 	text := scrape(s)
 	for _, want := range []string{
 		`hemlockmast_requests_total{outcome="done",service="bulletin"} 1`,
@@ -53,6 +54,7 @@
 		`hemlockmast_config_revision 12`,
 		`hemlockmast_loans_total{outcome="lent"} 1`,
 		`hemlockmast_session_faults_total 1`,
+		`hemlockmast_acknowledged_commits_missing_total 1`,
 		`hemlockmast_config_current 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
@@ -80,6 +82,12 @@
 	s.Promoted("gone", time.Second, failure)
 	s.Reported("SUSPICION_STALLED")
 	s.PositionQueried(nil)
+	s.Attempts(3, 2)
+	s.OrderSent("pause", true)
+	s.OrderSent("step down", false)
+	s.PlatformCalled(CallUnanswered)
+	s.PrimaryBehind()
+	s.LeadLost()
 	text := scrape(s)
 	for _, want := range []string{
 		`hemlockmast_control_term 4`,
@@ -94,6 +102,13 @@
 		`hemlockmast_promotion_seconds_bucket{le="0.5"} 1`,
 		`hemlockmast_endpoint_reports_total{suspicion="SUSPICION_STALLED"} 1`,
 		`hemlockmast_positions_total{outcome="done"} 1`,
+		`hemlockmast_attempts_unfinished 3`,
+		`hemlockmast_platform_calls_open 2`,
+		`hemlockmast_orders_total{order="pause",outcome="answered"} 1`,
+		`hemlockmast_orders_total{order="step down",outcome="unanswered"} 1`,
+		`hemlockmast_platform_calls_total{outcome="unanswered"} 1`,
+		`hemlockmast_primaries_behind_total 1`,
+		`hemlockmast_attempts_ended_by_lost_lead_total 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
 	}
