proxy: an entry sees when a new primary lacks a commit that it saw acknowledged

Cause: a lost acknowledged commit could be seen only in the record of clients. Change: an entry keeps the highest acknowledged position of the last terms of each service with synchronous replicas, and compares it with the log with which a newly recorded primary began to lead, also when the answer arrives after the record. It counts a record once and logs service, endpoint, number, token, term and both positions. Commits of the new primary's own term do not count; without term or inherited position nothing is compared.

--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -29,6 +29,8 @@
 	// PrimaryNumber is the number of the primary record, in which control names the
 	// primary. It grows with each change of the primary.
 	PrimaryNumber uint64
+	// Record is the primary record; nil while none is known. It must not be changed.
+	Record *fleetpb.Primary
 	// PromotionDeadline is when the promotion in progress should be over; zero without a
 	// promotion.
 	PromotionDeadline time.Time
@@ -244,7 +246,7 @@
 	for _, s := range v.config.GetServices() {
 		primary := v.primaries[s.Name]
 		snap.services[s.Name] = &Service{
-			Config: s, PrimaryID: primary.GetEndpointId(), PrimaryNumber: primary.GetNumber(),
+			Config: s, PrimaryID: primary.GetEndpointId(), PrimaryNumber: primary.GetNumber(), Record: primary,
 			PromotionDeadline: v.promotionDeadlines[s.Name],
 		}
 	}
--- a/internal/proxy/observe_test.go
+++ b/internal/proxy/observe_test.go
@@ -11,12 +11,12 @@
 	"hemlockmast/platform/standin"
 )
 
-// logLine returns the log line with a message about the request id, or "".
+// logLine returns the log line with a message about the request id, or ""; any with no id.
 func (f *fixture) logLine(message, id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, line := range f.logLines {
-		if strings.Contains(line, `"msg":"`+message+`"`) && strings.Contains(line, `"id":"`+id+`"`) {
+		if strings.Contains(line, `"msg":"`+message+`"`) && (id == "" || strings.Contains(line, `"id":"`+id+`"`)) {
 			return line
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -141,7 +141,11 @@
 	s.cfg.Metrics.Revision(snapshot.Config.GetVersion(), true)
 	s.hop.KeepOnly(snapshot.Carriers)
 	for name, service := range snapshot.Services() {
-		s.service(name).apply(service.PrimaryNumber)
+		st := s.service(name)
+		st.apply(service.PrimaryNumber)
+		if missing, ok := st.applyRecord(service.Record); ok {
+			s.reportMissing(name, missing)
+		}
 	}
 	assigned := s.assigner.assign(snapshot, func(service *fleetpb.Service) carrier.Mode { return s.mode(snapshot, service) })
 	s.mu.Lock()
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -205,6 +205,7 @@
 	}
 	r.ss.server.answered(t, reply.Pos, time.Since(sentAt))
 	server.service(r.route.Service).recordPosition(t.primaryNumber, requestedAt, reply.Pos)
+	server.acknowledged(r.route.Service, reply.Pos)
 	r.ss.raiseFloor(r.route.Service, reply.Pos)
 	return reply, true
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -307,6 +307,7 @@
 		return
 	}
 	ss.server.service(tx.route.Service).recordPosition(tx.target.primaryNumber, requestedAt, reply.Pos)
+	ss.server.acknowledged(tx.route.Service, reply.Pos)
 	ss.raiseFloor(tx.route.Service, reply.Pos)
 }
 
--- a/internal/proxy/watermarks.go
+++ b/internal/proxy/watermarks.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hemlockmast/internal/proxy/acked"
 	"hemlockmast/internal/proxy/carrier"
 	"hemlockmast/internal/proxy/hop"
 	"hemlockmast/internal/proxy/mark"
@@ -43,6 +44,8 @@
 	isRefreshing bool
 	// pending holds, by askMode, the position request in progress, or nil.
 	pending [2]*positionRequest
+	// acked holds the positions of acknowledged commits.
+	acked acked.Commits
 	// mode is who holds the connections to the service's endpoints.
 	mode carrier.Mode
 }
