proxy: a primary that is promoted again is not blamed for its own commits

Cause: found by reading: the record of an endpoint that is promoted once more keeps its number and its inherited position, and gets a higher term; its own commits then looked like missing ones. Change: the first inherited position of a record number counts. Result: TestPrimaryPromotedAgainHoldsItsCommits fails without it: a missing commit is reported.

--- a/internal/proxy/acked/acked.go
+++ b/internal/proxy/acked/acked.go
@@ -53,10 +53,14 @@
 }
 
 // Apply applies the service's primary record. It reports whether the primary lacks an
-// acknowledged commit, once for each record.
+// acknowledged commit, once for each record number.
 func (c *Commits) Apply(record *fleetpb.Primary) (Missing, bool) {
-	if record.GetNumber() != c.record.GetNumber() {
+	switch {
+	case record.GetNumber() != c.record.GetNumber():
 		c.isReported = false
+	case c.record.GetInherited() != nil:
+		// The endpoint may have been promoted again, and holds its own commits.
+		return Missing{}, false
 	}
 	c.record = record
 	return c.check()
--- a/internal/proxy/acked/acked_test.go
+++ b/internal/proxy/acked/acked_test.go
@@ -78,3 +78,15 @@
 	assert.Equal(t, len(c.positions), maxTerms)
 	assert.Equal(t, c.positions[maxTerms-1], at(50, 149))
 }
+
+// TestPrimaryPromotedAgainHoldsItsCommits guards against a false report when the endpoint of a
+// record is promoted once more.
+func TestPrimaryPromotedAgainHoldsItsCommits(t *testing.T) {
+	var c Commits
+	c.Apply(record(2, 4, at(3, 1209)))
+	c.Acknowledge(at(4, 1300))
+	_, ok := c.Apply(record(2, 5, at(3, 1209)))
+	assert.Assert(t, !ok)
+	_, ok = c.Apply(record(3, 6, at(4, 1299)))
+	assert.Assert(t, ok)
+}
