--- a/internal/proxy/acked/acked_test.go
+++ b/internal/proxy/acked/acked_test.go
@@ -57,6 +57,9 @@
 	assert.Assert(t, !ok)
 	_, ok = c.Apply(record(3, 5, at(4, 1206)))
 	assert.Assert(t, !ok, "the next primary is not blamed")
+	c.Acknowledge(at(5, 1300))
+	_, ok = c.Apply(record(4, 6, at(5, 1299)))
+	assert.Assert(t, ok, "another commit, another record")
 }
 
 // TestPositionOutlivesPromotions guards against a check that forgets a commit which the next
