hemlockctl explain tells the promotions of a service or an endpoint

Cause: from logs alone, an operator could not follow a promotion over several holders: lines of two attempts had to be sorted by hand, and an open call or a lost lead was not seen.

--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -1,5 +1,5 @@
-// Package explain searches the logs of daemons for the reason why a request
-// failed.
+// Package explain searches the logs of daemons for the reason why a request failed, and for
+// what happened in the promotions of a service.
 package explain
 
 import (
@@ -30,7 +30,8 @@
 	"endpoint does not serve", "endpoint reported", "primary does not answer",
 	"replicas receive nothing from the primary", "primary overloaded while replicas lag",
 	"another endpoint leads already", "endpoint announced that it leads and does not", "promotion begun", "promotion called",
-	"promotion done", "promotion failed", "primary recorded", "primary known",
+	"promotion done", "promotion failed", "promotion interrupted", "new primary answers", "acknowledged commit is missing",
+	"primary recorded", "primary known",
 	"cut off from other failure domains", "no longer cut off", "control daemon lost",
 	"control daemon followed", "configuration in force", "drain started", "drain ended",
 }
@@ -56,43 +57,88 @@
 // Command returns the command "explain".
 func Command() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "find why a request failed in log files",
-		ArgsUsage:   "ID FILE...",
-		Description: "Example: hemlockctl explain 5c1393eac7d17a24 entry-*.log control-*.log",
+		Name: "explain", Usage: "find in log files why a request failed or what happened in promotions",
+		ArgsUsage: "[ID] FILE...",
+		Description: `Examples: hemlockctl explain 5c1393eac7d17a24 entry-*.log control-*.log
+hemlockctl explain --service yeny1a entry-*.log control-*.log
+hemlockctl explain --endpoint i-1ed08d41d1 entry-*.log control-*.log`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Usage: "tell the promotions of this service"},
+			&cli.StringFlag{Name: "endpoint", Usage: "tell the promotions in which this endpoint takes part"},
+		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			args := cmd.Args().Slice()
-			if len(args) < 2 {
-				return cli.Exit("give a request id and log files", 2)
-			}
-			var lines []Line
-			for _, name := range args[1:] {
-				f, err := os.Open(name)
-				if err != nil {
-					return cli.Exit(err.Error(), 1)
-				}
-				read, err := Read(f)
-				if closeErr := f.Close(); err == nil {
-					err = closeErr
-				}
-				if err != nil {
-					return cli.Exit(err.Error(), 1)
-				}
-				lines = append(lines, read...)
-			}
-			found, err := Explain(args[0], lines)
-			if err != nil {
-				return cli.Exit(err.Error(), 1)
+			subject := Subject{Service: cmd.String("service"), Endpoint: cmd.String("endpoint")}
+			if subject != (Subject{}) {
+				return writePromotions(cmd.Root().Writer, subject, cmd.Args().Slice())
 			}
-			for _, l := range found {
-				if _, err := fmt.Fprintln(cmd.Root().Writer, l.Text); err != nil {
-					return err
-				}
+			if cmd.NArg() < 2 {
+				return cli.Exit("give a request id and log files", 2)
 			}
-			return nil
+			return writeRequest(cmd.Root().Writer, cmd.Args().First(), cmd.Args().Tail())
 		},
 	}
 }
 
+// writeRequest writes the lines that explain a request.
+func writeRequest(w io.Writer, id string, files []string) error {
+	lines, err := readFiles(files)
+	if err != nil {
+		return cli.Exit(err.Error(), 1)
+	}
+	found, err := Explain(id, lines)
+	if err != nil {
+		return cli.Exit(err.Error(), 1)
+	}
+	for _, l := range found {
+		if _, err := fmt.Fprintln(w, l.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writePromotions writes the stories of the subject's promotions.
+func writePromotions(w io.Writer, subject Subject, files []string) error {
+	if len(files) == 0 {
+		return cli.Exit("give log files", 2)
+	}
+	lines, err := readFiles(files)
+	if err != nil {
+		return cli.Exit(err.Error(), 1)
+	}
+	stories, err := Promotions(subject, lines)
+	if err != nil {
+		return cli.Exit(err.Error(), 1)
+	}
+	for _, s := range stories {
+		if err := s.Write(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readFiles(names []string) ([]Line, error) {
+	var lines []Line
+	for _, name := range names {
+		read, err := readFile(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
+func readFile(name string) (lines []Line, err error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = cmp.Or(err, f.Close()) }()
+	return Read(f)
+}
+
 // Read returns the log lines in r. It skips lines without valid JSON and any text
 // before the JSON, such as the prefix of a log collector.
 func Read(r io.Reader) ([]Line, error) {
