--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -6,43 +6,77 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/internal/shared/wait"
 )
 
-// startCovering starts to cover a service's replicas that do not run, unless that is in
-// progress or was done within coverInterval.
-func (w *watcher) startCovering(ctx context.Context, svc serviceState) {
-	silent := w.silentReplicas(svc, time.Now())
-	if svc.primary == nil || len(svc.ended)+len(silent) == 0 || !w.tryMarkCovering(svc.service) {
+// startCheck starts a check of a service whose replicas may not run or may be paused, unless
+// one is in progress or was done within checkInterval. Checks run beside actions, so that
+// they delay none.
+func (w *watcher) startCheck(ctx context.Context, svc serviceState) {
+	silent, restarted := w.silentReplicas(svc, time.Now()), w.restartedReplicas(svc)
+	isNeeded := len(svc.ended)+len(silent)+len(restarted) > 0 || svc.attempt.Unfinished
+	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
 	go func() {
-		defer w.endCovering(svc.service)
-		missing := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
+		defer w.endCheck(svc.service)
+		missing := slices.Concat(svc.ended, restarted, w.deadReplicas(ctx, silent))
 		if len(missing) > 0 {
 			w.cover(ctx, svc, missing)
 		}
+		if svc.attempt.Unfinished {
+			w.checkPauses(ctx, svc)
+		}
 	}()
 }
 
-func (w *watcher) tryMarkCovering(service string) bool {
+func (w *watcher) tryMarkChecking(service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.covering[service] || time.Now().Before(w.coverAt[service]) {
+	if w.checking[service] || time.Now().Before(w.checkAt[service]) {
 		return false
 	}
-	w.covering[service] = true
+	w.checking[service] = true
 	return true
 }
 
-func (w *watcher) endCovering(service string) {
+func (w *watcher) endCheck(service string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.covering[service] = false
-	w.coverAt[service] = time.Now().Add(coverInterval)
+	w.checking[service] = false
+	w.checkAt[service] = time.Now().Add(checkInterval)
+}
+
+// checkPauses finds out whether an unfinished attempt left a replica paused or a call open,
+// while the primary serves. If so, the primary will be replaced, which ends the pauses. If
+// not, the attempt is closed. Nothing follows while some replica does not answer.
+func (w *watcher) checkPauses(ctx context.Context, svc serviceState) {
+	status, err := w.status(ctx, svc.primary)
+	states := w.replicaStates(ctx, svc)
+	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
+		return
+	}
+	openCalls := fleetstate.OpenCalls(svc.attempt, svc.primary.Id)
+	if len(openCalls) > 0 || promotion.AnyPaused(states, status.Term+1) {
+		w.mu.Lock()
+		w.leftPaused[svc.service] = svc.attempt.Token
+		w.mu.Unlock()
+		return
+	}
+	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
+	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
+}
+
+// hasLeftPauses reports whether the last attempt for a service is unfinished and was found to
+// have left a replica paused or a call open.
+func (w *watcher) hasLeftPauses(a *fleetpb.Attempt) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return a.Unfinished && w.leftPaused[a.Service] == a.Token
 }
 
 // silentReplicas returns the replicas that entries reported as unreachable or that no longer
@@ -54,10 +88,25 @@
 	for _, e := range svc.others {
 		lastSeen, ok := w.lastSeenAt[e.Id]
 		isLate := ok && now.Sub(lastSeen) > w.node.cfg.Heartbeat+heartbeatMargin
-		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.node.machine.IsCovered(e.Id) {
+		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.isCovered(e) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// restartedReplicas returns the endpoints, with the primary, that were started again and are
+// not covered since.
+func (w *watcher) restartedReplicas(svc serviceState) []*fleetpb.Endpoint {
+	var list []*fleetpb.Endpoint
+	for _, e := range svc.others {
+		if w.isRestarted(e) {
 			list = append(list, e)
 		}
 	}
+	if svc.primary != nil && w.isRestarted(svc.primary) {
+		list = append(list, svc.primary)
+	}
 	return list
 }
 
@@ -92,7 +141,7 @@
 	}
 	for range maxCoverAttempts {
 		for _, e := range svc.others {
-			if slices.Contains(missing, e) || e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
+			if e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
 				continue
 			}
 			status, err := w.status(ctx, e)
