fleetctl: a primary that another call made is recorded with its position

Cause: a late call that is carried out is found by an announcement or by the next attempt, which recorded the endpoint without a position, so that no entry could compare. Change: both records carry the position of the status that showed it. A late status is sound, since entries compare terms and indexes one by one: it can hide a missing commit, not invent one.

--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -28,7 +28,9 @@
 	var other *promotion.OtherPrimaryError
 	if errors.As(err, &other) {
 		w.log.Info("another endpoint leads already", "service", svc.service, "token", token, "endpoint", other.Endpoint)
-		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint, Term: other.Term})
+		return w.record(svc, &fleetpb.SetPrimary{
+			EndpointId: other.Endpoint, Term: other.Term, Inherited: positionProto(other.Position),
+		})
 	}
 	if err != nil {
 		w.log.Info("promotion failed", "service", svc.service, "reason", r.reason, "token", token, "error", err.Error())
--- a/internal/fleet/fleetctl/suspicion.go
+++ b/internal/fleet/fleetctl/suspicion.go
@@ -131,7 +131,7 @@
 		w.ignoreRole(e.Id, ignoreDeniedRoleFor)
 		return true
 	}
-	return w.record(svc, &fleetpb.SetPrimary{EndpointId: e.Id, Term: status.Term})
+	return w.record(svc, &fleetpb.SetPrimary{EndpointId: e.Id, Term: status.Term, Inherited: positionProto(status.Received)})
 }
 
 // ignoreRole ignores the role that an endpoint announces for d.
--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -277,3 +278,12 @@
 	})
 	assert.Assert(f.t, ok, "%s: %s", text, last)
 }
+
+// hasLogged reports whether some daemon logged a line with all parts.
+func (f *fleet) hasLogged(parts ...string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.logLines, func(line string) bool {
+		return !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) })
+	})
+}
--- a/internal/fleet/fleetd/promotion_test.go
+++ b/internal/fleet/fleetd/promotion_test.go
@@ -177,3 +177,16 @@
 	})
 	assert.Assert(t, counted)
 }
+
+// TestLateCallThatLosesACommitIsSeen has the platform carry out a call that no daemon waits for.
+func TestLateCallThatLosesACommitIsSeen(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	f.querySucceeds(0, "STORE item v0")
+	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	f.querySucceeds(0, "STORE item v1")
+	assert.Equal(t, f.group.Promote("svc-1", 100), http.StatusOK)
+	assert.Equal(t, len(f.group.Primary().Lost()), 1)
+	isSeen := func() bool { return f.hasLogged("acknowledged commit is missing", `"svc-1"`, `"1/2"`, `"1/1"`) }
+	assert.Assert(t, standin.WaitFor(5*time.Second, isSeen))
+}
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -63,8 +63,9 @@
 // primary by now.
 type OtherPrimaryError struct {
 	Endpoint string
-	// Term is the term in which it leads.
-	Term uint64
+	// Term is the term in which it leads, Position the end of its log.
+	Term     uint64
+	Position logpos.Pos
 }
 
 func (e *OtherPrimaryError) Error() string {
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -378,6 +378,8 @@
 		var other *promotion.OtherPrimaryError
 		assert.Assert(t, errors.As(err, &other), "%v", err)
 		assert.Equal(t, other.Endpoint, "svc-1")
+		assert.Equal(t, other.Term, uint64(2))
+		assert.Equal(t, other.Position, logpos.Pos{Term: 2, Index: 1})
 		assert.Equal(t, len(f.promoter.calls), 0)
 		f.assertNothingLost()
 		assert.Assert(t, f.write(1, "b"))
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -159,7 +159,7 @@
 	if other, ok := CurrentPrimary(a.replicas); ok {
 		// The plan predates a promotion. Only the new primary knows which commits were
 		// acknowledged since.
-		return &OtherPrimaryError{Endpoint: other.ID, Term: other.Status.Term}
+		return &OtherPrimaryError{Endpoint: other.ID, Term: other.Status.Term, Position: other.Status.Received}
 	}
 	candidate, err := a.candidate(ctx)
 	if err != nil {
