fleetctl: count attempts, orders and calls to the platform

Cause: the metrics for them had no calls yet. Change: attempts count each order with its answer, each call with its outcome, an interruption, and a new primary whose log lacks the highest known position or the floor; each control daemon shows the unfinished attempts and open calls of the replicated state. Result: go test ./internal/fleet/promotion -run Count, ./internal/fleet/fleetstate, ./internal/shared/metrics: ok.

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -169,6 +169,7 @@
 			}
 			config, _ := n.machine.Configuration()
 			n.cfg.Metrics.Member(st.Term, st.Role == agree.Leader, len(agree.Voters(st.Membership)), config.GetVersion())
+			n.cfg.Metrics.Attempts(n.machine.CountAttempts())
 			losses.update(n, st)
 			n.removeSilentVoters(ctx, st)
 		}
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -97,7 +97,8 @@
 	return &watcher{
 		node: n, log: n.log.WithName("watch"),
 		runner: &promotion.Runner{
-			Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Recorder: recorder{n}, Log: n.log.WithName("promotion"),
+			Dialer: n.cfg.Dialer, Promoter: n.cfg.Promoter, Recorder: recorder{n},
+			Metrics: n.cfg.Metrics, Log: n.log.WithName("promotion"),
 		},
 		lastSeenAt:       make(map[string]time.Time),
 		unreachableAt:    make(map[string]map[string]time.Time),
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -21,6 +21,20 @@
 	return &fleetpb.Attempt{Service: service}
 }
 
+// CountAttempts returns the number of services whose last attempt is unfinished, and the number
+// of calls that may still change a primary.
+func (m *Machine) CountAttempts() (unfinished, openCalls int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.attempts {
+		if a.Unfinished {
+			unfinished++
+		}
+		openCalls += len(OpenCalls(a, m.primaries[a.Service].GetEndpointId()))
+	}
+	return unfinished, openCalls
+}
+
 // copyAttempt returns a copy of a service's attempt for modification, or an empty one.
 // Attempts in the map are shared with readers and never modified.
 func (m *Machine) copyAttempt(service string) *fleetpb.Attempt {
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+func TestCountAttempts(t *testing.T) {
+	m := New(nil)
+	for _, id := range []string{"a", "b"} {
+		assert.Assert(t, m.recordCallFor(t, m.begin(t), id))
+	}
+	unfinished, openCalls := m.CountAttempts()
+	assert.Equal(t, unfinished, 1)
+	assert.Equal(t, openCalls, 2)
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "b", Token: 2})
+	unfinished, openCalls = m.CountAttempts()
+	assert.Equal(t, unfinished+openCalls, 0)
+}
+
 func TestUnfinishedAttemptStaysSoUntilNothingIsPaused(t *testing.T) {
 	m := New(nil)
 	m.close(t, &fleetpb.CloseAttempt{Token: m.begin(t), PausesLeft: true})
--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/internal/shared/wait"
 )
@@ -54,6 +56,7 @@
 	defer cancel()
 	started := time.Now()
 	err := a.Promoter.Promote(callCtx, a.plan.Service, id, a.plan.Token)
+	a.Metrics.PlatformCalled(callOutcome(err))
 	outcome := "accepted"
 	if err != nil {
 		outcome = err.Error()
@@ -62,6 +65,17 @@
 	return err
 }
 
+func callOutcome(err error) metrics.CallOutcome {
+	var unknown *OutcomeUnknownError
+	switch {
+	case err == nil:
+		return metrics.CallAccepted
+	case errors.As(err, &unknown):
+		return metrics.CallUnanswered
+	}
+	return metrics.CallRefused
+}
+
 // awaitTakeover waits until the endpoint reports that it is the primary. Errors:
 // *TakeoverTimeoutError.
 func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
@@ -101,4 +115,7 @@
 	})
 	a.log.Info("new primary answers", "endpoint", id, "term", status.Term, "position", status.Received.String(),
 		"highest", a.result.Highest.String(), "pausesLeft", a.result.PausesLeft)
+	if status.Received.Less(logpos.Max(a.result.Highest, a.plan.Floor)) {
+		a.Metrics.PrimaryBehind()
+	}
 }
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -74,9 +74,10 @@
 	return errors.As(err, &refused) && refused.Reply.Code == stmt.CodeBusy
 }
 
-// logAnswer logs an endpoint's answer to an order. Answers to status requests that are
+// logAnswer counts an order and logs the endpoint's answer to it. Answers to status requests that are
 // repeated until something changes are only logged in debug mode.
 func (a *attempt) logAnswer(id, order string, status stmt.Status, err error) {
+	a.Metrics.OrderSent(order, err == nil)
 	if err != nil {
 		a.log.Info("endpoint did not answer", "endpoint", id, "order", order, "error", err.Error())
 		return
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -15,6 +15,7 @@
 
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform"
 	"hemlockmast/platform/standin"
@@ -84,7 +85,7 @@
 	p := &promoter{group: group}
 	r := &recorder{}
 	return &fixture{t: t, group: group, promoter: p, recorder: r, runner: &promotion.Runner{
-		Dialer: platform.Dialer{Name: "control"}, Promoter: p, Recorder: r,
+		Dialer: platform.Dialer{Name: "control"}, Promoter: p, Recorder: r, Metrics: metrics.NewControl(),
 		Log: funcr.New(func(_, args string) { t.Log(args) }, funcr.Options{}),
 	}}
 }
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -109,6 +110,7 @@
 	Dialer   stmt.Dialer
 	Promoter Promoter
 	Recorder Recorder
+	Metrics  *metrics.ControlSet
 	Log      logr.Logger
 }
 
@@ -149,6 +151,7 @@
 	err := a.execute(ctx)
 	if err != nil && ctx.Err() != nil {
 		a.log.Info("promotion interrupted", "error", err.Error())
+		a.Metrics.AttemptInterrupted()
 		err = ctx.Err()
 	}
 	return a.result, err
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -48,9 +48,9 @@
 	f := newFixture(t)
 	assert.Assert(t, f.write(0, "a"))
 	dialer := f.runner.Dialer
-	former := &promotion.Runner{Dialer: pausedBeforeFailing{cutDialer{dialer, "", "svc-0"}, "svc-1"}, Promoter: f.promoter, Recorder: f.recorder, Log: f.runner.Log}
+	former := &promotion.Runner{Dialer: pausedBeforeFailing{cutDialer{dialer, "", "svc-0"}, "svc-1"}, Promoter: f.promoter, Recorder: f.recorder, Metrics: f.runner.Metrics, Log: f.runner.Log}
 	next := &promotion.Runner{
-		Dialer: cutDialer{dialer, "", "svc-0"}, Promoter: slowPromoter{f.promoter, 900 * time.Millisecond}, Recorder: f.recorder, Log: f.runner.Log,
+		Dialer: cutDialer{dialer, "", "svc-0"}, Promoter: slowPromoter{f.promoter, 900 * time.Millisecond}, Recorder: f.recorder, Metrics: f.runner.Metrics, Log: f.runner.Log,
 	}
 	failed, done := make(chan error), make(chan error)
 	go func() { _, err := former.Run(t.Context(), f.plan(1, false)); failed <- err }()
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -23,9 +23,9 @@
 	reports       *prometheus.CounterVec
 	positions     *prometheus.CounterVec
 
-	unfinishedAttempts, openCalls  prometheus.Gauge
-	orders, calls                  *prometheus.CounterVec
-	behindPrimaries, lostLeadEnded prometheus.Counter
+	unfinishedAttempts, openCalls prometheus.Gauge
+	orders, calls                 *prometheus.CounterVec
+	behindPrimaries, interrupted  prometheus.Counter
 }
 
 // CallOutcome is the outcome of a call that asks the platform for a promotion.
@@ -80,10 +80,10 @@
 	s.calls = counter("platform_calls_total", "Calls to the platform for a promotion, by outcome.", "outcome")
 	s.behindPrimaries = singleCounter("primaries_behind_total",
 		"New primaries whose log lacked a position that an endpoint had reported before.")
-	s.lostLeadEnded = singleCounter("attempts_ended_by_lost_lead_total",
-		"Attempts to replace a primary that ended because this member no longer led.")
+	s.interrupted = singleCounter("attempts_interrupted_total",
+		"Attempts to replace a primary that ended because this member lost the lead or stopped.")
 	s.registry.MustRegister(
-		s.unfinishedAttempts, s.openCalls, s.orders, s.calls, s.behindPrimaries, s.lostLeadEnded)
+		s.unfinishedAttempts, s.openCalls, s.orders, s.calls, s.behindPrimaries, s.interrupted)
 }
 
 // Handler serves the metrics in the Prometheus text format.
@@ -165,5 +165,5 @@
 // had reported before. Commits up to that position that were acknowledged are lost.
 func (s *ControlSet) PrimaryBehind() { s.behindPrimaries.Inc() }
 
-// LeadLost counts an attempt that ended because this member no longer led.
-func (s *ControlSet) LeadLost() { s.lostLeadEnded.Inc() }
+// AttemptInterrupted counts an attempt that ended because this member no longer led or stopped.
+func (s *ControlSet) AttemptInterrupted() { s.interrupted.Inc() }
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -87,7 +87,7 @@
 	s.OrderSent("step down", false)
 	s.PlatformCalled(CallUnanswered)
 	s.PrimaryBehind()
-	s.LeadLost()
+	s.AttemptInterrupted()
 	text := scrape(s)
 	for _, want := range []string{
 		`hemlockmast_control_term 4`,
@@ -108,7 +108,7 @@
 		`hemlockmast_orders_total{order="step down",outcome="unanswered"} 1`,
 		`hemlockmast_platform_calls_total{outcome="unanswered"} 1`,
 		`hemlockmast_primaries_behind_total 1`,
-		`hemlockmast_attempts_ended_by_lost_lead_total 1`,
+		`hemlockmast_attempts_interrupted_total 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
 	}
