hemlockctl fleet shows unfinished attempts, open calls and missing commits

Cause: an operator had to query each daemon's metrics. Change: three columns; MISSING is acknowledged_commits_missing_total at entries and primaries_behind_total at control daemons. Result: go test ./internal/cli/fleet: ok, with rows that have the new cells.

--- a/internal/cli/fleet/fleet.go
+++ b/internal/cli/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -32,6 +33,10 @@
 	promotionsSeries    = "hemlockmast_promotions_total"
 	requestsSeries      = "hemlockmast_requests_total"
 	refusalsSeries      = "hemlockmast_refusals_total"
+	missingSeries       = "hemlockmast_acknowledged_commits_missing_total"
+	behindSeries        = "hemlockmast_primaries_behind_total"
+	unfinishedSeries    = "hemlockmast_attempts_unfinished"
+	openCallsSeries     = "hemlockmast_platform_calls_open"
 )
 
 // UnreachableError reports daemons that did not answer.
@@ -75,7 +80,7 @@
 	}
 	wait.Wait()
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tBEARS\tPROMOTIONS\tREQUESTS\tREFUSALS")
+	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tBEARS\tPROMOTIONS\tREQUESTS\tREFUSALS\tUNFINISHED\tOPEN CALLS\tMISSING")
 	var missing []string
 	for i, address := range addresses {
 		if daemons[i].err != nil {
@@ -122,8 +127,19 @@
 			role = "control, leads"
 		}
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", address, role, d.formatSum(configurationSeries), d.formatSum(termSeries),
-		d.formatSum(votersSeries), d.formatSum(lossesBorneSeries), d.formatSum(promotionsSeries), d.formatSum(requestsSeries), d.formatSum(refusalsSeries))
+	// Entries count missing commits, control daemons count primaries that lack a position.
+	missing := missingSeries
+	if role != "entry" {
+		missing = behindSeries
+	}
+	cells := []string{address, role}
+	for _, name := range []string{
+		configurationSeries, termSeries, votersSeries, lossesBorneSeries, promotionsSeries, requestsSeries, refusalsSeries,
+		unfinishedSeries, openCallsSeries, missing,
+	} {
+		cells = append(cells, d.formatSum(name))
+	}
+	return strings.Join(cells, "\t")
 }
 
 // formatSum returns the sum of a metric over its series, or "-" if the daemon does
--- a/internal/cli/fleet/fleet_test.go
+++ b/internal/cli/fleet/fleet_test.go
@@ -20,7 +20,11 @@
 	control.LossesBorne(1)
 	control.Promoted("leaving", time.Second, nil)
 	control.Promoted("gone", time.Second, nil)
+	control.Attempts(3, 7)
+	control.PrimaryBehind()
 	entry := metrics.New()
+	entry.CommitMissing()
+	entry.CommitMissing()
 	entry.Revision(16, true)
 	entry.Request("r", metrics.OutcomeDone, time.Millisecond)
 	entry.Refused("r", "busy")
@@ -39,7 +43,7 @@
 	assert.DeepEqual(t, missing.Addresses, addresses[2:])
 	lines := strings.Split(out.String(), "\n")
 	fields := func(i int) string { return strings.Join(strings.Fields(lines[i])[1:], " ") }
-	assert.Equal(t, fields(1), "control, leads 17 4 5 1 2 - -")
-	assert.Equal(t, fields(2), "entry 16 - - - - 1 1")
+	assert.Equal(t, fields(1), "control, leads 17 4 5 1 2 - - 3 7 1")
+	assert.Equal(t, fields(2), "entry 16 - - - - 1 1 - - 2")
 	assert.Assert(t, strings.Contains(lines[3], "no answer"))
 }
