fleetd: tests that logs tell a promotion and a lost commit

Cause: the story depends on messages and fields of other packages. Change: the tests' daemons log JSON; one test reads a promotion from the logs, and the test of the late call reads the missing commit from them.

--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/cli/explain"
 	"hemlockmast/internal/testing/ports"
 	"hemlockmast/platform/standin"
 )
@@ -71,10 +71,11 @@
 		leaving: make(map[string]bool), born: time.Now().UnixMilli(),
 	}
 	start := time.Now()
-	f.log = funcr.New(func(_, args string) {
+	f.log = funcr.NewJSON(func(line string) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.logLines = append(f.logLines, fmt.Sprintf("%7.3f %s", time.Since(start).Seconds(), args))
+		at := time.Since(start).Seconds()
+		f.logLines = append(f.logLines, fmt.Sprintf(`%7.3f {"ts":%f,%s`, at, at, strings.TrimPrefix(line, "{")))
 	}, funcr.Options{})
 	t.Cleanup(f.showLog)
 	f.servePromotions()
@@ -279,11 +280,15 @@
 	assert.Assert(f.t, ok, "%s: %s", text, last)
 }
 
-// hasLogged reports whether some daemon logged a line with all parts.
-func (f *fleet) hasLogged(parts ...string) bool {
+// story returns what the daemons' logs tell about the promotions; nil if nothing.
+func (f *fleet) story() *explain.Story {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.logLines, func(line string) bool {
-		return !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) })
-	})
+	lines, err := explain.Read(strings.NewReader(strings.Join(f.logLines, "\n")))
+	assert.NilError(f.t, err)
+	stories, err := explain.Promotions(explain.Subject{Service: "svc"}, lines)
+	if err != nil {
+		return nil
+	}
+	return stories[0]
 }
--- a/internal/fleet/fleetd/promotion_test.go
+++ b/internal/fleet/fleetd/promotion_test.go
@@ -187,6 +187,35 @@
 	f.querySucceeds(0, "STORE item v1")
 	assert.Equal(t, f.group.Promote("svc-1", 100), http.StatusOK)
 	assert.Equal(t, len(f.group.Primary().Lost()), 1)
-	isSeen := func() bool { return f.hasLogged("acknowledged commit is missing", `"svc-1"`, `"1/2"`, `"1/1"`) }
+	isSeen := func() bool { s := f.story(); return s != nil && len(s.Missing) == 1 }
 	assert.Assert(t, standin.WaitFor(5*time.Second, isSeen))
+	var text strings.Builder
+	assert.NilError(t, f.story().Write(&text))
+	want := "MISSING: entry-0 saw 1/2 acknowledged; svc-1 leads term 2 since record 2 and began with 1/1"
+	assert.Assert(t, strings.Contains(text.String(), want), text.String())
+}
+
+// TestPromotionIsToldByTheLogs guards against a story that misses a line because its message or
+// a field was renamed.
+func TestPromotionIsToldByTheLogs(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	f.querySucceeds(0, "STORE item v0")
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	f.querySucceeds(0, "STORE item v1")
+	var text strings.Builder
+	isDone := func() bool {
+		text.Reset()
+		s := f.story()
+		return s != nil && s.Write(&text) == nil && strings.Contains(text.String(), "done, "+f.group.Primary().ID+" replaces svc-0 (")
+	}
+	assert.Assert(t, standin.WaitFor(3*time.Second, isDone), text.String())
+	for _, want := range []string{
+		"primary does not answer", "promotion started", "order=status", "order=pause", "promotion called", "outcome=accepted",
+		"new primary answers", "primary recorded", "leads term 2 with a log up to 1/1; highest position known before: 1/1",
+		"lead term", "missing: none reported", "leader changed",
+	} {
+		assert.Assert(t, strings.Contains(text.String(), want), "%q is not in\n%s", want, text.String())
+	}
+	assert.Assert(t, !strings.Contains(text.String(), "CALL LEFT OPEN"), text.String())
 }
