explain: pauses that a promotion ended are not shown as left

Cause: a pause ends with the promotion to its term, but the last answer before it still told it. Change: pauses up to the new primary's term are left out. Result: go test ./internal/cli/explain: ok; fails with the bound at 0.

--- a/internal/cli/explain/promotions.go
+++ b/internal/cli/explain/promotions.go
@@ -81,6 +81,12 @@
 	}
 }
 
+// number returns a field as a number, or 0.
+func (e Event) number(name string) float64 {
+	n, _ := e.fields[name].(float64)
+	return n
+}
+
 // names reports whether the event names the endpoint.
 func (e Event) names(endpoint string) bool {
 	for _, v := range e.fields {
--- a/internal/cli/explain/promotions_test.go
+++ b/internal/cli/explain/promotions_test.go
@@ -94,7 +94,15 @@
 		Text: `{"token":3,"endpoint":"c","order":"pause","pausedTerm":5}`})
 	stories, err := Promotions(Subject{Service: "s"}, lines)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, stories[0].Attempts[2].paused(), []string{"c with term 5"})
+	third := stories[0].Attempts[2]
+	assert.DeepEqual(t, third.paused(), []string{"c with term 5"})
+	answers := func(term float64) {
+		third.Events = append(third.Events, Event{Line: Line{Message: msgAnswers}, fields: map[string]any{"term": term}})
+	}
+	answers(4)
+	assert.Equal(t, len(third.paused()), 1)
+	answers(5)
+	assert.Equal(t, len(third.paused()), 0)
 }
 
 func TestSubjectWithoutPromotions(t *testing.T) {
--- a/internal/cli/explain/write.go
+++ b/internal/cli/explain/write.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -124,26 +125,26 @@
 	return n
 }
 
-// paused returns the endpoints whose last answer to the attempt told a pause.
+// paused returns the endpoints whose last answer to the attempt told a pause that the attempt
+// has not ended. A pause ends when its term or a later one has a primary.
 func (a *Attempt) paused() []string {
-	var order []string
-	terms := make(map[string]string)
+	ledTerm := 0.0
+	if e := a.last(msgAnswers); e != nil {
+		ledTerm = e.number("term")
+	}
+	terms := make(map[string]float64)
 	for _, e := range a.Events {
-		id := e.field("endpoint")
-		if e.Message != msgAnswered {
-			continue
-		}
-		if _, ok := terms[id]; !ok {
-			order = append(order, id)
+		if e.Message == msgAnswered {
+			terms[e.field("endpoint")] = e.number("pausedTerm")
 		}
-		terms[id] = e.field("pausedTerm")
 	}
 	var list []string
-	for _, id := range order {
-		if terms[id] != "0" && terms[id] != "" {
-			list = append(list, fmt.Sprintf("%s with term %s", id, terms[id]))
+	for id, term := range terms {
+		if term > ledTerm {
+			list = append(list, fmt.Sprintf("%s with term %.0f", id, term))
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
