fleet: findings of the review and of the model on attempts and covering

Change: Cover names processes by their start; the floor is the candidate's position at the call; attempts are planned with the records after their token and recorded by the leader only; control daemons tell the leader whom they no longer hear; the leader probes once whom it has not heard.

--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/fleetrpc"
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
@@ -17,16 +18,16 @@
 // one is in progress or was done within checkInterval. Checks run beside actions, so that
 // they delay none.
 func (w *watcher) startCheck(ctx context.Context, svc serviceState) {
-	silent, restarted := w.silentReplicas(svc, time.Now()), w.restartedReplicas(svc)
+	silent, restarted := w.silentReplicas(svc, time.Now()), w.restartedEndpoints(svc)
 	isNeeded := len(svc.ended)+len(silent)+len(restarted) > 0 || svc.attempt.Unfinished
 	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
 	go func() {
 		defer w.endCheck(svc.service)
-		missing := slices.Concat(svc.ended, restarted, w.deadReplicas(ctx, silent))
-		if len(missing) > 0 {
-			w.cover(ctx, svc, missing)
+		ended := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
+		if len(ended)+len(restarted) > 0 {
+			w.cover(ctx, svc, ended, restarted)
 		}
 		if svc.attempt.Unfinished {
 			w.checkPauses(ctx, svc)
@@ -53,7 +54,8 @@
 
 // checkPauses finds out whether an unfinished attempt left a replica paused or a call open,
 // while the primary serves. If so, the primary will be replaced, which ends the pauses. If
-// not, the attempt is closed. Nothing follows while some replica does not answer.
+// not, the attempt is closed once no order of it can be carried out late. Nothing follows
+// while some replica does not answer.
 func (w *watcher) checkPauses(ctx context.Context, svc serviceState) {
 	status, err := w.status(ctx, svc.primary)
 	states := w.replicaStates(ctx, svc)
@@ -62,42 +64,108 @@
 	}
 	openCalls := fleetstate.OpenCalls(svc.attempt, svc.primary.Id)
 	if len(openCalls) > 0 || promotion.AnyPaused(states, status.Term+1) {
-		w.mu.Lock()
-		w.leftPaused[svc.service] = svc.attempt.Token
-		w.mu.Unlock()
+		w.noteLeftPauses(svc.service, svc.attempt)
+		return
+	}
+	if !w.isAttemptOld(svc.attempt) {
 		return
 	}
 	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
 	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
 }
 
-// hasLeftPauses reports whether the last attempt for a service is unfinished and was found to
-// have left a replica paused or a call open.
-func (w *watcher) hasLeftPauses(a *fleetpb.Attempt) bool {
+// isAttemptOld reports whether this daemon has known an attempt as the last one for longer than
+// maxOrderDelay.
+func (w *watcher) isAttemptOld(a *fleetpb.Attempt) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.knownAttempts[a.Service]
+	if known.token != a.Token {
+		w.knownAttempts[a.Service] = knownAttempt{token: a.Token, since: time.Now()}
+		return false
+	}
+	return time.Since(known.since) > maxOrderDelay
+}
+
+// hasLeftPauses reports whether the last attempt for a service was found to have left a
+// replica paused or a call open.
+func (w *watcher) hasLeftPauses(service string, a *fleetpb.Attempt) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return a.Unfinished && w.leftPaused[a.Service] == a.Token
+	token, ok := w.leftPaused[service]
+	return ok && token == a.Token
 }
 
-// silentReplicas returns the replicas that entries reported as unreachable or that no longer
-// announce themselves to this daemon, and that are not covered.
+// noteLeftPauses records that the last attempt for a service has left a replica paused or a
+// call open.
+func (w *watcher) noteLeftPauses(service string, a *fleetpb.Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leftPaused[service] = a.Token
+}
+
+// silentReplicas returns the replicas that entries reported as unreachable, that no longer
+// announce themselves to this daemon, or that this daemon has not heard of since it leads,
+// and that are not covered.
 func (w *watcher) silentReplicas(svc serviceState, now time.Time) []*fleetpb.Endpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var list []*fleetpb.Endpoint
 	for _, e := range svc.others {
 		lastSeen, ok := w.lastSeenAt[e.Id]
-		isLate := ok && now.Sub(lastSeen) > w.node.cfg.Heartbeat+heartbeatMargin
-		if (isLate || w.reportingDomains(e.Id, now) > 0) && !w.isCovered(e) {
+		isUnheard := !ok && w.answeredBornMs[e.Id] != e.BornMs && now.Sub(w.leadsSince) > w.maxSilence()
+		isLate := ok && now.Sub(lastSeen) > w.maxSilence()
+		if (isUnheard || isLate || w.reportingDomains(e.Id, now) > 0 || now.Sub(w.silentAt[e.Id]) < maxReportAge) && !w.isCovered(e) {
 			list = append(list, e)
 		}
 	}
 	return list
 }
 
-// restartedReplicas returns the endpoints, with the primary, that were started again and are
+// maxSilence is the time without an announcement after which an endpoint is probed.
+func (w *watcher) maxSilence() time.Duration { return w.node.cfg.Heartbeat + heartbeatMargin }
+
+// reportSilent tells the leader of the endpoints that no longer announce themselves to this
+// daemon. An endpoint that moved to another daemon costs a probe.
+func (w *watcher) reportSilent(ctx context.Context) {
+	leader := w.node.Leader()
+	for _, id := range w.forgetSilent(time.Now()) {
+		e := w.node.hub.Endpoint(id)
+		if leader == "" || e == nil || e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+			defer cancel()
+			_, err := fleetrpc.NewClient(w.node.http, leader).Report(ctx, &fleetpb.ReportRequest{
+				Daemon: w.node.cfg.Name, FailureDomain: w.node.cfg.FailureDomain, Service: e.Service, EndpointId: id,
+				Suspicion: fleetpb.Suspicion_SUSPICION_SILENT,
+			})
+			if err != nil {
+				w.log.Info("silent endpoint not reported", "endpoint", id, "error", err.Error())
+			}
+		}()
+	}
+}
+
+// forgetSilent forgets the endpoints that no longer announce themselves to this daemon, and
+// returns their ids.
+func (w *watcher) forgetSilent(now time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var silent []string
+	for id, lastSeen := range w.lastSeenAt {
+		if now.Sub(lastSeen) > w.maxSilence() {
+			silent = append(silent, id)
+			delete(w.lastSeenAt, id)
+		}
+	}
+	return silent
+}
+
+// restartedEndpoints returns the endpoints, with the primary, that were started again and are
 // not covered since.
-func (w *watcher) restartedReplicas(svc serviceState) []*fleetpb.Endpoint {
+func (w *watcher) restartedEndpoints(svc serviceState) []*fleetpb.Endpoint {
 	var list []*fleetpb.Endpoint
 	for _, e := range svc.others {
 		if w.isRestarted(e) {
@@ -117,62 +185,84 @@
 	for _, e := range silent {
 		_, err := w.status(ctx, e)
 		if err == nil {
-			w.mu.Lock()
-			delete(w.lastSeenAt, e.Id)
-			delete(w.unreachableAt, e.Id)
-			w.mu.Unlock()
-			continue
-		}
-		if promotion.ProvesDead(err) {
+			w.noteAnswer(e)
+		} else if promotion.ProvesDead(err) {
 			dead = append(dead, e)
 		}
 	}
 	return dead
 }
 
-// cover checks whether replicas that do not run are covered, and has the control group record
-// it. They are covered, that is, no promotion needs their logs, once a running replica holds
-// everything that the primary held at a time after their end. cover returns false if they
-// are not.
-func (w *watcher) cover(ctx context.Context, svc serviceState, missing []*fleetpb.Endpoint) bool {
+// noteAnswer records that a silent endpoint answered.
+func (w *watcher) noteAnswer(e *fleetpb.Endpoint) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.lastSeenAt, e.Id)
+	delete(w.unreachableAt, e.Id)
+	delete(w.silentAt, e.Id)
+	w.answeredBornMs[e.Id] = e.BornMs
+}
+
+// cover checks whether processes of endpoints are covered, those that ended and those before
+// the ones that were started again, and has the control group record it. They are covered,
+// that is, no promotion needs their logs, once a running replica holds everything that the
+// primary held at a time after their end. cover returns false if they are not.
+func (w *watcher) cover(ctx context.Context, svc serviceState, ended, restarted []*fleetpb.Endpoint) bool {
 	primaryStatus, err := w.status(ctx, svc.primary)
 	if err != nil || primaryStatus.Role != stmt.Primary {
 		return false
 	}
 	for range maxCoverAttempts {
 		for _, e := range svc.others {
-			if e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
+			if slices.Contains(ended, e) || e.State != fleetpb.EndpointState_ENDPOINT_STATE_READY {
 				continue
 			}
 			status, err := w.status(ctx, e)
 			if err == nil && !status.Received.Less(primaryStatus.Received) {
-				return w.recordCovered(ctx, svc, missing, e.Id, primaryStatus.Received)
+				return w.recordCovered(ctx, svc.service, e.Id, primaryStatus.Received, ended, restarted)
 			}
 		}
 		wait.For(ctx, stallSampleInterval)
 	}
-	w.log.Info("replicas that do not run are not covered yet", "service", svc.service, "position", primaryStatus.Received.String())
+	w.log.Info("endpoints are not covered yet", "service", svc.service, "position", primaryStatus.Received.String(),
+		"ended", ids(ended), "startedAgain", ids(restarted))
 	return false
 }
 
-// recordCovered has the control group record that replicas which do not run are covered. by
-// is the id of the running replica that holds everything up to pos. It returns false if it
-// must be retried.
-func (w *watcher) recordCovered(ctx context.Context, svc serviceState, missing []*fleetpb.Endpoint, by string, pos logpos.Pos) bool {
-	cover := &fleetpb.Cover{Service: svc.service, Position: positionProto(pos)}
-	for _, e := range missing {
-		cover.EndpointIds = append(cover.EndpointIds, e.Id)
+// recordCovered has the control group record that processes of endpoints are covered. by is
+// the id of the running replica that holds everything up to pos. It returns false if it must
+// be retried.
+func (w *watcher) recordCovered(ctx context.Context, service, by string, pos logpos.Pos, ended, restarted []*fleetpb.Endpoint) bool {
+	cover := &fleetpb.Cover{
+		Service: service, Position: positionProto(pos), EndedBornMs: bornMs(ended), RunningBornMs: bornMs(restarted),
 	}
 	cmd := &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: cover}}
 	if _, err := w.node.propose(ctx, cmd); err != nil {
-		w.log.Info("control group did not record that replicas are covered", "service", svc.service, "error", err.Error())
+		w.log.Info("control group did not record that endpoints are covered", "service", service, "error", err.Error())
 		return false
 	}
-	w.log.Info("replicas that do not run are covered", "service", svc.service, "endpoints", cover.EndpointIds,
+	w.log.Info("endpoints are covered", "service", service, "ended", ids(ended), "startedAgain", ids(restarted),
 		"by", by, "position", pos.String())
 	return true
 }
 
+func ids(endpoints []*fleetpb.Endpoint) []string {
+	list := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		list = append(list, e.Id)
+	}
+	return list
+}
+
+// bornMs returns the start of each endpoint's process by endpoint id, in Unix milliseconds.
+func bornMs(endpoints []*fleetpb.Endpoint) map[string]int64 {
+	born := make(map[string]int64, len(endpoints))
+	for _, e := range endpoints {
+		born[e.Id] = e.BornMs
+	}
+	return born
+}
+
 // isStalled reports whether an entry recently reported that writes at the endpoint do not
 // complete.
 func (w *watcher) isStalled(id string, now time.Time) bool {
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -266,6 +266,25 @@
 	return result, err
 }
 
+// proposeAsLeader commits a command if this member leads the control group. It returns the
+// command's result once this member has applied it. Errors: those of control.
+func (n *Node) proposeAsLeader(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
+	data, err := fleetstate.Encode(cmd)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	encoded, err := n.control.Propose(ctx, data)
+	n.cfg.Metrics.Proposed(time.Since(started), err)
+	if err != nil {
+		return nil, err
+	}
+	result := &fleetpb.CommandResult{}
+	return result, proto.Unmarshal(encoded, result)
+}
+
 // proposeToLeader commits a command through this member, or through the leader if another
 // member leads.
 func (n *Node) proposeToLeader(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -15,7 +15,7 @@
 // promote replaces a service's primary and records the new one. It returns false if it must
 // be retried.
 func (w *watcher) promote(ctx context.Context, svc serviceState, r replacement) bool {
-	if r.primaryServes && len(svc.ended) > 0 && w.cover(ctx, svc, svc.ended) {
+	if r.primaryServes && len(svc.ended) > 0 && w.cover(ctx, svc, svc.ended, nil) {
 		svc.ended = nil
 	}
 	token, ok := w.beginAttempt(ctx, &svc)
@@ -43,23 +43,25 @@
 	}
 	w.log.Info("promotion done", "service", svc.service, "reason", r.reason, "token", token, "from", svc.primary.Id, "to", result.Primary)
 	return w.record(svc, &fleetpb.SetPrimary{
-		EndpointId: result.Primary, Token: token, Term: result.Term, Inherited: positionProto(result.Inherited), PausesLeft: result.PausesLeft,
+		EndpointId: result.Primary, Token: token, Term: result.Term, Inherited: positionProto(result.Inherited),
+		Floor: positionProto(result.Promoted), PausesLeft: result.PausesLeft,
 	})
 }
 
-// beginAttempt allocates a token and updates what svc holds of earlier attempts. ok is false
+// beginAttempt allocates a token and updates what svc holds of the replicated state. ok is false
 // if the control group does not answer, or if the service has another primary by now.
 func (w *watcher) beginAttempt(ctx context.Context, svc *serviceState) (token uint64, ok bool) {
 	allocate := &fleetpb.Command{Kind: &fleetpb.Command_AllocateToken{
 		AllocateToken: &fleetpb.AllocateToken{Service: svc.service, Holder: w.node.cfg.Name},
 	}}
-	result, err := w.node.propose(ctx, allocate)
+	result, err := w.node.proposeAsLeader(ctx, allocate)
 	if err != nil {
 		w.log.Info("control group did not allocate a token for a promotion", "service", svc.service, "error", err.Error())
 		return 0, false
 	}
-	svc.attempt = w.node.machine.Attempt(svc.service)
-	if w.node.machine.Primary(svc.service).Number != svc.record.Number || svc.attempt.Token != result.Token {
+	number := svc.record.Number
+	svc.attempt, svc.record = w.node.machine.Attempt(svc.service), w.node.machine.Primary(svc.service)
+	if svc.record.Number != number || svc.attempt.Token != result.Token {
 		w.log.Info("promotion is out of date before it started", "service", svc.service, "token", result.Token)
 		return 0, false
 	}
@@ -68,12 +70,11 @@
 
 // plan returns the plan of an attempt.
 func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
-	inherited := fleetstate.Position(svc.record.Inherited)
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
 		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
-		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered, Inherited: inherited,
-		Floor: logpos.Max(inherited, fleetstate.Position(svc.attempt.Floor)), LeadTerm: w.node.control.Status().Term,
+		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered,
+		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
 	}
 	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
@@ -105,7 +106,7 @@
 }
 
 func (w *watcher) isCovered(e *fleetpb.Endpoint) bool {
-	return w.node.machine.IsCoveredSince(e.Id, e.BornMs)
+	return w.node.machine.IsCovered(e.Id, e.BornMs)
 }
 
 func (w *watcher) isRestarted(e *fleetpb.Endpoint) bool {
@@ -150,8 +151,8 @@
 	}})
 }
 
-// RecordCall implements promotion.Recorder. Once the record is applied, this daemon knows
-// every announcement that any control daemon had recorded before.
+// RecordCall implements promotion.Recorder. This daemon leads the control group, so once the
+// record is applied it knows every announcement that was recorded before.
 func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
 	err := r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
 		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID},
@@ -164,7 +165,7 @@
 		if e.Service == service && !hasEnded && !slices.Contains(known, e.Id) {
 			return &promotion.UnknownEndpointError{Endpoint: e.Id}
 		}
-		if slices.Contains(dead, e.Id) && !r.node.machine.IsCoveredSince(e.Id, e.BornMs) {
+		if slices.Contains(dead, e.Id) && !r.node.machine.IsCovered(e.Id, e.BornMs) {
 			return &promotion.UnknownEndpointError{Endpoint: e.Id}
 		}
 	}
@@ -172,7 +173,7 @@
 }
 
 func (r recorder) propose(ctx context.Context, service string, token uint64, cmd *fleetpb.Command) error {
-	result, err := r.node.propose(ctx, cmd)
+	result, err := r.node.proposeAsLeader(ctx, cmd)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -30,7 +30,13 @@
 	w.mu.Lock()
 	w.reliefCheckedAt[svc.service] = time.Now()
 	w.mu.Unlock()
-	id, ok := promotion.ReliefCandidate(w.replicaStates(ctx, svc))
+	states := w.replicaStates(ctx, svc)
+	if promotion.AnyPaused(states, promotion.NextTerm(states, svc.record.Term)) {
+		// A late order paused a replica, which therefore lags.
+		w.noteLeftPauses(svc.service, svc.attempt)
+		return true
+	}
+	id, ok := promotion.ReliefCandidate(states)
 	if !ok {
 		return true
 	}
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -47,11 +47,20 @@
 	// checkInterval is the time between two checks of a service with replicas that do not run
 	// or may be paused.
 	checkInterval = 300 * time.Millisecond
+	// maxOrderDelay is how late an order to an endpoint may be carried out. A later one could
+	// only leave a replica paused, which costs reads there.
+	maxOrderDelay = 15 * time.Second
 	// heartbeatMargin is how late a replica's announcement may be before the replica is
 	// probed.
 	heartbeatMargin = 200 * time.Millisecond
 )
 
+// knownAttempt is an unfinished attempt with the time at which a daemon first saw it.
+type knownAttempt struct {
+	token uint64
+	since time.Time
+}
+
 // watcher detects failed, leaving, stalled and overloaded primaries and replaces them
 // while its member leads the control group.
 type watcher struct {
@@ -91,6 +100,15 @@
 	checking   map[string]bool
 	checkAt    map[string]time.Time
 	leftPaused map[string]uint64
+	// knownAttempts holds, by service, the last attempt that this daemon saw unfinished.
+	knownAttempts map[string]knownAttempt
+	// silentAt holds, by endpoint id, when another control daemon last reported that the
+	// endpoint does not announce itself any more. answeredBornMs holds the start, in Unix
+	// milliseconds, of a process that answered a probe since leadsSince, when this daemon
+	// began to lead.
+	silentAt       map[string]time.Time
+	answeredBornMs map[string]int64
+	leadsSince     time.Time
 }
 
 func newWatcher(n *Node) *watcher {
@@ -110,7 +128,8 @@
 		retryBackoff: make(map[string]time.Duration),
 		checking:     make(map[string]bool),
 		checkAt:      make(map[string]time.Time),
-		leftPaused:   make(map[string]uint64),
+		leftPaused:   make(map[string]uint64), knownAttempts: make(map[string]knownAttempt),
+		silentAt: make(map[string]time.Time), answeredBornMs: make(map[string]int64),
 	}
 }
 
@@ -132,6 +151,9 @@
 	case fleetpb.Suspicion_SUSPICION_STALLED:
 		w.stalledAt[r.EndpointId] = time.Now()
 		return
+	case fleetpb.Suspicion_SUSPICION_SILENT:
+		w.silentAt[r.EndpointId] = time.Now()
+		return
 	case fleetpb.Suspicion_SUSPICION_OVERLOADED:
 		w.overloadedAt[r.EndpointId] = time.Now()
 		return
@@ -161,10 +183,12 @@
 		switch {
 		case isLeader && !wasLeader:
 			leadCtx, endLead = context.WithCancel(ctx)
+			w.noteLead()
 		case !isLeader && wasLeader:
 			endLead()
 		}
 		if !isLeader {
+			w.reportSilent(ctx)
 			continue
 		}
 		for _, svc := range w.services() {
@@ -174,6 +198,14 @@
 	}
 }
 
+// noteLead records that this daemon leads the control group from now on.
+func (w *watcher) noteLead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leadsSince = time.Now()
+	clear(w.answeredBornMs)
+}
+
 // serviceState is a service with its endpoints as this member knows them.
 type serviceState struct {
 	service string
@@ -206,7 +238,7 @@
 				svc.primary = e
 			case e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE:
 				svc.others = append(svc.others, e)
-			case !w.node.machine.IsCovered(e.Id):
+			case !w.isCovered(e):
 				svc.ended = append(svc.ended, e)
 			}
 		}
@@ -278,7 +310,7 @@
 		return func(ctx context.Context) bool { return w.confirmDemoted(ctx, svc) }
 	case w.isStalled(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
-	case w.hasLeftPauses(svc.attempt):
+	case w.hasLeftPauses(svc.service, svc.attempt):
 		return func(ctx context.Context) bool {
 			return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
 		}
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -117,8 +117,9 @@
 	if p.Number != s.IfNumber {
 		return false
 	}
-	m.endAttempt(s)
 	isChanged := p.EndpointId != s.EndpointId
+	m.endAttempt(s, isChanged)
+	m.raiseFloor(s.Service, s.Floor)
 	p.EndpointId = s.EndpointId
 	if isChanged || s.Term > p.Term {
 		p.Inherited = s.Inherited
@@ -131,26 +132,40 @@
 	return isChanged
 }
 
-// endAttempt ends the attempt of a service that has a new primary. Calls with a token up to
-// that of the call that was carried out are over. Without this token, it is at least the
-// lowest one of a call for the endpoint. The service needs another attempt if a call is left,
-// or unless no replica is known to be paused.
-func (m *Machine) endAttempt(s *fleetpb.SetPrimary) {
+// endAttempt ends the attempt of a service that has a new primary. Calls with a token below
+// that of the call that was carried out are over, and this call too unless an earlier one for
+// the same endpoint may have been carried out in its place. Without the token, it is at least
+// the lowest one of a call for the endpoint. The service needs another attempt if a call is
+// left, or unless no replica is known to be paused. A late record of the same primary leaves a
+// newer attempt as it is.
+func (m *Machine) endAttempt(s *fleetpb.SetPrimary, isChanged bool) {
 	attempt := m.copyAttempt(s.Service)
-	carriedOut := s.Token
-	for _, c := range attempt.Calls {
-		if carriedOut == 0 && c.EndpointId == s.EndpointId {
-			carriedOut = c.Token
-		}
+	attempt.Calls = remainingCalls(attempt.Calls, s)
+	if isChanged || s.Token == attempt.Token {
+		attempt.StepDownOrdered, attempt.Ended = false, true
 	}
-	attempt.Calls = slices.DeleteFunc(attempt.Calls, func(c *fleetpb.PromoteCall) bool { return c.Token <= carriedOut })
 	if s.Token == attempt.Token && !s.PausesLeft {
 		attempt.Unfinished = len(OpenCalls(attempt, s.EndpointId)) > 0
 	}
-	attempt.StepDownOrdered, attempt.Ended = false, true
 	m.attempts[s.Service] = attempt
 }
 
+func remainingCalls(calls []*fleetpb.PromoteCall, s *fleetpb.SetPrimary) []*fleetpb.PromoteCall {
+	carriedOut, isAmbiguous := s.Token, false
+	for _, c := range calls {
+		if c.EndpointId != s.EndpointId {
+			continue
+		}
+		if carriedOut == 0 {
+			carriedOut = c.Token
+		}
+		isAmbiguous = isAmbiguous || c.Token < carriedOut
+	}
+	return slices.DeleteFunc(slices.Clone(calls), func(c *fleetpb.PromoteCall) bool {
+		return c.Token < carriedOut || c.Token == carriedOut && !isAmbiguous
+	})
+}
+
 // OpenCalls returns the calls of earlier attempts that may still change the primary. The
 // platform changes nothing for the present primary, so its calls before those for other
 // endpoints do not count, unless it may have been ordered to step down.
@@ -162,20 +177,36 @@
 	return calls
 }
 
-// cover records that the given endpoints held no acknowledged commit that another endpoint
+// cover records that processes of endpoints held no acknowledged commit that another endpoint
 // of the service lacks, and up to which position this one holds the log.
 func (m *Machine) cover(c *fleetpb.Cover) {
 	for _, id := range c.EndpointIds {
-		m.covered[id] = true
-		delete(m.restarted, id)
+		m.covered[id] = max(m.covered[id], m.endpoints.Get(id).GetBornMs())
 	}
-	if c.Position == nil {
-		return
+	for id, bornMs := range c.EndedBornMs {
+		m.covered[id] = max(m.covered[id], bornMs)
+		m.endRestart(id, bornMs)
 	}
-	attempt := m.copyAttempt(c.Service)
-	if Position(attempt.Floor).Less(Position(c.Position)) {
-		attempt.Floor = c.Position
-		m.attempts[c.Service] = attempt
+	for id, bornMs := range c.RunningBornMs {
+		m.endRestart(id, bornMs)
+	}
+	m.raiseFloor(c.Service, c.Position)
+}
+
+// endRestart removes the mark of an endpoint that was started again, unless it has been started
+// once more after bornMs.
+func (m *Machine) endRestart(id string, bornMs int64) {
+	if m.restarted[id] <= bornMs {
+		delete(m.restarted, id)
+	}
+}
+
+// raiseFloor raises the position that the log of every later primary must reach.
+func (m *Machine) raiseFloor(service string, pos *fleetpb.LogPosition) {
+	attempt := m.copyAttempt(service)
+	if Position(attempt.Floor).Less(Position(pos)) {
+		attempt.Floor = pos
+		m.attempts[service] = attempt
 	}
 }
 
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -119,31 +119,64 @@
 	assert.Equal(t, Position(restored.Attempt("s").Floor).String(), "2/7")
 }
 
-// TestRestartedEndpointIsNotCovered starts an endpoint again, covers it, and restores a
-// snapshot.
+func (m *Machine) announceA(t *testing.T, bornMs int64) {
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
+		Id: "a", Service: "s", Address: "127.0.0.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: bornMs,
+	}}})
+}
+
+func (m *Machine) coverWith(t *testing.T, c *fleetpb.Cover) {
+	c.Service = "s"
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: c}})
+}
+
 func TestRestartedEndpointIsNotCovered(t *testing.T) {
 	m := New(nil)
-	announce := func(bornMs int64) {
-		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
-			Id: "a", Service: "s", Address: "127.0.0.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: bornMs,
-		}}})
-	}
-	cover := func() {
-		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{EndpointIds: []string{"a"}}}})
-	}
-	announce(1)
+	m.announceA(t, 1)
 	assert.Assert(t, !m.IsRestarted("a", 1))
 	assert.Assert(t, m.IsRestarted("a", 2), "this daemon knows a start that is not recorded yet")
-	cover()
-	assert.Assert(t, m.IsCoveredSince("a", 1) && !m.IsCoveredSince("a", 2))
-	announce(2)
-	assert.Assert(t, !m.IsCoveredSince("a", 2))
+	m.announceA(t, 2)
 	data, err := m.Snapshot()
 	assert.NilError(t, err)
 	assert.NilError(t, m.Restore(data))
 	assert.Assert(t, m.IsRestarted("a", 2))
-	cover()
+	m.coverWith(t, &fleetpb.Cover{RunningBornMs: map[string]int64{"a": 2}})
 	assert.Assert(t, !m.IsRestarted("a", 2))
+	assert.Assert(t, !m.IsCovered("a", 2), "the process that runs may receive further commits")
+}
+
+func TestLateCoverDoesNotCoverAnEndpointThatStartedAgain(t *testing.T) {
+	m := New(nil)
+	m.announceA(t, 1)
+	m.announceA(t, 2)
+	m.coverWith(t, &fleetpb.Cover{EndedBornMs: map[string]int64{"a": 1}})
+	assert.Assert(t, m.IsCovered("a", 1) && !m.IsCovered("a", 2))
+	data, err := m.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, m.Restore(data))
+	assert.Assert(t, m.IsCovered("a", 1) && !m.IsCovered("a", 2))
+}
+
+func TestLateRecordOfTheSamePrimaryKeepsANewerAttempt(t *testing.T) {
+	m := New(nil)
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "p"})
+	late := &fleetpb.SetPrimary{EndpointId: "p", Token: m.begin(t)}
+	second := m.begin(t)
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_RecordStepDown{RecordStepDown: &fleetpb.RecordStepDown{Service: "s", Token: second}}})
+	assert.Assert(t, m.recordCallFor(t, second, "p"))
+	m.set(t, late)
+	assert.Equal(t, len(OpenCalls(m.Attempt("s"), "p")), 1)
+	assert.Assert(t, m.Attempt("s").Unfinished && m.Attempt("s").StepDownOrdered)
+}
+
+func TestCallThatMayTakeEffectTwiceStaysOpen(t *testing.T) {
+	m := New(nil)
+	assert.Assert(t, m.recordCallFor(t, m.begin(t), "a"))
+	second := m.begin(t)
+	assert.Assert(t, m.recordCallFor(t, second, "a"))
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "a", Token: second})
+	assert.Equal(t, len(m.Attempt("s").Calls), 1)
+	assert.Assert(t, !m.Attempt("s").Unfinished, "a call for the present primary changes nothing")
 }
 
 func TestCallsForThePresentPrimaryDoNotCount(t *testing.T) {
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -29,11 +29,12 @@
 	// endpoints are part of the replicated state so that they survive a restart of all
 	// control daemons and entries need not wait for the next announcements.
 	endpoints *registry.Table
-	// covered holds the ids of endpoints that do not run and that no promotion needs any more.
-	covered map[string]bool
-	// restarted holds the ids of endpoints that were started again, perhaps without their log,
-	// and are not covered since.
-	restarted map[string]bool
+	// covered holds, by endpoint id, the start of the last process of the endpoint that ended
+	// and whose log no promotion needs, in Unix milliseconds.
+	covered map[string]int64
+	// restarted holds, by endpoint id, the start of a process before which others of the
+	// endpoint ended that are not covered. It may have started without their log.
+	restarted map[string]int64
 	// attempts holds, by service, what is agreed on about attempts to replace its primary.
 	attempts map[string]*fleetpb.Attempt
 }
@@ -46,7 +47,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
-		covered: make(map[string]bool), restarted: make(map[string]bool), attempts: make(map[string]*fleetpb.Attempt),
+		covered: make(map[string]int64), restarted: make(map[string]int64), attempts: make(map[string]*fleetpb.Attempt),
 	}
 }
 
@@ -122,11 +123,8 @@
 func (m *Machine) announce(e *fleetpb.Endpoint) bool {
 	held := m.endpoints.Get(e.Id)
 	isTaken := len(m.endpoints.Merge(e)) > 0
-	if e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-		delete(m.covered, e.Id)
-	}
-	if held != nil && held.BornMs < e.BornMs {
-		m.restarted[e.Id] = true
+	if held != nil && held.BornMs < e.BornMs && m.covered[e.Id] < held.BornMs {
+		m.restarted[e.Id] = e.BornMs
 	}
 	return isTaken
 }
@@ -155,9 +153,9 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
 		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts(),
-		Restarted: slices.Sorted(maps.Keys(m.restarted))})
+		CoveredBornMs: m.covered, RestartedBornMs: m.restarted})
 }
 
 // Restore implements control.StateMachine.
@@ -176,8 +174,14 @@
 	for _, e := range state.Endpoints {
 		m.endpoints.Merge(e)
 	}
-	m.covered = setOf(state.Covered)
-	m.restarted = setOf(state.Restarted)
+	m.covered = make(map[string]int64)
+	for _, id := range state.Covered {
+		// Earlier versions recorded only the id, of an endpoint that had ended.
+		m.covered[id] = m.endpoints.Get(id).GetBornMs()
+	}
+	maps.Copy(m.covered, state.CoveredBornMs)
+	m.restarted = make(map[string]int64)
+	maps.Copy(m.restarted, state.RestartedBornMs)
 	m.attempts = make(map[string]*fleetpb.Attempt)
 	for _, a := range state.Attempts {
 		m.attempts[a.Service] = a
@@ -210,37 +214,24 @@
 	return m.endpoints.All()
 }
 
-// IsCovered reports whether an endpoint is covered: it has ended and no promotion needs its
-// log.
-func (m *Machine) IsCovered(id string) bool {
+// IsCovered reports whether the process of an endpoint that started at bornMs, in Unix
+// milliseconds, is covered: it has ended and no promotion needs its log.
+func (m *Machine) IsCovered(id string, bornMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.covered[id]
+	covered, ok := m.covered[id]
+	return ok && covered >= bornMs
 }
 
-// IsCoveredSince reports whether the endpoint is covered and has not been started again after
-// bornMs, the start of the process in Unix milliseconds.
-func (m *Machine) IsCoveredSince(id string, bornMs int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.covered[id] && m.endpoints.Get(id).GetBornMs() >= bornMs
-}
-
-// IsRestarted reports whether an endpoint with the given start, in Unix milliseconds, was
-// started again and is not covered since.
+// IsRestarted reports whether an endpoint whose process started at bornMs, in Unix
+// milliseconds, had a process before that is not covered.
 func (m *Machine) IsRestarted(id string, bornMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	held := m.endpoints.Get(id)
-	return m.restarted[id] || held != nil && held.BornMs < bornMs
-}
-
-func setOf(ids []string) map[string]bool {
-	set := make(map[string]bool, len(ids))
-	for _, id := range ids {
-		set[id] = true
-	}
-	return set
+	isUnrecorded := held != nil && held.BornMs < bornMs && m.covered[id] < held.BornMs
+	_, isRecorded := m.restarted[id]
+	return isRecorded || isUnrecorded
 }
 
 // Primary returns a copy of a service's primary record, or an empty record if the service
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -47,8 +47,8 @@
 	// Dead means that the endpoint does not run and that another replica holds every
 	// acknowledged commit of its log.
 	Dead bool
-	// LostLog means that the endpoint was started again and holds less than at the beginning
-	// of the present term. It may have held the only copy of a commit before.
+	// LostLog means that the endpoint was started again and does not reach the floor. It may
+	// have held the only copy of a commit before.
 	LostLog bool
 	Status  stmt.Status
 }
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -36,7 +36,7 @@
 		}
 		a.conns[i] = conn
 		a.runCommand(i, orderStatus, conn.Status)
-		s.LostLog = r.Restarted && s.Reached && s.position().Less(a.plan.Inherited)
+		s.LostLog = r.Restarted && s.Reached && (a.plan.Floor.IsZero() || s.position().Less(a.plan.Floor))
 	})
 }
 
@@ -126,6 +126,9 @@
 		changed[i] = (r.ID == candidate.ID || a.pauseTerm > 0) && !a.isUnchanged(ctx, i, candidate)
 	})
 	e := &UnsafeError{Service: a.plan.Service}
+	if candidate.ID == a.plan.Primary.ID && !a.isCandidateUnchanged(a.primaryConn, candidate) {
+		e.NotPaused = append(e.NotPaused, candidate.ID)
+	}
 	for i, s := range a.replicas {
 		if changed[i] {
 			e.NotPaused = append(e.NotPaused, s.ID)
@@ -139,7 +142,7 @@
 
 // isUnchanged reports whether replica i still holds its pause, does not run if it was dead,
 // or holds its log if it is the candidate. An endpoint that is too busy for an answer has not
-// been started again, because the connection is still open.
+// started again, because the connection is still open.
 func (a *attempt) isUnchanged(ctx context.Context, i int, candidate ReplicaState) bool {
 	if a.replicas[i].Dead {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
@@ -150,18 +153,28 @@
 		}
 		return err != nil && ProvesDead(err)
 	}
-	status, err := a.conns[i].Status(time.Now().Add(commandTimeout))
-	isSame := status.PausedTerm >= a.pauseTerm
 	if a.replicas[i].ID == candidate.ID {
-		isSame = status.Role != stmt.Primary && !status.Received.Less(candidate.position())
+		return a.isCandidateUnchanged(a.conns[i], candidate)
 	}
-	if err == nil && isSame || isBusy(err) {
+	status, err := a.conns[i].Status(time.Now().Add(commandTimeout))
+	if err == nil && status.PausedTerm >= a.pauseTerm || isBusy(err) {
 		return true
 	}
 	a.logAnswer(a.replicas[i].ID, orderStatus, status, err)
 	return false
 }
 
+// isCandidateUnchanged reports whether the candidate still holds its log and does not lead
+// yet. A connection that was opened before ends if the endpoint starts again.
+func (a *attempt) isCandidateUnchanged(conn stmt.Conn, candidate ReplicaState) bool {
+	status, err := conn.Status(time.Now().Add(commandTimeout))
+	if err == nil && status.Role != stmt.Primary && !status.Received.Less(candidate.position()) || isBusy(err) {
+		return true
+	}
+	a.logAnswer(candidate.ID, orderStatus, status, err)
+	return false
+}
+
 // connectPrimary connects to the plan's primary and requests its status. The caller closes
 // the connection. Errors: those of stmt.
 func (a *attempt) connectPrimary(ctx context.Context) (stmt.Conn, stmt.Status, error) {
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -67,8 +67,6 @@
 	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
 	// down.
 	StepDownOrdered bool
-	// Inherited is the end of the log with which the primary began to lead.
-	Inherited logpos.Pos
 	// Floor is a position that the log of the new primary must reach.
 	Floor logpos.Pos
 	// LeadTerm is the term in which the caller leads the control group, for logs.
@@ -79,10 +77,11 @@
 type Result struct {
 	// Primary is the id of the new primary; empty after an error.
 	Primary string
-	// Term is the new primary's term, Inherited the end of its log when it first reported
-	// that it leads, and Highest the highest position that an endpoint reported before.
-	Term               uint64
-	Inherited, Highest logpos.Pos
+	// Term is the new primary's term, Promoted a position that its log had reached when it
+	// was promoted, Inherited the end of its log when it first reported that it leads, and
+	// Highest the highest position that an endpoint reported before.
+	Term                         uint64
+	Promoted, Inherited, Highest logpos.Pos
 	// PausesLeft means that an endpoint may be paused, or may be ordered to step down by a
 	// late order.
 	PausesLeft bool
@@ -123,6 +122,8 @@
 
 	conns    []stmt.Conn
 	replicas []ReplicaState
+	// primaryConn is the connection to the plan's primary on which it stepped down, or nil.
+	primaryConn stmt.Conn
 	// pauseTerm is the lowest term of the pauses that the attempt counts on; 0 if it counts
 	// on none.
 	pauseTerm uint64
@@ -181,7 +182,7 @@
 		a.result.CallRefused = true
 		return err
 	}
-	a.result.Highest = a.highestPosition(candidate)
+	a.result.Promoted, a.result.Highest = candidate.position(), a.highestPosition(candidate)
 	a.log.Info("promotion called", "endpoint", candidate.ID, "position", candidate.Status.Received.String(),
 		"highest", a.result.Highest.String(), "pauseTerm", a.pauseTerm)
 	if err := a.callPromoter(ctx, candidate.ID); err != nil {
@@ -218,7 +219,7 @@
 func (a *attempt) candidate(ctx context.Context) (ReplicaState, error) {
 	successor, ok := Successor(a.replicas, a.plan.OpenCalls, a.nextTerm(), a.plan.Preferred)
 	switch {
-	case a.plan.PrimaryServes && !ok && !AnyPaused(a.replicas, a.nextTerm()):
+	case a.plan.PrimaryServes && !ok && len(a.plan.OpenCalls) == 0 && !AnyPaused(a.replicas, a.nextTerm()):
 		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
 	case !AllAnswer(a.replicas):
 		return a.candidateAfterStepDown(ctx)
@@ -341,26 +342,26 @@
 
 // stepDown makes the plan's primary step down and returns its final status, which holds
 // every acknowledged commit. It also accepts a replica that was ordered to step down before
-// and has not been started again, as no other endpoint can have been promoted since if no
-// call for one is open. Errors:
-// *NotPrimaryError, those of stmt and of Recorder.
+// and has not been started again. In both cases no other endpoint can have been promoted, as
+// no call for one is open. Errors: *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
+	if a.hasOpenCallForReplica() {
+		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
+	}
 	conn, status, err := a.connectPrimary(ctx)
 	if err != nil {
 		return stmt.Status{}, err
 	}
-	defer conn.Close()
-	isComplete := status.Role == stmt.Primary || !a.plan.PrimaryRestarted
+	a.primaryConn = conn
+	isComplete := a.isStepDownOrdered && !a.plan.PrimaryRestarted
 	if status.Role == stmt.Primary {
+		isComplete = true
 		status, err = a.orderStepDown(ctx, conn, status.Term+1)
-		if err != nil {
-			return stmt.Status{}, err
-		}
 	}
-	if !isComplete || !a.isStepDownOrdered || a.hasOpenCallForReplica() || !HasAll(status, a.replicas) {
-		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
+	if err == nil && !(isComplete && HasAll(status, a.replicas)) {
+		err = &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
-	return status, nil
+	return status, err
 }
 
 // orderStepDown records the order and sends it.
@@ -389,7 +390,7 @@
 }
 
 func (a *attempt) close() {
-	for _, conn := range a.conns {
+	for _, conn := range append(a.conns, a.primaryConn) {
 		if conn != nil {
 			conn.Close()
 		}
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -150,6 +150,12 @@
 }
 
 func TestReplicaThatCameBackEmptyMayHaveHeldTheOnlyCopy(t *testing.T) {
+	for _, floor := range []logpos.Pos{{}, {Term: 1, Index: 1}} {
+		testReplicaThatCameBackEmpty(t, floor)
+	}
+}
+
+func testReplicaThatCameBackEmpty(t *testing.T, floor logpos.Pos) {
 	f := newFixture(t)
 	assert.Assert(t, f.write(0, "a"))
 	f.group.Nodes()[2].Set(standin.Faults{Deaf: true})
@@ -158,7 +164,7 @@
 	f.group.Nodes()[1].LoseLog()
 	f.group.Nodes()[0].Set(standin.Faults{Silent: true})
 	plan := f.plan(1, false)
-	plan.Replicas[0].Restarted, plan.Inherited = true, logpos.Pos{Term: 1, Index: 1}
+	plan.Replicas[0].Restarted, plan.Floor = true, floor
 	_, err := f.runner.Run(t.Context(), plan)
 	var unsafe *promotion.UnsafeError
 	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
@@ -198,3 +204,54 @@
 	assert.NilError(t, err)
 	assert.Equal(t, result.Primary, "svc-0")
 }
+
+func TestPrimaryGoesOnServingIfAnOpenCallForbidsItsReplacement(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	plan := f.plan(2, false)
+	plan.OpenCalls = []promotion.Call{{Token: 1, EndpointID: "svc-2"}}
+	_, err := f.runner.Run(t.Context(), plan)
+	var unsafe *promotion.UnsafeError
+	assert.Assert(t, errors.As(err, &unsafe), "%v", err)
+	assert.Assert(t, f.write(0, "b"))
+}
+
+func TestOpenCallForAnEndedEndpointDoesNotBlockPlannedReplacement(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	plan := f.plan(2, true)
+	plan.OpenCalls = []promotion.Call{{Token: 1, EndpointID: "gone"}}
+	result, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Assert(t, result.Primary != "svc-0")
+	f.assertNothingLost()
+}
+
+// pausingRecorder runs a step between the record of a call and the call.
+type pausingRecorder struct {
+	*recorder
+	before func()
+}
+
+func (r pausingRecorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
+	r.before()
+	return r.recorder.RecordCall(ctx, service, call, known, dead)
+}
+
+func TestEndpointThatStartedAgainBeforeTheCallIsNoticed(t *testing.T) {
+	for name, node := range map[string]int{"candidate": 1, "paused replica": 2} {
+		f := newFixture(t)
+		assert.Assert(t, f.write(0, "a"))
+		f.runner.Recorder = pausingRecorder{f.recorder, func() {
+			f.group.Nodes()[node].Set(standin.Faults{Down: true})
+			f.group.Nodes()[node].LoseLog()
+			f.group.Nodes()[node].Set(standin.Faults{})
+		}}
+		result, err := f.runner.Run(t.Context(), f.plan(1, false))
+		var unsafe *promotion.UnsafeError
+		assert.Assert(t, errors.As(err, &unsafe), "%s: %v", name, err)
+		assert.Assert(t, result.CallRefused && result.PausesLeft)
+		assert.Equal(t, len(f.promoter.calls), 0, name)
+	}
+}
