--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -23,14 +23,19 @@
 	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
+	actions, hasAction := w.actionsOf(svc.service)
 	go func() {
-		defer w.endCheck(svc.service)
+		interval := checkInterval
+		if len(svc.ended)+len(silent)+len(restarted) == 0 {
+			interval = pauseCheckInterval
+		}
+		defer w.endCheck(svc.service, interval)
 		ended := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
 		if len(ended)+len(restarted) > 0 {
 			w.cover(ctx, svc, ended, restarted)
 		}
-		if svc.attempt.Unfinished {
-			w.checkPauses(ctx, svc)
+		if svc.attempt.Unfinished && !hasAction {
+			w.checkPauses(ctx, svc, actions)
 		}
 	}()
 }
@@ -45,26 +50,48 @@
 	return true
 }
 
-func (w *watcher) endCheck(service string) {
+func (w *watcher) endCheck(service string, interval time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checking[service] = false
-	w.checkAt[service] = time.Now().Add(checkInterval)
+	w.checkAt[service] = time.Now().Add(interval)
+}
+
+// actionsOf returns the number of actions started for a service, and whether one is in
+// progress.
+func (w *watcher) actionsOf(service string) (actions uint64, hasAction bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.actions[service], w.busy[service]
 }
 
 // checkPauses finds out whether an unfinished attempt left a replica paused or a call open,
 // while the primary serves. If so, the primary will be replaced, which ends the pauses. If
 // not, the attempt is closed once no order of it can be carried out late. Nothing follows
-// while some replica does not answer.
-func (w *watcher) checkPauses(ctx context.Context, svc serviceState) {
+// while some replica does not answer, or if an action has started since there were the given
+// number of them, as its pauses are in use.
+func (w *watcher) checkPauses(ctx context.Context, svc serviceState, actions uint64) {
 	status, err := w.status(ctx, svc.primary)
 	states := w.replicaStates(ctx, svc)
 	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
 		return
 	}
+	if started, _ := w.actionsOf(svc.service); started != actions {
+		return
+	}
+	if status.Term > svc.record.Term && svc.record.Term != 0 {
+		// A call for the primary was carried out late, after it had stepped down.
+		w.record(svc, &fleetpb.SetPrimary{EndpointId: svc.primary.Id, Term: status.Term, IfToken: svc.attempt.Token})
+		return
+	}
+	if status.Term > svc.record.Term && svc.record.Term != 0 {
+		// A call for the primary was carried out late, after it had stepped down.
+		w.record(svc, &fleetpb.SetPrimary{EndpointId: svc.primary.Id, Term: status.Term, IfToken: svc.attempt.Token})
+		return
+	}
 	openCalls := fleetstate.OpenCalls(svc.attempt, svc.primary.Id)
 	if len(openCalls) > 0 || promotion.AnyPaused(states, status.Term+1) {
-		w.noteLeftPauses(svc.service, svc.attempt)
+		w.noteLeftPauses(svc.attempt)
 		return
 	}
 	if !w.isAttemptOld(svc.attempt) {
@@ -87,21 +114,19 @@
 	return time.Since(known.since) > maxOrderDelay
 }
 
-// hasLeftPauses reports whether the last attempt for a service was found to have left a
-// replica paused or a call open.
-func (w *watcher) hasLeftPauses(service string, a *fleetpb.Attempt) bool {
+// hasLeftPauses reports whether the last attempt for a service is unfinished and was found to
+// have left a replica paused or a call open.
+func (w *watcher) hasLeftPauses(a *fleetpb.Attempt) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	token, ok := w.leftPaused[service]
-	return ok && token == a.Token
+	return a.Unfinished && w.leftPaused[a.Service] == a.Token
 }
 
-// noteLeftPauses records that the last attempt for a service has left a replica paused or a
-// call open.
-func (w *watcher) noteLeftPauses(service string, a *fleetpb.Attempt) {
+// noteLeftPauses records that an attempt has left a replica paused or a call open.
+func (w *watcher) noteLeftPauses(a *fleetpb.Attempt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leftPaused[service] = a.Token
+	w.leftPaused[a.Service] = a.Token
 }
 
 // silentReplicas returns the replicas that entries reported as unreachable, that no longer
@@ -113,9 +138,10 @@
 	var list []*fleetpb.Endpoint
 	for _, e := range svc.others {
 		lastSeen, ok := w.lastSeenAt[e.Id]
-		isUnheard := !ok && w.answeredBornMs[e.Id] != e.BornMs && now.Sub(w.leadsSince) > w.maxSilence()
+		isUnheard := now.Sub(w.answeredAt[e.Id]) > maxAnswerAge && now.Sub(w.leadsSince) > w.maxSilence()
 		isLate := ok && now.Sub(lastSeen) > w.maxSilence()
-		if (isUnheard || isLate || w.reportingDomains(e.Id, now) > 0 || now.Sub(w.silentAt[e.Id]) < maxReportAge) && !w.isCovered(e) {
+		isReported := w.reportingDomains(e.Id, now) > 0 || now.Sub(w.silentAt[e.Id]) < maxReportAge
+		if (!ok && isUnheard || isLate || isReported) && !w.isCovered(e) {
 			list = append(list, e)
 		}
 	}
@@ -125,13 +151,16 @@
 // maxSilence is the time without an announcement after which an endpoint is probed.
 func (w *watcher) maxSilence() time.Duration { return w.node.cfg.Heartbeat + heartbeatMargin }
 
-// reportSilent tells the leader of the endpoints that no longer announce themselves to this
+// reportSilent tells the leader once of each endpoint that no longer announces itself to this
 // daemon. An endpoint that moved to another daemon costs a probe.
 func (w *watcher) reportSilent(ctx context.Context) {
 	leader := w.node.Leader()
-	for _, id := range w.forgetSilent(time.Now()) {
+	if leader == "" {
+		return
+	}
+	for _, id := range w.newlySilent(time.Now()) {
 		e := w.node.hub.Endpoint(id)
-		if leader == "" || e == nil || e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		if e == nil || e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
 			continue
 		}
 		go func() {
@@ -148,21 +177,29 @@
 	}
 }
 
-// forgetSilent forgets the endpoints that no longer announce themselves to this daemon, and
-// returns their ids.
-func (w *watcher) forgetSilent(now time.Time) []string {
+// newlySilent returns the endpoints that no longer announce themselves to this daemon and that
+// it has not returned since their last announcement.
+func (w *watcher) newlySilent(now time.Time) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var silent []string
 	for id, lastSeen := range w.lastSeenAt {
-		if now.Sub(lastSeen) > w.maxSilence() {
+		if now.Sub(lastSeen) > w.maxSilence() && !w.silenceReported[id].Equal(lastSeen) {
 			silent = append(silent, id)
-			delete(w.lastSeenAt, id)
+			w.silenceReported[id] = lastSeen
 		}
 	}
 	return silent
 }
 
+// forgetAnswers makes this daemon probe the endpoints again that it has not heard of itself.
+// It is called when a control daemon no longer answers, as endpoints may have ended with it.
+func (w *watcher) forgetAnswers() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.answeredAt)
+}
+
 // restartedEndpoints returns the endpoints, with the primary, that were started again and are
 // not covered since.
 func (w *watcher) restartedEndpoints(svc serviceState) []*fleetpb.Endpoint {
@@ -200,7 +237,7 @@
 	delete(w.lastSeenAt, e.Id)
 	delete(w.unreachableAt, e.Id)
 	delete(w.silentAt, e.Id)
-	w.answeredBornMs[e.Id] = e.BornMs
+	w.answeredAt[e.Id] = time.Now()
 }
 
 // cover checks whether processes of endpoints are covered, those that ended and those before
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -70,6 +70,7 @@
 func (n *Node) followPeer(ctx context.Context, address string) {
 	request := &fleetpb.FollowRequest{Daemon: n.cfg.Name, FailureDomain: n.cfg.FailureDomain}
 	client := fleetrpc.NewClient(n.http, address)
+	isReachable := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+peerTimeoutMargin)
 		answer, err := client.Follow(callCtx, request)
@@ -77,9 +78,14 @@
 		if err != nil {
 			n.hub.SetRemoteEntries(address, nil)
 			request.EntriesDigest = 0
+			if isReachable {
+				n.watcher.forgetAnswers()
+			}
+			isReachable = false
 			wait.For(ctx, peerRetryDelay)
 			continue
 		}
+		isReachable = true
 		request.Source, request.Version = answer.Source, answer.Version
 		request.WaitMs = uint32(fleethub.MaxPeerWait.Milliseconds())
 		if answer.EntriesDigest != request.EntriesDigest {
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -73,7 +73,7 @@
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
 		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
-		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered,
+		Term: svc.record.Term, Unfinished: svc.attempt.WasUnfinished, StepDownOrdered: svc.attempt.StepDownOrdered,
 		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
 	}
 	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -33,8 +33,7 @@
 	states := w.replicaStates(ctx, svc)
 	if promotion.AnyPaused(states, promotion.NextTerm(states, svc.record.Term)) {
 		// A late order paused a replica, which therefore lags.
-		w.noteLeftPauses(svc.service, svc.attempt)
-		return true
+		return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
 	}
 	id, ok := promotion.ReliefCandidate(states)
 	if !ok {
--- a/internal/fleet/fleetctl/suspicion.go
+++ b/internal/fleet/fleetctl/suspicion.go
@@ -10,12 +10,12 @@
 	"hemlockmast/internal/shared/wait"
 )
 
-// isSuspected reports whether an endpoint was recently reported as unreachable or has
-// missed more than maxMissedHeartbeats announcements.
+// isSuspected reports whether an endpoint was recently reported as unreachable or silent, or
+// has missed more than maxMissedHeartbeats announcements.
 func (w *watcher) isSuspected(id string, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.reportingDomains(id, now) > 0 {
+	if w.reportingDomains(id, now) > 0 || now.Sub(w.silentAt[id]) < maxReportAge {
 		return true
 	}
 	lastSeen, ok := w.lastSeenAt[id]
@@ -52,6 +52,7 @@
 		if w.probe(ctx, svc) {
 			w.mu.Lock()
 			delete(w.unreachableAt, svc.primary.Id)
+			delete(w.silentAt, svc.primary.Id)
 			w.lastSeenAt[svc.primary.Id] = time.Now()
 			w.mu.Unlock()
 			return true
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -47,6 +47,11 @@
 	// checkInterval is the time between two checks of a service with replicas that do not run
 	// or may be paused.
 	checkInterval = 300 * time.Millisecond
+	// pauseCheckInterval is the same where replicas may only be paused.
+	pauseCheckInterval = time.Second
+	// maxAnswerAge is how long an answer to a probe counts for an endpoint that announces
+	// itself to another daemon.
+	maxAnswerAge = time.Minute
 	// maxOrderDelay is how late an order to an endpoint may be carried out. A later one could
 	// only leave a replica paused, which costs reads there.
 	maxOrderDelay = 15 * time.Second
@@ -88,8 +93,9 @@
 	overloadedAt    map[string]time.Time
 	reliefCheckedAt map[string]time.Time
 
-	// busy holds the services with an action in progress. No action starts for a service
-	// before retryAt; retryBackoff is the current backoff.
+	// busy holds the services with an action in progress, actions how many were started. No
+	// action starts for a service before retryAt; retryBackoff is the current backoff.
+	actions      map[string]uint64
 	busy         map[string]bool
 	retryAt      map[string]time.Time
 	retryBackoff map[string]time.Duration
@@ -103,12 +109,13 @@
 	// knownAttempts holds, by service, the last attempt that this daemon saw unfinished.
 	knownAttempts map[string]knownAttempt
 	// silentAt holds, by endpoint id, when another control daemon last reported that the
-	// endpoint does not announce itself any more. answeredBornMs holds the start, in Unix
-	// milliseconds, of a process that answered a probe since leadsSince, when this daemon
-	// began to lead.
-	silentAt       map[string]time.Time
-	answeredBornMs map[string]int64
-	leadsSince     time.Time
+	// endpoint does not announce itself any more, silenceReported the last announcement after
+	// which this daemon reported that. answeredAt holds when a silent endpoint last answered a
+	// probe since leadsSince, when this daemon began to lead.
+	silentAt        map[string]time.Time
+	silenceReported map[string]time.Time
+	answeredAt      map[string]time.Time
+	leadsSince      time.Time
 }
 
 func newWatcher(n *Node) *watcher {
@@ -123,13 +130,14 @@
 		stalledAt:        make(map[string]time.Time),
 		roleIgnoredUntil: make(map[string]time.Time),
 		overloadedAt:     make(map[string]time.Time), reliefCheckedAt: make(map[string]time.Time),
-		busy:         make(map[string]bool),
+		actions: make(map[string]uint64), busy: make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
 		checking:     make(map[string]bool),
 		checkAt:      make(map[string]time.Time),
 		leftPaused:   make(map[string]uint64), knownAttempts: make(map[string]knownAttempt),
-		silentAt: make(map[string]time.Time), answeredBornMs: make(map[string]int64),
+		silentAt: make(map[string]time.Time), silenceReported: make(map[string]time.Time),
+		answeredAt: make(map[string]time.Time),
 	}
 }
 
@@ -203,7 +211,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leadsSince = time.Now()
-	clear(w.answeredBornMs)
+	clear(w.answeredAt)
 }
 
 // serviceState is a service with its endpoints as this member knows them.
@@ -269,6 +277,7 @@
 		return false
 	}
 	w.busy[service] = true
+	w.actions[service]++
 	return true
 }
 
@@ -310,7 +319,7 @@
 		return func(ctx context.Context) bool { return w.confirmDemoted(ctx, svc) }
 	case w.isStalled(svc.primary.Id, now):
 		return func(ctx context.Context) bool { return w.confirmStall(ctx, svc) }
-	case w.hasLeftPauses(svc.service, svc.attempt):
+	case w.hasLeftPauses(svc.attempt):
 		return func(ctx context.Context) bool {
 			return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
 		}
--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	daemons map[string]*process
 	// promoterAddress is where the stand-in platform accepts promotions.
 	promoterAddress string
+	// promoteDelay is how long the stand-in platform takes for a call, in nanoseconds.
+	promoteDelay atomic.Int64
 
 	log logr.Logger
 
@@ -129,7 +132,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
 	f.promoterAddress = listener.Addr().String()
-	server := &http.Server{Handler: f.group}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(f.promoteDelay.Load()))
+		f.group.ServeHTTP(w, r)
+	})}
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 }
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -67,6 +67,10 @@
 }
 
 func TestWaitEndsOnChangeAndWhenNotCurrent(t *testing.T) {
+	synctest.Test(t, testWaitEndsOnChangeAndWhenNotCurrent)
+}
+
+func testWaitEndsOnChangeAndWhenNotCurrent(t *testing.T) {
 	h, state, daemon := newHub()
 	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
 	held := h.Follow(t.Context(), entryPoll(0, 0, 0)).Version
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -185,3 +185,17 @@
 	assert.Equal(t, len(OpenCalls(&fleetpb.Attempt{Calls: calls, StepDownOrdered: true}, "p")), 3)
 	assert.Equal(t, len(OpenCalls(&fleetpb.Attempt{Calls: calls[:1]}, "p")), 0)
 }
+
+// The announcement of the second process was not recorded, as the control group had no leader.
+func TestEndOfAnUnrecordedProcessIsNotCovered(t *testing.T) {
+	m := New(nil)
+	announce := func(bornMs int64, state fleetpb.EndpointState) {
+		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
+			Id: "a", Service: "s", Address: "127.0.0.1:1", State: state, BornMs: bornMs,
+		}}})
+	}
+	announce(1, fleetpb.EndpointState_ENDPOINT_STATE_READY)
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{Service: "s", EndpointIds: []string{"a"}}}})
+	announce(2, fleetpb.EndpointState_ENDPOINT_STATE_GONE)
+	assert.Assert(t, !m.IsCovered("a", 2), "the process with start 2 may have held the only copy of a commit")
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -19,7 +19,8 @@
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be called from
 // one goroutine. The other methods are safe for concurrent use.
 type Machine struct {
-	// onChange is called after each applied command and after Restore, without mu held.
+	// onChange is called after each applied command that followers must learn of and after
+	// Restore, without mu held.
 	onChange func()
 
 	// mu guards the fields below.
@@ -40,7 +41,7 @@
 }
 
 // New returns a machine with an empty state. onChange is called after each applied command
-// and after Restore, and may be nil.
+// that changes the configuration, a primary or an endpoint, and after Restore; it may be nil.
 func New(onChange func()) *Machine {
 	if onChange == nil {
 		onChange = func() {}
@@ -82,7 +83,9 @@
 		return nil
 	}
 	result := m.applyCommand(cmd)
-	m.onChange()
+	if isVisible(cmd) {
+		m.onChange()
+	}
 	encoded, err := proto.Marshal(result)
 	if err != nil {
 		// Marshal fails only on strings that are not UTF-8, and a result has no strings.
@@ -91,6 +94,15 @@
 	return encoded
 }
 
+// isVisible reports whether a command changes what followers are told.
+func isVisible(cmd *fleetpb.Command) bool {
+	switch cmd.Kind.(type) {
+	case *fleetpb.Command_RecordStepDown, *fleetpb.Command_RecordCall, *fleetpb.Command_CloseAttempt, *fleetpb.Command_Cover:
+		return false
+	}
+	return true
+}
+
 func (m *Machine) applyCommand(cmd *fleetpb.Command) *fleetpb.CommandResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -110,8 +110,9 @@
 // end by themselves.
 func (a *attempt) noteTakeover(id string, status stmt.Status) {
 	a.result.Primary, a.result.Term, a.result.Inherited = id, status.Term, status.Received
+	mayBePaused := a.plan.Unfinished || len(a.plan.OpenCalls) > 0
 	a.result.PausesLeft = slices.ContainsFunc(a.replicas, func(s ReplicaState) bool {
-		return s.ID != id && s.Status.PausedTerm > status.Term
+		return s.ID != id && (s.Status.PausedTerm > status.Term || mayBePaused && !s.Reached && !s.Dead)
 	})
 	a.log.Info("new primary answers", "endpoint", id, "term", status.Term, "position", status.Received.String(),
 		"highest", a.result.Highest.String(), "pausesLeft", a.result.PausesLeft)
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -126,8 +127,8 @@
 		changed[i] = (r.ID == candidate.ID || a.pauseTerm > 0) && !a.isUnchanged(ctx, i, candidate)
 	})
 	e := &UnsafeError{Service: a.plan.Service}
-	if candidate.ID == a.plan.Primary.ID && !a.isCandidateUnchanged(a.primaryConn, candidate) {
-		e.NotPaused = append(e.NotPaused, candidate.ID)
+	if a.primaryConn != nil && !a.isUnpromoted(a.primaryConn, a.plan.Primary.ID, a.finalPosition) {
+		e.NotPaused = append(e.NotPaused, a.plan.Primary.ID)
 	}
 	for i, s := range a.replicas {
 		if changed[i] {
@@ -154,7 +155,7 @@
 		return err != nil && ProvesDead(err)
 	}
 	if a.replicas[i].ID == candidate.ID {
-		return a.isCandidateUnchanged(a.conns[i], candidate)
+		return a.isUnpromoted(a.conns[i], candidate.ID, candidate.position())
 	}
 	status, err := a.conns[i].Status(time.Now().Add(commandTimeout))
 	if err == nil && status.PausedTerm >= a.pauseTerm || isBusy(err) {
@@ -164,14 +165,14 @@
 	return false
 }
 
-// isCandidateUnchanged reports whether the candidate still holds its log and does not lead
-// yet. A connection that was opened before ends if the endpoint starts again.
-func (a *attempt) isCandidateUnchanged(conn stmt.Conn, candidate ReplicaState) bool {
+// isUnpromoted reports whether an endpoint still holds its log up to pos and does not lead. A
+// connection that was opened before ends if the endpoint starts again.
+func (a *attempt) isUnpromoted(conn stmt.Conn, id string, pos logpos.Pos) bool {
 	status, err := conn.Status(time.Now().Add(commandTimeout))
-	if err == nil && status.Role != stmt.Primary && !status.Received.Less(candidate.position()) || isBusy(err) {
+	if err == nil && status.Role != stmt.Primary && !status.Received.Less(pos) || isBusy(err) {
 		return true
 	}
-	a.logAnswer(candidate.ID, orderStatus, status, err)
+	a.logAnswer(id, orderStatus, status, err)
 	return false
 }
 
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -64,6 +64,8 @@
 	Term uint64
 	// OpenCalls are the calls of earlier attempts that may still be carried out, by token.
 	OpenCalls []Call
+	// Unfinished means that an earlier attempt may have left replicas paused.
+	Unfinished bool
 	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
 	// down.
 	StepDownOrdered bool
@@ -123,7 +125,9 @@
 	conns    []stmt.Conn
 	replicas []ReplicaState
 	// primaryConn is the connection to the plan's primary on which it stepped down, or nil.
-	primaryConn stmt.Conn
+	// finalPosition is the end of its log then.
+	primaryConn   stmt.Conn
+	finalPosition logpos.Pos
 	// pauseTerm is the lowest term of the pauses that the attempt counts on; 0 if it counts
 	// on none.
 	pauseTerm uint64
@@ -361,6 +365,7 @@
 	if err == nil && !(isComplete && HasAll(status, a.replicas)) {
 		err = &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
+	a.finalPosition = status.Received
 	return status, err
 }
 
