promotion: a replica that starts again after the plan was made is noticed

Cause: a replica that starts again, empty, between the plan and the first status counted as it was planned, since the record of the call compared ids only; and the floor was read before the covering that replicas count on (model, points 13 and 14, traces with 1 fault). Change: the record of a call compares the starts of processes; the floor is read last.

--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -68,13 +68,16 @@
 	return result.Token, true
 }
 
-// plan returns the plan of an attempt.
+// plan returns the plan of an attempt. The floor is read after the replicas, so that it is not
+// older than what they are covered by.
 func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
+	replicas := w.planReplicas(svc)
+	floor := w.node.machine.Attempt(svc.service).Floor
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
-		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
+		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: replicas, Token: token,
 		Term: svc.record.Term, Unfinished: svc.attempt.WasUnfinished, StepDownOrdered: svc.attempt.StepDownOrdered,
-		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
+		Floor: fleetstate.Position(floor), LeadTerm: w.node.control.Status().Term,
 	}
 	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
@@ -89,6 +92,7 @@
 	for _, e := range svc.others {
 		list = append(list, promotion.Replica{
 			Endpoint:  stmtEndpoint(e),
+			BornMs:    e.BornMs,
 			Leaving:   e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
 			Covered:   w.isCovered(e),
 			Restarted: w.isRestarted(e),
@@ -153,19 +157,25 @@
 
 // RecordCall implements promotion.Recorder. This daemon leads the control group, so once the
 // record is applied it knows every announcement that was recorded before.
-func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
+func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, accounted []promotion.Accounted) error {
 	err := r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
 		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID},
 	}})
 	if err != nil {
 		return err
 	}
+	byID := make(map[string]promotion.Accounted)
+	for _, a := range accounted {
+		byID[a.ID] = a
+	}
+	primary := r.node.machine.Primary(service).EndpointId
 	for _, e := range r.node.hub.Endpoints() {
-		hasEnded := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
-		if e.Service == service && !hasEnded && !slices.Contains(known, e.Id) {
-			return &promotion.UnknownEndpointError{Endpoint: e.Id}
+		if e.Service != service || e.Id == primary {
+			continue
 		}
-		if slices.Contains(dead, e.Id) && !r.node.machine.IsCovered(e.Id, e.BornMs) {
+		a, ok := byID[e.Id]
+		isNew := ok && a.BornMs != e.BornMs || !ok && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE
+		if isNew || a.Dead && !r.node.machine.IsCovered(e.Id, e.BornMs) {
 			return &promotion.UnknownEndpointError{Endpoint: e.Id}
 		}
 	}
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -108,10 +108,10 @@
 	return fmt.Sprintf("the attempt for service %s with token %d is superseded", e.Service, e.Token)
 }
 
-// UnknownEndpointError reports that an attempt must not go on because its plan lacks an
-// endpoint of the service, which may have received acknowledged commits.
+// UnknownEndpointError reports that an attempt must not go on because a process of an endpoint
+// that its plan lacks may have received acknowledged commits.
 type UnknownEndpointError struct{ Endpoint string }
 
 func (e *UnknownEndpointError) Error() string {
-	return fmt.Sprintf("endpoint %s announced itself after the attempt had begun", e.Endpoint)
+	return fmt.Sprintf("endpoint %s joined or started again after the attempt had begun", e.Endpoint)
 }
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-func (r *recorder) RecordCall(_ context.Context, _ string, call promotion.Call, _, _ []string) error {
+func (r *recorder) RecordCall(_ context.Context, _ string, call promotion.Call, _ []promotion.Accounted) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls = append(r.calls, call)
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -30,6 +30,8 @@
 // Replica is an endpoint that may be promoted.
 type Replica struct {
 	stmt.Endpoint
+	// BornMs is the start of the endpoint's process in Unix milliseconds.
+	BornMs int64
 	// Leaving means that the endpoint announced that it will shut down.
 	Leaving bool
 	// Ended means that the endpoint and its log are gone, and that it may have been the
@@ -99,11 +101,20 @@
 type Recorder interface {
 	// RecordStepDown records that the primary will be ordered to step down.
 	RecordStepDown(ctx context.Context, service string, token uint64) error
-	// RecordCall records a call to the platform. known are the ids of all endpoints that
-	// the attempt has paused or accounted for, dead those among them that it left out because
-	// they are covered. It returns *UnknownEndpointError if the service has another one, or
-	// if one is not covered any more.
-	RecordCall(ctx context.Context, service string, call Call, known, dead []string) error
+	// RecordCall records a call to the platform. It returns *UnknownEndpointError if the
+	// service has an endpoint that is not accounted for, if one was started again, or if one
+	// that was left out is not covered any more.
+	RecordCall(ctx context.Context, service string, call Call, accounted []Accounted) error
+}
+
+// Accounted is a replica that an attempt has paused or left out.
+type Accounted struct {
+	ID string
+	// BornMs is the start of the endpoint's process that the plan knows, in Unix
+	// milliseconds.
+	BornMs int64
+	// Dead means that the replica was left out because it does not run and is covered.
+	Dead bool
 }
 
 // Runner carries out promotions. It is safe for concurrent use.
@@ -177,8 +188,7 @@
 		return &BelowFloorError{Endpoint: candidate.ID, Position: candidate.position(), Floor: a.plan.Floor}
 	}
 	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
-	known, dead := a.accountedEndpoints()
-	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, known, dead)
+	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, a.accounted())
 	if err == nil {
 		err = a.confirmReplicas(ctx, candidate)
 	}
@@ -195,17 +205,13 @@
 	return a.awaitTakeover(ctx, candidate.ID)
 }
 
-// accountedEndpoints returns the ids of all endpoints that the attempt accounts for, and of
-// those among them that it left out.
-func (a *attempt) accountedEndpoints() (known, dead []string) {
-	known = []string{a.plan.Primary.ID}
-	for _, s := range a.replicas {
-		known = append(known, s.ID)
-		if s.Dead {
-			dead = append(dead, s.ID)
-		}
+// accounted returns the replicas that the attempt accounts for.
+func (a *attempt) accounted() []Accounted {
+	var list []Accounted
+	for i, r := range a.plan.Replicas {
+		list = append(list, Accounted{ID: r.ID, BornMs: r.BornMs, Dead: a.replicas[i].Dead})
 	}
-	return known, dead
+	return list
 }
 
 func (a *attempt) highestPosition(candidate ReplicaState) logpos.Pos {
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -234,9 +234,9 @@
 	before func()
 }
 
-func (r pausingRecorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
+func (r pausingRecorder) RecordCall(ctx context.Context, service string, call promotion.Call, accounted []promotion.Accounted) error {
 	r.before()
-	return r.recorder.RecordCall(ctx, service, call, known, dead)
+	return r.recorder.RecordCall(ctx, service, call, accounted)
 }
 
 func TestEndpointThatStartedAgainBeforeTheCallIsNoticed(t *testing.T) {
