An endpoint's id that is not UTF-8 no longer stops all followers

Seen by operators of similar systems: one odd entry of another writer, after which the machines that read the list stop following it. Cause: the id is a part of the announcement's path and may hold any bytes ("i-%ff"). A control daemon took such an announcement into its table, and protobuf encodes only strings that are UTF-8: from then on it answered no poll of an entry or of another control daemon, and the writer may have called each control daemon. Change: registry.Check; a control daemon answers 400 and changes nothing, and Merge ignores such a record from another daemon or from the agreed state.

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -29,6 +29,7 @@
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/positions"
 	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/fleet/registry"
 	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
@@ -314,11 +315,15 @@
 const applyPollInterval = 2 * time.Millisecond
 
 // Announce processes an endpoint's announcement. next is the address for later
-// announcements; it is always empty because any control daemon accepts them.
-func (n *Node) Announce(e *fleetpb.Endpoint) (next string) {
+// announcements; it is always empty because any control daemon accepts them. Errors:
+// *registry.InvalidError; the announcement then changes nothing.
+func (n *Node) Announce(e *fleetpb.Endpoint) (next string, err error) {
+	if err := registry.Check(e); err != nil {
+		return "", err
+	}
 	n.watcher.noteAnnouncement(e.Id)
 	n.recordEndpoints(n.hub.Merge(e))
-	return ""
+	return "", nil
 }
 
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
--- /dev/null
+++ b/internal/fleet/fleetd/odd_test.go
@@ -0,0 +1,63 @@
+package fleetd
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hemlockmast/platform/standin"
+)
+
+// beatSample is a valid announcement of an endpoint that does not run.
+const beatSample = `{"Backend":"svc","Address":"127.0.3.1:9","Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":1,"born":1}`
+
+// oddBeat is an announcement of another writer: path is the escaped id.
+type oddBeat struct{ name, path, body string }
+
+func oddBeats() []oddBeat {
+	return []oddBeat{
+		{"id that is not UTF-8", "i-%ff", beatSample},
+	}
+}
+
+// TestOddAnnouncementsStopNoFollower guards against an odd announcement after which entries
+// and control daemons no longer follow each other, or an endpoint is no longer used.
+func TestOddAnnouncementsStopNoFollower(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.publish(standin.Configuration(5, 800))
+	for entry := range 2 {
+		f.querySucceeds(entry, "STORE item v")
+	}
+	for _, odd := range oddBeats() {
+		for control := range 3 {
+			status, text := f.operatorRequest(control, "POST", standin.BeatPath(odd.path), odd.body)
+			assert.Check(t, status == http.StatusBadRequest, "%s: %s", odd.name, text)
+		}
+	}
+	f.publish(standin.Levels(6, 800, 1500, 40))
+	for entry := range 2 {
+		ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, "current") })
+		assert.Assert(t, ok, "entry %d does not follow", entry)
+	}
+}
+
+// serves reports whether an entry has a route for a database, and writes there.
+func (f *fleet) serves(entry int, database string) bool {
+	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.2.%d:%d", entry+1, f.port), time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, _ = fmt.Fprintf(conn, "CONNECT %s me\r\nQUERY q%d STORE item v\r\n", database, time.Now().UnixNano())
+	r := bufio.NewReader(conn)
+	hello, _ := r.ReadString('\n')
+	answer, _ := r.ReadString('\n')
+	return strings.HasPrefix(hello, "READY") && strings.HasPrefix(answer, "COMPLETE")
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -30,13 +30,14 @@
 
 // Merge adds an announcement to the table and returns the records whose content changed.
 // An announcement that is newer but has the same content is not returned. Merge ignores
-// outdated announcements, and new endpoints when the table is full.
+// outdated announcements, those that Check refuses, and new endpoints when the table is
+// full. Another version of a daemon may have accepted what Check refuses here.
 func (t *Table) Merge(e *fleetpb.Endpoint) []*fleetpb.Endpoint {
 	held := t.byID[e.Id]
 	if held != nil && compareAnnouncements(e, held) <= 0 {
 		return nil
 	}
-	if held == nil && len(t.byID) >= maxEndpoints {
+	if Check(e) != nil || held == nil && len(t.byID) >= maxEndpoints {
 		return nil
 	}
 	var changed []*fleetpb.Endpoint
