--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -20,9 +20,15 @@
 // oddBeat is an announcement of another writer: path is the escaped id.
 type oddBeat struct{ name, path, body string }
 
-func oddBeats() []oddBeat {
+// oddBeats returns announcements that are refused. Some name the address of the endpoint n.
+func oddBeats(n *standin.Node) []oddBeat {
+	change := func(from, to string) string { return strings.Replace(beatSample, from, to, 1) }
+	injected := strings.Replace(change(`"127.0.3.1:9"`, fmt.Sprintf("%q", n.Address)), `"born":1`, fmt.Sprintf(`"born":%d`, time.Now().UnixMilli()), 1)
 	return []oddBeat{
 		{"id that is not UTF-8", "i-%ff", beatSample},
+		{"id with a line break", n.ID + "%0d%0aQUERY%20odd%20STORE%20odd%20odd", injected},
+		{"id with a blank", "i%201", beatSample},
+		{"service with a line break", "i-1", change(`"svc"`, `"svc\r\nQUERY"`)},
 	}
 }
 
@@ -34,7 +40,7 @@
 	for entry := range 2 {
 		f.querySucceeds(entry, "STORE item v")
 	}
-	for _, odd := range oddBeats() {
+	for _, odd := range oddBeats(f.group.Nodes()[0]) {
 		for control := range 3 {
 			status, text := f.operatorRequest(control, "POST", standin.BeatPath(odd.path), odd.body)
 			assert.Check(t, status == http.StatusBadRequest, "%s: %s", odd.name, text)
@@ -42,22 +48,27 @@
 	}
 	f.publish(standin.Levels(6, 800, 1500, 40))
 	for entry := range 2 {
-		ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, "current") })
+		ok := standin.WaitFor(5*time.Second, func() bool {
+			return f.serves(entry, "current", "STORE item v") && f.serves(entry, "bounded", "FETCH item")
+		})
 		assert.Assert(t, ok, "entry %d does not follow", entry)
 	}
+	for _, c := range f.group.Commits() {
+		assert.Assert(t, c.Data["odd"] == "", "a part of an id ran as a statement")
+	}
 }
 
-// serves reports whether an entry has a route for a database, and writes there.
-func (f *fleet) serves(entry int, database string) bool {
+// serves reports whether an entry has a route for a database and runs a statement there.
+func (f *fleet) serves(entry int, database, text string) bool {
 	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.2.%d:%d", entry+1, f.port), time.Second)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, _ = fmt.Fprintf(conn, "CONNECT %s me\r\nQUERY q%d STORE item v\r\n", database, time.Now().UnixNano())
+	_, _ = fmt.Fprintf(conn, "CONNECT %s me\r\nQUERY q%d %s\r\n", database, time.Now().UnixNano(), text)
 	r := bufio.NewReader(conn)
 	hello, _ := r.ReadString('\n')
 	answer, _ := r.ReadString('\n')
-	return strings.HasPrefix(hello, "READY") && strings.HasPrefix(answer, "COMPLETE")
+	return strings.HasPrefix(hello, "READY") && (strings.HasPrefix(answer, "COMPLETE") || strings.HasPrefix(answer, "ROW"))
 }
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -41,12 +41,19 @@
 	}
 }
 
+// leavingEndpoint returns an announcement that is not gathered with others.
+func leavingEndpoint(id, address string) *fleetpb.Endpoint {
+	return &fleetpb.Endpoint{
+		Id: id, Service: "s", Address: address, State: fleetpb.EndpointState_ENDPOINT_STATE_LEAVING, BornMs: 1, Sequence: 1,
+	}
+}
+
 func TestFollowerGetsWhatChanged(t *testing.T) {
 	h, state, _ := newHub()
 	state.config = &fleetpb.Configuration{Version: 3, Routes: []*fleetpb.Route{{Name: "a"}, {Name: "b"}}}
 	state.primaries = []*fleetpb.Primary{{Service: "s", EndpointId: "x", Number: 1}}
 	h.Refresh()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	first := h.Follow(t.Context(), entryPoll(0, 0, 0))
 	assert.Equal(t, len(first.Configuration.Changed.Routes), 2)
 	assert.Equal(t, len(first.Primaries), 1)
@@ -68,10 +75,10 @@
 
 func TestWaitEndsOnChangeAndWhenNotCurrent(t *testing.T) {
 	h, state, daemon := newHub()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	held := h.Follow(t.Context(), entryPoll(0, 0, 0)).Version
 	start := time.Now()
-	time.AfterFunc(30*time.Millisecond, func() { h.Merge(&fleetpb.Endpoint{Id: "y", Address: "1.1.1.1:2", BornMs: 1, Sequence: 1}) })
+	time.AfterFunc(30*time.Millisecond, func() { h.Merge(leavingEndpoint("y", "1.1.1.1:2")) })
 	answer := h.Follow(t.Context(), entryPoll(7, held, 0))
 	assert.Equal(t, answer.Endpoints[0].Id, "y")
 	assert.Assert(t, time.Since(start) < 500*time.Millisecond)
@@ -107,7 +114,7 @@
 
 func TestEntriesAreCounted(t *testing.T) {
 	h, _, _ := newHub()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	h.Follow(t.Context(), entryPoll(0, 0, 0))
 	other := entryPoll(0, 0, 0)
 	other.Daemon = "f"
@@ -130,7 +137,7 @@
 // control daemon, until they stop lending. A failure domain that did not change is left out.
 func TestCarriersOfEachFailureDomain(t *testing.T) {
 	h, _, _ := newHub()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	poll := func(daemon, domain, carrier string, held map[string]uint64) *fleetpb.FollowResponse {
 		r := entryPoll(0, 0, 0)
 		r.Daemon, r.FailureDomain, r.Carrier, r.CarriersDigests = daemon, domain, carrier, held
@@ -172,7 +179,7 @@
 	h, state, daemon := newHub()
 	state.config = &fleetpb.Configuration{Version: 3}
 	h.Refresh()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", BornMs: 1, Sequence: 1})
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	daemon.stale.Store(true)
 	start := time.Now()
 	first := h.Follow(t.Context(), entryPoll(0, 0, 3))
@@ -216,13 +223,13 @@
 
 func testAnnouncementsAreGathered(t *testing.T) {
 	h, _, _ := newHub()
-	h.Merge(&fleetpb.Endpoint{Id: "x", Address: "1.1.1.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1})
+	h.Merge(&fleetpb.Endpoint{Id: "x", Service: "s", Address: "1.1.1.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1})
 	const endpoints = 40
 	go func() {
 		for i := range endpoints {
 			time.Sleep(5 * time.Millisecond)
 			h.Merge(&fleetpb.Endpoint{
-				Id: fmt.Sprint("e", i), Address: fmt.Sprint("1.1.2.1:", i), State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1,
+				Id: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("1.1.2.1:", i), State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1,
 			})
 		}
 	}()
