An announcement whose address names no host no longer blocks promotions

Cause: port 0, an unspecified, multicast or broadcast address and one with an IPv6 zone were accepted. Such a replica of a service can never be paused, so after a crash of the primary no replica was promoted and the service's writes were refused until somebody found the entry. A connection to 0.0.0.0 reaches the daemon's own VM. Change: these addresses are refused, at the edge and where a record is read back. Test fixtures have addresses. An IPv6 literal stays valid, a port above 65535 was refused before.

--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -29,6 +29,13 @@
 		{"id with a line break", n.ID + "%0d%0aQUERY%20odd%20STORE%20odd%20odd", injected},
 		{"id with a blank", "i%201", beatSample},
 		{"service with a line break", "i-1", change(`"svc"`, `"svc\r\nQUERY"`)},
+		{"port out of range", "i-1", change("127.0.3.1:9", "127.0.3.1:70000")},
+		{"port 0", "i-1", change("127.0.3.1:9", "127.0.3.1:0")},
+		{"unspecified address", "i-2", change("127.0.3.1:9", "0.0.0.0:9")},
+		{"unspecified IPv6 address", "i-3", change("127.0.3.1:9", "[::]:9")},
+		{"multicast address", "i-4", change("127.0.3.1:9", "224.0.0.1:9")},
+		{"broadcast address", "i-5", change("127.0.3.1:9", "255.255.255.255:9")},
+		{"IPv6 zone", "i-6", change("127.0.3.1:9", "[fe80::1%eth0]:9")},
 	}
 }
 
@@ -53,6 +60,11 @@
 		})
 		assert.Assert(t, ok, "entry %d does not follow", entry)
 	}
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	for entry := range 2 {
+		ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, "current", "STORE item w") })
+		assert.Assert(t, ok, "primary was not replaced")
+	}
 	for _, c := range f.group.Commits() {
 		assert.Assert(t, c.Data["odd"] == "", "a part of an id ran as a statement")
 	}
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -229,7 +229,7 @@
 		for i := range endpoints {
 			time.Sleep(5 * time.Millisecond)
 			h.Merge(&fleetpb.Endpoint{
-				Id: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("1.1.2.1:", i), State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1,
+				Id: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("1.1.2.1:", 1+i), State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1,
 			})
 		}
 	}()
--- a/internal/fleet/registry/check.go
+++ b/internal/fleet/registry/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"unicode"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -22,10 +23,26 @@
 		return &InvalidError{Field: "service"}
 	case e.FailureDomain != "" && !isName(e.FailureDomain):
 		return &InvalidError{Field: "failure_domain"}
+	case !isAddress(e.Address):
+		return &InvalidError{Field: "address"}
 	}
 	return nil
 }
 
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// isAddress reports whether s is the address and port of one host. A connection to an
+// unspecified address would reach the daemon's own VM, and an IPv6 zone has no meaning on
+// another VM.
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || a.Port() == 0 || a.Addr().Zone() != "" {
+		return false
+	}
+	host := a.Addr().Unmap()
+	return !host.IsUnspecified() && !host.IsMulticast() && host != broadcast
+}
+
 // isName reports whether s can be one field of a line that is sent to an endpoint, and part of
 // a message between daemons: protobuf encodes only strings that are UTF-8.
 func isName(s string) bool {
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -13,6 +13,8 @@
 	ready   = fleetpb.EndpointState_ENDPOINT_STATE_READY
 	leaving = fleetpb.EndpointState_ENDPOINT_STATE_LEAVING
 	gone    = fleetpb.EndpointState_ENDPOINT_STATE_GONE
+
+	addressX = "10.0.0.1:1"
 )
 
 func announcement(id, address string, born int64, sequence uint64, state fleetpb.EndpointState) *fleetpb.Endpoint {
@@ -21,35 +23,35 @@
 
 func TestLateAnnouncementsAreIgnored(t *testing.T) {
 	table := NewTable()
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 1, 5, leaving))), 1)
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 1, 4, ready))), 0)
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, 5, leaving))), 1)
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, 4, ready))), 0)
 	assert.Equal(t, table.Get("a").State, leaving)
 	// The same content with a higher sequence number is not a change.
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 1, 6, leaving))), 0)
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, 6, leaving))), 0)
 }
 
 // TestEndpointRestartsWithSameID checks that a restarted endpoint's sequence numbers may
 // start from 1 again.
 func TestEndpointRestartsWithSameID(t *testing.T) {
 	table := NewTable()
-	table.Merge(announcement("a", "x", 1, 50, leaving))
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 2, 1, ready))), 1)
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 1, 51, ready))), 0)
+	table.Merge(announcement("a", addressX, 1, 50, leaving))
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 2, 1, ready))), 1)
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, 51, ready))), 0)
 	assert.Equal(t, table.Get("a").BornMs, int64(2))
 	assert.Assert(t, table.MarkGone("a", 1) == nil)
 	assert.Equal(t, table.MarkGone("a", 2).State, gone)
-	assert.Equal(t, len(table.Merge(announcement("a", "x", 2, 1, ready))), 0)
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 2, 1, ready))), 0)
 }
 
 // TestAddressBelongsToLastStarted has a crashed endpoint's announcement arrive after
 // another endpoint has started at its address.
 func TestAddressBelongsToLastStarted(t *testing.T) {
 	table := NewTable()
-	table.Merge(announcement("a", "x", 1, 1, ready))
-	changed := table.Merge(announcement("b", "x", 2, 1, ready))
+	table.Merge(announcement("a", addressX, 1, 1, ready))
+	changed := table.Merge(announcement("b", addressX, 2, 1, ready))
 	assert.Equal(t, len(changed), 2)
 	assert.Equal(t, table.Get("a").State, gone)
-	table.Merge(announcement("a", "x", 1, 2, ready))
+	table.Merge(announcement("a", addressX, 1, 2, ready))
 	assert.Equal(t, table.Get("a").State, gone)
 	assert.Equal(t, table.Get("b").State, ready)
 }
@@ -63,7 +65,8 @@
 			// time.
 			born := rapid.Int64Range(1, 2).Draw(t, "born")
 			state := rapid.SampledFrom([]fleetpb.EndpointState{ready, leaving}).Draw(t, "state")
-			return announcement(id, id, born, rapid.Uint64Range(1, 3).Draw(t, "sequence"), state)
+			address := map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.1:2", "c": "10.0.0.1:3"}[id]
+			return announcement(id, address, born, rapid.Uint64Range(1, 3).Draw(t, "sequence"), state)
 		})
 		list := rapid.SliceOfN(randomAnnouncement, 1, 12).Draw(t, "announcements")
 		first, second := NewTable(), NewTable()
@@ -73,6 +76,7 @@
 		for _, e := range rapid.Permutation(list).Draw(t, "order") {
 			second.Merge(e)
 		}
+		assert.Assert(t, len(first.All()) > 0)
 		for i, e := range first.All() {
 			other := second.All()[i]
 			assert.Equal(t, e.Id, other.Id)
