A number out of range in an announcement no longer hides an endpoint

Cause: the highest start and number of a process decide which record of an endpoint, and of an address, holds. An announcement of another writer with a start or a sequence near the end of its type (2^63-1, 2^64-1) was accepted; nothing that the endpoint said later replaced it. At the highest sequence the end of an endpoint wrapped its number to 0, so that a late announcement brought it back. 1e400, 2^63, 2^64 and negative sequences were refused before. Change: bounds for start, sequence and slots where a record is accepted and read back; the number of an endpoint's end does not wrap. Result: registry.TestNumberOutOfRangeHidesNoEndpoint failed before ("1 (int) != 0 (int)"), fleetd.TestOddAnnouncementsStopNoFollower with the new rows too (200 for a negative start, a start of 2^63-1, a sequence of 2^64-1 and 2^32-1 slots); both pass now.

--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -36,6 +36,16 @@
 		{"multicast address", "i-4", change("127.0.3.1:9", "224.0.0.1:9")},
 		{"broadcast address", "i-5", change("127.0.3.1:9", "255.255.255.255:9")},
 		{"IPv6 zone", "i-6", change("127.0.3.1:9", "[fe80::1%eth0]:9")},
+		{"start of 1e400", "i-1", change(`"born":1`, `"born":1e400`)},
+		{"start of 2^63", "i-1", change(`"born":1`, `"born":9223372036854775808`)},
+		{"start of 2^63-1", n.ID, change(`"born":1`, `"born":9223372036854775807`)},
+		{"negative start", "i-1", change(`"born":1`, `"born":-1`)},
+		{"sequence of 2^64", "i-1", change(`"Sequence":1`, `"Sequence":18446744073709551616`)},
+		{"sequence of 2^64-1", "i-1", change(`"Sequence":1`, `"Sequence":18446744073709551615`)},
+		{"negative sequence", "i-1", change(`"Sequence":1`, `"Sequence":-1`)},
+		{"slots of 2^32-1", "i-1", change(`"Slots":3`, `"Slots":4294967295`)},
+		{"deep nesting", "i-1", change(`"svc"`, strings.Repeat("[", 20000)+strings.Repeat("]", 20000))},
+		{"deep nesting elsewhere", "i-1", change(`{`, `{"x":`+strings.Repeat(`{"x":`, 10001)+"1"+strings.Repeat("}", 10001)+",")},
 	}
 }
 
--- a/internal/fleet/registry/check.go
+++ b/internal/fleet/registry/check.go
@@ -8,6 +8,15 @@
 	fleetpb "hemlockmast/api/fleet"
 )
 
+const (
+	// maxBornMs bounds the start of a process, in Unix milliseconds: the year 2109.
+	maxBornMs = 1 << 42
+	// maxSequence bounds the number of an announcement: 34 years at one a millisecond.
+	maxSequence = 1 << 40
+	// maxSlots bounds the statements that an endpoint says to run at once.
+	maxSlots = 1 << 16
+)
+
 // InvalidError reports an announcement that names no endpoint to use. Field is the name of
 // the field in fleetpb.Endpoint.
 type InvalidError struct{ Field string }
@@ -25,6 +34,12 @@
 		return &InvalidError{Field: "failure_domain"}
 	case !isAddress(e.Address):
 		return &InvalidError{Field: "address"}
+	case e.BornMs < 0 || e.BornMs > maxBornMs:
+		return &InvalidError{Field: "born_ms"}
+	case e.Sequence > maxSequence:
+		return &InvalidError{Field: "sequence"}
+	case e.Slots > maxSlots:
+		return &InvalidError{Field: "slots"}
 	}
 	return nil
 }
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -84,8 +84,8 @@
 	}
 	gone := asGone(held)
 	// A heartbeat sent before the end may still arrive. The higher sequence number makes
-	// it outdated.
-	gone.Sequence++
+	// it outdated; with the highest one, the state does.
+	gone.Sequence = min(gone.Sequence+1, maxSequence)
 	t.byID[id] = gone
 	return gone
 }
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -56,6 +57,26 @@
 	assert.Equal(t, table.Get("b").State, ready)
 }
 
+// TestNumberOutOfRangeHidesNoEndpoint guards against a record that no later announcement of the
+// endpoint can replace.
+func TestNumberOutOfRangeHidesNoEndpoint(t *testing.T) {
+	for _, odd := range []*fleetpb.Endpoint{
+		announcement("a", addressX, math.MaxInt64, 1, leaving), announcement("a", addressX, 1, math.MaxUint64, leaving),
+		announcement("b", addressX, math.MaxInt64, 1, ready),
+	} {
+		table := NewTable()
+		table.Merge(announcement("a", addressX, 1, 5, ready))
+		assert.Equal(t, len(table.Merge(odd)), 0)
+		table.Merge(announcement("a", addressX, 1, 6, ready))
+		assert.Equal(t, table.Get("a").Sequence, uint64(6))
+		assert.Equal(t, table.Get("a").State, ready)
+	}
+	table := NewTable()
+	table.Merge(announcement("a", addressX, 1, maxSequence, ready))
+	assert.NilError(t, Check(table.MarkGone("a", 0)))
+	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, maxSequence, ready))), 0)
+}
+
 // TestOrderDoesNotMatter merges random announcements in two orders.
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
