An entry of an unknown service no longer takes an endpoint's place

Cause: the endpoint that started last at an address holds it, whatever service it names, and the newest record of an id holds. An announcement of a service that nobody defined, with the address or the id of a running primary and a later start, ended the primary's record for good: no endpoint of that service leads, and the service's writes are refused. Change: a control daemon that has a configuration answers 400 to an announcement of a service that the configuration does not define, unless it had accepted that endpoint as one of the service before. Without a configuration it accepts any service, as before.

--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -98,6 +99,11 @@
 	return nil
 }
 
+// HasService reports whether c defines the service with the given name.
+func HasService(c *fleetpb.Configuration, name string) bool {
+	return slices.ContainsFunc(c.Services, func(s *fleetpb.Service) bool { return s.Name == name })
+}
+
 // Diff returns the update from base to next. If base is nil, the update contains the whole
 // configuration. Otherwise it contains all services, but only the routes that differ.
 func Diff(base, next *fleetpb.Configuration) *fleetpb.ConfigurationUpdate {
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	mathrand "math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -316,16 +317,39 @@
 
 // Announce processes an endpoint's announcement. next is the address for later
 // announcements; it is always empty because any control daemon accepts them. Errors:
-// *registry.InvalidError; the announcement then changes nothing.
+// *registry.InvalidError, *UnknownServiceError; the announcement then changes nothing.
 func (n *Node) Announce(e *fleetpb.Endpoint) (next string, err error) {
 	if err := registry.Check(e); err != nil {
 		return "", err
 	}
+	if !n.mayBelongTo(e.Id, e.Service) {
+		return "", &UnknownServiceError{Service: e.Service}
+	}
 	n.watcher.noteAnnouncement(e.Id)
 	n.recordEndpoints(n.hub.Merge(e))
 	return "", nil
 }
 
+// mayBelongTo reports whether an endpoint may be one of a service: the configuration defines
+// the service, this daemon has no configuration yet, or the endpoint was accepted as one of the
+// service before. Otherwise it would supersede an endpoint in use that has its id or address.
+func (n *Node) mayBelongTo(id, service string) bool {
+	config, _ := n.machine.Configuration()
+	if config == nil || catalog.HasService(config, service) {
+		return true
+	}
+	held := n.hub.Endpoint(id)
+	return held != nil && held.Service == service
+}
+
+// UnknownServiceError reports an announcement of an endpoint of a service that the
+// configuration does not define.
+type UnknownServiceError struct{ Service string }
+
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("service %q is not defined", e.Service)
+}
+
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
 // ended process in Unix milliseconds, or 0 for the process known at present.
 func (n *Node) MarkGone(id string, bornMs int64) {
--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -23,10 +23,12 @@
 // oddBeats returns announcements that are refused. Some name the address of the endpoint n.
 func oddBeats(n *standin.Node) []oddBeat {
 	change := func(from, to string) string { return strings.Replace(beatSample, from, to, 1) }
-	injected := strings.Replace(change(`"127.0.3.1:9"`, fmt.Sprintf("%q", n.Address)), `"born":1`, fmt.Sprintf(`"born":%d`, time.Now().UnixMilli()), 1)
+	sameAddress := strings.NewReplacer(`"127.0.3.1:9"`, fmt.Sprintf("%q", n.Address),
+		`"born":1`, fmt.Sprintf(`"born":%d`, time.Now().UnixMilli())).Replace(beatSample)
+	unknownService := strings.Replace(sameAddress, `"svc"`, `"nosuch"`, 1)
 	return []oddBeat{
 		{"id that is not UTF-8", "i-%ff", beatSample},
-		{"id with a line break", n.ID + "%0d%0aQUERY%20odd%20STORE%20odd%20odd", injected},
+		{"id with a line break", n.ID + "%0d%0aQUERY%20odd%20STORE%20odd%20odd", sameAddress},
 		{"id with a blank", "i%201", beatSample},
 		{"service with a line break", "i-1", change(`"svc"`, `"svc\r\nQUERY"`)},
 		{"port out of range", "i-1", change("127.0.3.1:9", "127.0.3.1:70000")},
@@ -56,6 +58,8 @@
 		{"version of another type", "i-1", change(`"v1"`, "1")},
 		{"cold time of another type", "i-1", change(`"ColdRemainingMs":0`, `"ColdRemainingMs":{}`)},
 		{"duplicate field of another type", "i-1", change(`"Sequence":1`, `"Sequence":"x","Sequence":1`)},
+		{"unknown service at an endpoint's address", "i-9", unknownService},
+		{"unknown service under an endpoint's id", n.ID, unknownService},
 		{"deep nesting", "i-1", change(`"svc"`, strings.Repeat("[", 20000)+strings.Repeat("]", 20000))},
 		{"deep nesting elsewhere", "i-1", change(`{`, `{"x":`+strings.Repeat(`{"x":`, 10001)+"1"+strings.Repeat("}", 10001)+",")},
 	}
@@ -69,6 +73,13 @@
 	for entry := range 2 {
 		f.querySucceeds(entry, "STORE item v")
 	}
+	for control := range 3 {
+		ok := standin.WaitFor(5*time.Second, func() bool {
+			status, _ := f.operatorRequest(control, "GET", standin.ReadPath, "")
+			return status == http.StatusOK
+		})
+		assert.Assert(t, ok, "control %d has no configuration", control)
+	}
 	for _, odd := range oddBeats(f.group.Nodes()[0]) {
 		for control := range 3 {
 			status, text := f.operatorRequest(control, "POST", standin.BeatPath(odd.path), odd.body)
