--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -325,8 +325,11 @@
 	if !n.mayBelongTo(e.Id, e.Service) {
 		return "", &UnknownServiceError{Service: e.Service}
 	}
-	n.watcher.noteAnnouncement(e.Id)
 	n.recordEndpoints(n.hub.Merge(e))
+	// The watcher remembers only endpoints that the table has room for.
+	if n.hub.Endpoint(e.Id) != nil {
+		n.watcher.noteAnnouncement(e.Id)
+	}
 	return "", nil
 }
 
@@ -353,8 +356,8 @@
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
 // ended process in Unix milliseconds, or 0 for the process known at present.
 func (n *Node) MarkGone(id string, bornMs int64) {
-	n.log.Info("endpoint ended", "endpoint", id)
 	if left := n.hub.MarkGone(id, bornMs); left != nil {
+		n.log.Info("endpoint ended", "endpoint", id)
 		n.recordEndpoints([]*fleetpb.Endpoint{left})
 	}
 }
--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -60,6 +60,10 @@
 		{"duplicate field of another type", "i-1", change(`"Sequence":1`, `"Sequence":"x","Sequence":1`)},
 		{"unknown service at an endpoint's address", "i-9", unknownService},
 		{"unknown service under an endpoint's id", n.ID, unknownService},
+		{"id of 300 bytes", strings.Repeat("i", 300), beatSample},
+		{"service of 40,000 bytes", "i-1", change(`"svc"`, `"`+strings.Repeat("s", 40_000)+`"`)},
+		{"zone of 40,000 bytes", "i-1", change(`"a"`, `"`+strings.Repeat("z", 40_000)+`"`)},
+		{"number of 40,000 digits", "i-1", change(`"Sequence":1`, `"Sequence":`+strings.Repeat("9", 40_000))},
 		{"deep nesting", "i-1", change(`"svc"`, strings.Repeat("[", 20000)+strings.Repeat("]", 20000))},
 		{"deep nesting elsewhere", "i-1", change(`{`, `{"x":`+strings.Repeat(`{"x":`, 10001)+"1"+strings.Repeat("}", 10001)+",")},
 	}
@@ -86,6 +90,8 @@
 			assert.Check(t, status == http.StatusBadRequest, "%s: %s", odd.name, text)
 		}
 	}
+	status, _ := f.operatorRequest(0, "POST", standin.BeatPath(strings.Repeat("i", 100_000)), beatSample)
+	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
 	f.publish(standin.Levels(6, 800, 1500, 40))
 	for entry := range 2 {
 		ok := standin.WaitFor(5*time.Second, func() bool {
--- a/internal/fleet/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -32,6 +32,9 @@
 	settingsPollInterval = 2 * time.Second
 	// headerTimeout bounds the time to read the header of a request to the HTTP servers.
 	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request to the HTTP servers. Its longest part is
+	// the id of an endpoint in the path.
+	maxHeaderBytes = 16 << 10
 	// acceptStaleAfter is the time after an entry's start from which it also accepts the
 	// configuration of a control daemon that is not current. It is longer than an election,
 	// and short enough for an entry that starts in a failure domain which is cut off from
@@ -89,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fleet/registry/check.go
+++ b/internal/fleet/registry/check.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// maxNameBytes bounds an id, a service and a failure domain: every daemon holds them, and
+	// log lines contain them.
+	maxNameBytes = 255
 	// maxBornMs bounds the start of a process, in Unix milliseconds: the year 2109.
 	maxBornMs = 1 << 42
 	// maxSequence bounds the number of an announcement: 34 years at one a millisecond.
@@ -61,11 +64,14 @@
 // isName reports whether s can be one field of a line that is sent to an endpoint, and part of
 // a message between daemons: protobuf encodes only strings that are UTF-8.
 func isName(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
 	for _, r := range s {
 		// Bytes that are not UTF-8 decode to ReplacementChar.
 		if r == unicode.ReplacementChar || unicode.IsSpace(r) || !unicode.IsGraphic(r) {
 			return false
 		}
 	}
-	return s != ""
+	return true
 }
