Records that another version accepted are skipped where they are read back

One with a state that this version doesn't know was used like a ready endpoint, ended the good record of its id or address, and took an ended endpoint out of the covered ones. Nobody saw that a record was skipped, nor that a control daemon no longer got answers from another one. Fixtures have states and addresses.

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -104,6 +104,7 @@
 func Open(ctx context.Context, cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick), peerDomains: make(map[string]string)}
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
+	n.machine.OnIgnored = func(err error) { n.log.Info("recorded endpoint ignored", "error", err.Error()) }
 	n.hub = fleethub.New(control.RandomID(), n.machine, n, time.Now)
 	n.watcher = newWatcher(n)
 	n.positions = positions.New(cfg.Dialer, cfg.Texts)
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -10,6 +10,7 @@
 	"hemlockmast/internal/controlgroup/control"
 	"hemlockmast/internal/fleet/fleethub"
 	"hemlockmast/internal/fleet/fleetrpc"
+	"hemlockmast/internal/fleet/registry"
 	"hemlockmast/internal/shared/wait"
 )
 
@@ -70,16 +71,22 @@
 func (n *Node) followPeer(ctx context.Context, address string) {
 	request := &fleetpb.FollowRequest{Daemon: n.cfg.Name, FailureDomain: n.cfg.FailureDomain}
 	client := fleetrpc.NewClient(n.http, address)
+	isFollowed := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+peerTimeoutMargin)
 		answer, err := client.Follow(callCtx, request)
 		cancel()
 		if err != nil {
+			if isFollowed {
+				isFollowed = false
+				n.log.Info("other control daemon lost", "control", address, "error", err.Error())
+			}
 			n.hub.SetRemoteEntries(address, nil)
 			request.EntriesDigest = 0
 			wait.For(ctx, peerRetryDelay)
 			continue
 		}
+		isFollowed = true
 		request.Source, request.Version = answer.Source, answer.Version
 		request.WaitMs = uint32(fleethub.MaxPeerWait.Milliseconds())
 		if answer.EntriesDigest != request.EntriesDigest {
@@ -90,6 +97,11 @@
 		n.peerDomains[address] = answer.FailureDomain
 		n.mu.Unlock()
 		for _, e := range answer.Endpoints {
+			if err := registry.Check(e); err != nil {
+				// A control daemon of another version may accept more.
+				n.log.Info("endpoint of another control daemon ignored", "control", address, "error", err.Error())
+				continue
+			}
 			n.logChanges(n.hub.Merge(e))
 		}
 		if !answer.Current {
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -1,6 +1,7 @@
 package fleetstate
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -57,7 +58,7 @@
 		"a": fleetpb.EndpointState_ENDPOINT_STATE_READY, "new": fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
 		"gone": fleetpb.EndpointState_ENDPOINT_STATE_GONE,
 	} {
-		e := &fleetpb.Endpoint{Id: id, Service: "s", Address: "127.0.0.1:1" + id, State: state}
+		e := &fleetpb.Endpoint{Id: id, Service: "s", Address: fmt.Sprintf("127.0.0.%d:1", len(id)), State: state}
 		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}})
 	}
 	token := m.begin(t)
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -21,6 +21,10 @@
 type Machine struct {
 	// onChange is called after each applied command and after Restore, without mu held.
 	onChange func()
+	// OnIgnored, if not nil, is called for each record of an endpoint that another version
+	// accepted and this one ignores. It must be set before the first call of Apply or Restore,
+	// and must not call methods of the machine.
+	OnIgnored func(err error)
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -81,8 +85,9 @@
 	m.onChange()
 	encoded, err := proto.Marshal(result)
 	if err != nil {
-		// Marshal fails only on strings that are not UTF-8, and a result has no strings.
-		panic(err)
+		// Not reached: Marshal fails only on strings that are not UTF-8, and a result has no
+		// strings.
+		return nil
 	}
 	return encoded
 }
@@ -100,11 +105,7 @@
 	case *fleetpb.Command_SetPrimary:
 		result.Taken = m.setPrimary(kind.SetPrimary)
 	case *fleetpb.Command_Announce:
-		result.Taken = len(m.endpoints.Merge(kind.Announce)) > 0
-		if kind.Announce.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			// The endpoint may have started again with the same id.
-			delete(m.covered, kind.Announce.Id)
-		}
+		result.Taken = m.announce(kind.Announce)
 	case *fleetpb.Command_Cover:
 		m.cover(kind.Cover)
 		result.Taken = true
@@ -119,6 +120,28 @@
 	return result
 }
 
+// announce records an endpoint and reports whether its record changed.
+func (m *Machine) announce(e *fleetpb.Endpoint) bool {
+	changed, ok := m.merge(e)
+	if ok && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		// The endpoint may have started again with the same id.
+		delete(m.covered, e.Id)
+	}
+	return changed
+}
+
+// merge adds a record to the endpoints and reports whether it changed them. It ignores a
+// record that this version refuses, and ok is then false.
+func (m *Machine) merge(e *fleetpb.Endpoint) (changed, ok bool) {
+	if err := registry.Check(e); err != nil {
+		if m.OnIgnored != nil {
+			m.OnIgnored(err)
+		}
+		return false, false
+	}
+	return len(m.endpoints.Merge(e)) > 0, true
+}
+
 // putConfiguration replaces the configuration if the version is higher than the current
 // one. Otherwise it changes nothing, even if the content differs.
 func (m *Machine) putConfiguration(put *fleetpb.PutConfiguration) bool {
@@ -161,7 +184,7 @@
 	}
 	m.endpoints = registry.NewTable()
 	for _, e := range state.Endpoints {
-		m.endpoints.Merge(e)
+		m.merge(e)
 	}
 	m.covered = make(map[string]bool)
 	for _, id := range state.Covered {
--- a/internal/fleet/fleetstate/fleetstate_test.go
+++ b/internal/fleet/fleetstate/fleetstate_test.go
@@ -86,7 +86,7 @@
 	apply(t, m, putConfiguration(4, "body"))
 	apply(t, m, setPrimary("a", 0))
 	apply(t, m, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
-		Id: "a", Service: "s", Address: "1.2.3.4:5", BornMs: 7, Sequence: 3,
+		Id: "a", Service: "s", Address: "1.2.3.4:5", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 7, Sequence: 3,
 	}}})
 	data, err := m.Snapshot()
 	assert.NilError(t, err)
@@ -100,6 +100,41 @@
 	assert.Equal(t, restored.Endpoints()[0].Sequence, uint64(3))
 }
 
+// TestRecordsOfAnotherVersionAreSkipped guards against a log or a snapshot with an endpoint that
+// this version refuses.
+func TestRecordsOfAnotherVersionAreSkipped(t *testing.T) {
+	const ready = fleetpb.EndpointState_ENDPOINT_STATE_READY
+	good := &fleetpb.Endpoint{Id: "a", Service: "s", Address: "1.2.3.4:5", State: ready, BornMs: 7, Sequence: 3}
+	announce := func(e *fleetpb.Endpoint) *fleetpb.Command {
+		return &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}}
+	}
+	for _, odd := range []*fleetpb.Endpoint{
+		{Id: "a", Service: "s", Address: "1.2.3.4:5", BornMs: 7, Sequence: 4},
+		{Id: "a", Service: "s", Address: "1.2.3.4:5", State: 77, BornMs: 7, Sequence: 4},
+		{Id: "a", Service: "s", Address: "1.2.3.4:0", State: ready, BornMs: 8, Sequence: 4},
+		{Id: "a\r\nb", Service: "s", Address: "1.2.3.4:5", State: ready, BornMs: 8, Sequence: 4},
+		{Id: "a", Service: "s", Address: "1.2.3.4:5", State: ready, BornMs: -8, Sequence: 1 << 63},
+		{},
+	} {
+		ignored := 0
+		m := New(nil)
+		m.OnIgnored = func(error) { ignored++ }
+		apply(t, m, announce(good))
+		apply(t, m, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{EndpointIds: []string{odd.Id}}}})
+		assert.Check(t, !apply(t, m, announce(odd)).Taken, "%v", odd)
+		assert.Check(t, m.IsCovered(odd.Id), "%v", odd)
+		data, err := proto.Marshal(&fleetpb.AgreedState{Endpoints: []*fleetpb.Endpoint{odd, good, odd}, Covered: []string{odd.Id}})
+		assert.NilError(t, err)
+		restored := New(nil)
+		restored.OnIgnored = m.OnIgnored
+		assert.NilError(t, restored.Restore(data))
+		for _, machine := range []*Machine{m, restored} {
+			assert.Check(t, len(machine.Endpoints()) == 1 && proto.Equal(machine.Endpoints()[0], good), "%v: %v", odd, machine.Endpoints())
+		}
+		assert.Check(t, ignored == 3, "%v: %d ignored", odd, ignored)
+	}
+}
+
 func TestUnreadableCommandChangesNothing(t *testing.T) {
 	m := New(nil)
 	before, err := m.Snapshot()
--- a/internal/fleet/registry/check.go
+++ b/internal/fleet/registry/check.go
@@ -20,29 +20,39 @@
 	maxSlots = 1 << 16
 )
 
-// InvalidError reports an announcement that names no endpoint to use. Field is the name of
-// the field in fleetpb.Endpoint.
-type InvalidError struct{ Field string }
+// InvalidError reports an announcement that names no endpoint to use.
+type InvalidError struct {
+	// ID is the id in the announcement, at most its first maxNameBytes bytes.
+	ID string
+	// Field is the name of the first invalid field in fleetpb.Endpoint.
+	Field string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("announcement of %q has an invalid %s", e.ID, e.Field)
+}
 
-func (e *InvalidError) Error() string { return fmt.Sprintf("announcement has an invalid %s", e.Field) }
+func brief(id string) string { return id[:min(len(id), maxNameBytes)] }
 
 // Check validates an announcement; its failure domain may be empty. Errors: *InvalidError for the first invalid field.
 func Check(e *fleetpb.Endpoint) error {
 	switch {
 	case !isName(e.Id):
-		return &InvalidError{Field: "id"}
+		return &InvalidError{ID: brief(e.Id), Field: "id"}
 	case !isName(e.Service):
-		return &InvalidError{Field: "service"}
+		return &InvalidError{ID: brief(e.Id), Field: "service"}
 	case e.FailureDomain != "" && !isName(e.FailureDomain):
-		return &InvalidError{Field: "failure_domain"}
+		return &InvalidError{ID: brief(e.Id), Field: "failure_domain"}
 	case !isAddress(e.Address):
-		return &InvalidError{Field: "address"}
+		return &InvalidError{ID: brief(e.Id), Field: "address"}
+	case !isState(e.State):
+		return &InvalidError{ID: brief(e.Id), Field: "state"}
 	case e.BornMs < 0 || e.BornMs > maxBornMs:
-		return &InvalidError{Field: "born_ms"}
+		return &InvalidError{ID: brief(e.Id), Field: "born_ms"}
 	case e.Sequence > maxSequence:
-		return &InvalidError{Field: "sequence"}
+		return &InvalidError{ID: brief(e.Id), Field: "sequence"}
 	case e.Slots > maxSlots:
-		return &InvalidError{Field: "slots"}
+		return &InvalidError{ID: brief(e.Id), Field: "slots"}
 	}
 	return nil
 }
@@ -61,6 +71,15 @@
 	return !host.IsUnspecified() && !host.IsMulticast() && host != broadcast
 }
 
+func isState(s fleetpb.EndpointState) bool {
+	switch s {
+	case fleetpb.EndpointState_ENDPOINT_STATE_READY, fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+		fleetpb.EndpointState_ENDPOINT_STATE_GONE:
+		return true
+	}
+	return false
+}
+
 // isName reports whether s can be one field of a line that is sent to an endpoint, and part of
 // a message between daemons: protobuf encodes only strings that are UTF-8.
 func isName(s string) bool {
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -138,6 +138,11 @@
 	v.mu.Lock()
 	changed := v.applyConfiguration(answer.Configuration)
 	for _, e := range answer.Endpoints {
+		if err := registry.Check(e); err != nil {
+			// A control daemon of another version may accept more.
+			v.log.Info("endpoint ignored", "error", err.Error())
+			continue
+		}
 		for _, c := range v.table.Merge(e) {
 			changed = true
 			v.log.Info("endpoint known", "endpoint", c.Id, "service", c.Service, "address", c.Address, "state", c.State.String())
