--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -354,6 +354,9 @@
 	return fmt.Sprintf("service %q is not defined", e.Service)
 }
 
+// CountRefused counts an announcement that was refused for the given reason.
+func (n *Node) CountRefused(reason string) { n.cfg.Metrics.AnnouncementRefused(reason) }
+
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
 // ended process in Unix milliseconds, or 0 for the process known at present.
 func (n *Node) MarkGone(id string, bornMs int64) {
--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -92,6 +92,10 @@
 	}
 	status, _ := f.operatorRequest(0, "POST", standin.BeatPath(strings.Repeat("i", 100_000)), beatSample)
 	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
+	text := f.metrics(f.daemons["control-0"].settings.Internal)
+	for _, reason := range []string{"format", "content"} {
+		assert.Assert(t, strings.Contains(text, `announcements_refused_total{reason="`+reason+`"}`), text)
+	}
 	f.publish(standin.Levels(6, 800, 1500, 40))
 	for entry := range 2 {
 		ok := standin.WaitFor(5*time.Second, func() bool {
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -22,6 +22,7 @@
 	promotionTime prometheus.Histogram
 	reports       *prometheus.CounterVec
 	positions     *prometheus.CounterVec
+	refused       *prometheus.CounterVec
 }
 
 // NewControl returns the metrics of one control daemon, registered in their own registry.
@@ -42,13 +43,14 @@
 			"reason", "outcome"),
 		reports:   counter("endpoint_reports_total", "Reports of entries against endpoints.", "suspicion"),
 		positions: counter("positions_total", "Questions of entries for a primary's position.", "outcome"),
+		refused:   counter("announcements_refused_total", "Announcements of endpoints that were refused.", "reason"),
 	}
 	s.promotionTime = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "promotion_seconds", Help: "Time of a promotion from its token to its record.",
 		Buckets: []float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30},
 	})
 	s.registry.MustRegister(
-		s.term, s.leads, s.voters, s.lossesBorne, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
+		s.term, s.leads, s.voters, s.lossesBorne, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions, s.refused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
@@ -104,5 +106,9 @@
 // Reported counts an entry's report of a suspicion against an endpoint.
 func (s *ControlSet) Reported(suspicion string) { s.reports.WithLabelValues(suspicion).Inc() }
 
+// AnnouncementRefused counts an announcement that was refused. reason must be one of a fixed
+// set, as it becomes a label value.
+func (s *ControlSet) AnnouncementRefused(reason string) { s.refused.WithLabelValues(reason).Inc() }
+
 // PositionQueried counts an entry's query for the log position of a primary.
 func (s *ControlSet) PositionQueried(err error) { s.positions.WithLabelValues(outcomeLabel(err)).Inc() }
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -80,6 +80,7 @@
 	s.Promoted("gone", time.Second, failure)
 	s.Reported("SUSPICION_STALLED")
 	s.PositionQueried(nil)
+	s.AnnouncementRefused("format")
 	text := scrape(s)
 	for _, want := range []string{
 		`hemlockmast_control_term 4`,
@@ -94,6 +95,7 @@
 		`hemlockmast_promotion_seconds_bucket{le="0.5"} 1`,
 		`hemlockmast_endpoint_reports_total{suspicion="SUSPICION_STALLED"} 1`,
 		`hemlockmast_positions_total{outcome="done"} 1`,
+		`hemlockmast_announcements_refused_total{reason="format"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
 	}
