--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -57,6 +57,7 @@
 		{"unknown state", "i-1", change(`"ready"`, `"asleep"`)},
 		{"version of another type", "i-1", change(`"v1"`, "1")},
 		{"cold time of another type", "i-1", change(`"ColdRemainingMs":0`, `"ColdRemainingMs":{}`)},
+		{"duplicate field", "i-1", change(`"Sequence":1`, `"Sequence":1,"Sequence":1`)},
 		{"duplicate field of another type", "i-1", change(`"Sequence":1`, `"Sequence":"x","Sequence":1`)},
 		{"unknown service at an endpoint's address", "i-9", unknownService},
 		{"unknown service under an endpoint's id", n.ID, unknownService},
