--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
-	"hemlockmast/internal/shared/stmt"
 )
 
 // promote replaces a service's primary and records the new one. It returns false if it must
@@ -28,14 +28,16 @@
 	var other *promotion.OtherPrimaryError
 	if errors.As(err, &other) {
 		w.log.Info("another endpoint leads already", "service", svc.service, "token", token, "endpoint", other.Endpoint)
-		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint})
+		return w.record(svc, &fleetpb.SetPrimary{EndpointId: other.Endpoint, Term: other.Term})
 	}
 	if err != nil {
 		w.log.Info("promotion failed", "service", svc.service, "reason", r.reason, "token", token, "error", err.Error())
 		w.closeAttempt(&fleetpb.CloseAttempt{
 			Service: svc.service, Token: token, CallRefused: result.CallRefused, PausesLeft: result.PausesLeft,
 		})
-		return false
+		// An unanswered call is repeated at once, with a token that fences it.
+		var unknown *promotion.OutcomeUnknownError
+		return errors.As(err, &unknown)
 	}
 	w.log.Info("promotion done", "service", svc.service, "reason", r.reason, "token", token, "from", svc.primary.Id, "to", result.Primary)
 	return w.record(svc, &fleetpb.SetPrimary{
@@ -64,15 +66,17 @@
 
 // plan returns the plan of an attempt.
 func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
+	inherited := fleetstate.Position(svc.record.Inherited)
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
-		Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
-		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered,
-		Floor: fleetstate.Position(svc.attempt.Floor), LeadTerm: w.node.control.Status().Term,
+		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: w.planReplicas(svc), Token: token,
+		Term: svc.record.Term, StepDownOrdered: svc.attempt.StepDownOrdered, Inherited: inherited,
+		Floor: logpos.Max(inherited, fleetstate.Position(svc.attempt.Floor)), LeadTerm: w.node.control.Status().Term,
 	}
-	for _, c := range svc.attempt.Calls {
+	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
 	}
+	plan.PrimaryCalled = slices.ContainsFunc(svc.attempt.Calls, func(c *fleetpb.PromoteCall) bool { return c.EndpointId == svc.primary.Id })
 	return plan
 }
 
@@ -81,9 +85,10 @@
 	var list []promotion.Replica
 	for _, e := range svc.others {
 		list = append(list, promotion.Replica{
-			Endpoint: stmtEndpoint(e),
-			Leaving:  e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			Covered:  w.node.machine.IsCovered(e.Id),
+			Endpoint:  stmtEndpoint(e),
+			Leaving:   e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+			Covered:   w.isCovered(e),
+			Restarted: w.isRestarted(e),
 		})
 	}
 	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
@@ -97,6 +102,14 @@
 	return list
 }
 
+func (w *watcher) isCovered(e *fleetpb.Endpoint) bool {
+	return w.node.machine.IsCoveredSince(e.Id, e.BornMs)
+}
+
+func (w *watcher) isRestarted(e *fleetpb.Endpoint) bool {
+	return w.node.machine.IsRestarted(e.Id, e.BornMs)
+}
+
 // record has the control group record a service's primary, also if the lead was lost
 // meanwhile. It returns false if it must be retried.
 func (w *watcher) record(svc serviceState, set *fleetpb.SetPrimary) bool {
@@ -120,23 +133,6 @@
 	}
 }
 
-// finishAttempt ends the pauses that unfinished attempts left while the primary serves: it
-// replaces the primary if a replica is paused or a call is open. It returns false if it must
-// be retried, also if some replica does not answer.
-func (w *watcher) finishAttempt(ctx context.Context, svc serviceState) bool {
-	states := w.replicaStates(ctx, svc)
-	status, err := w.status(ctx, svc.primary)
-	if err != nil || status.Role != stmt.Primary || !promotion.AllAnswer(states) {
-		return false
-	}
-	if len(svc.attempt.Calls) > 0 || promotion.AnyPaused(states, status.Term+1) {
-		return w.promote(ctx, svc, replacement{reason: reasonUnfinished, primaryServes: true})
-	}
-	w.log.Info("no endpoint is paused", "service", svc.service, "token", svc.attempt.Token)
-	w.closeAttempt(&fleetpb.CloseAttempt{Service: svc.service, Token: svc.attempt.Token, NonePaused: true})
-	return true
-}
-
 func positionProto(pos logpos.Pos) *fleetpb.LogPosition {
 	return &fleetpb.LogPosition{Term: pos.Term, Index: pos.Index}
 }
@@ -152,11 +148,25 @@
 	}})
 }
 
-// RecordCall implements promotion.Recorder.
-func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known []string) error {
-	return r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
-		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID, KnownEndpointIds: known},
+// RecordCall implements promotion.Recorder. Once the record is applied, this daemon knows
+// every announcement that any control daemon had recorded before.
+func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, known, dead []string) error {
+	err := r.propose(ctx, service, call.Token, &fleetpb.Command{Kind: &fleetpb.Command_RecordCall{
+		RecordCall: &fleetpb.RecordCall{Service: service, Token: call.Token, EndpointId: call.EndpointID},
 	}})
+	if err != nil {
+		return err
+	}
+	for _, e := range r.node.hub.Endpoints() {
+		hasEnded := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
+		if e.Service == service && !hasEnded && !slices.Contains(known, e.Id) {
+			return &promotion.UnknownEndpointError{Endpoint: e.Id}
+		}
+		if slices.Contains(dead, e.Id) && !r.node.machine.IsCoveredSince(e.Id, e.BornMs) {
+			return &promotion.UnknownEndpointError{Endpoint: e.Id}
+		}
+	}
+	return nil
 }
 
 func (r recorder) propose(ctx context.Context, service string, token uint64, cmd *fleetpb.Command) error {
