fleetrpc: a follower forgets the failure domains of control daemons that it forgot

Cause: a follower remembers 64 addresses of control daemons, but the failure domain of every address that any answer named. Change: failure domains are kept for remembered addresses only.

--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -140,18 +140,21 @@
 // addControlDaemons adds the addresses and failure domains of control daemons.
 func (f *Follower) addControlDaemons(list []*fleetpb.ControlDaemon) {
 	addresses := make([]string, 0, len(list))
+	for _, d := range list {
+		addresses = append(addresses, d.Address)
+	}
+	f.AddAddresses(addresses)
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.domains == nil {
 		f.domains = make(map[string]string)
 	}
 	for _, d := range list {
-		addresses = append(addresses, d.Address)
 		if d.FailureDomain != "" {
 			f.domains[d.Address] = d.FailureDomain
 		}
 	}
-	f.mu.Unlock()
-	f.AddAddresses(addresses)
+	maps.DeleteFunc(f.domains, func(address, _ string) bool { return !slices.Contains(f.addresses, address) })
 }
 
 // shouldTryNearer reports whether to try a control daemon in this failure domain. That is
