--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -77,6 +78,38 @@
 	assert.Equal(t, len(table.Merge(announcement("a", addressX, 1, maxSequence, ready))), 0)
 }
 
+// FuzzMerge merges an arbitrary record, and one that was accepted, into a table with another
+// endpoint.
+func FuzzMerge(f *testing.F) {
+	for _, e := range []*fleetpb.Endpoint{
+		announcement("a", addressX, 1, 6, leaving), announcement("a", addressX, math.MaxInt64, math.MaxUint64, ready),
+		announcement("b\r\n", addressX, 2, 1, ready), announcement("b", "[::1%x]:0", 2, 1, 99), {},
+	} {
+		data, err := proto.Marshal(e)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		odd := &fleetpb.Endpoint{}
+		if proto.Unmarshal(data, odd) != nil {
+			return
+		}
+		table := NewTable()
+		table.Merge(announcement("a", addressX, 1, 5, ready))
+		valid := Check(odd) == nil
+		changed := table.Merge(odd)
+		assert.Assert(t, valid || len(changed) == 0)
+		table.MarkGone(odd.Id, odd.BornMs)
+		for _, e := range table.All() {
+			assert.NilError(t, Check(e))
+		}
+		// The next process at the address is used whatever the record said, if it is newer.
+		table.Merge(announcement("a", addressX, maxBornMs, maxSequence, ready))
+		isNewest := odd.BornMs < maxBornMs || !valid
+		assert.Assert(t, !isNewest || table.Get("a").State == ready, "%v", odd)
+	})
+}
+
 // TestOrderDoesNotMatter merges random announcements in two orders.
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
