Test: entries that nobody answers for leave the other endpoints in use

fleetd.TestUnreachableEntryLeavesOthersInUse announces four replicas of a configured service at addresses that no endpoint has (two IPv6 literals, a closed port, an HTTP server); 80 statements of each entry are all served.

--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -114,6 +114,37 @@
 	}
 }
 
+// TestUnreachableEntryLeavesOthersInUse announces replicas at addresses that no endpoint has: an
+// IPv6 literal, a port where nobody listens, and a server that speaks another protocol.
+func TestUnreachableEntryLeavesOthersInUse(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.publish(standin.Levels(5, 800, 1500, 40))
+	for i, address := range []string{"[2001:db8::1]:9", "[::1]:9", "127.0.3.1:9", fmt.Sprintf("127.0.1.1:%d", f.port+1)} {
+		body := strings.Replace(beatSample, "127.0.3.1:9", address, 1)
+		ok := standin.WaitFor(5*time.Second, func() bool {
+			status, _ := f.operatorRequest(0, "POST", standin.BeatPath(fmt.Sprintf("odd-%d", i)), body)
+			return status == http.StatusOK
+		})
+		assert.Assert(t, ok, address)
+	}
+	for entry := range 2 {
+		f.querySucceedsAt(entry, "current", "STORE item v")
+		for range 20 {
+			for _, database := range []string{"current", "session", "bounded"} {
+				assert.Assert(t, f.serves(entry, database, "FETCH item"), "entry %d, %s", entry, database)
+			}
+			assert.Assert(t, f.serves(entry, "current", "STORE item w"), "entry %d", entry)
+		}
+	}
+}
+
+// querySucceedsAt repeats a statement until it succeeds.
+func (f *fleet) querySucceedsAt(entry int, database, text string) {
+	f.t.Helper()
+	ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, database, text) })
+	assert.Assert(f.t, ok, "entry %d, %s", entry, database)
+}
+
 // serves reports whether an entry has a route for a database and runs a statement there.
 func (f *fleet) serves(entry int, database, text string) bool {
 	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.2.%d:%d", entry+1, f.port), time.Second)
