hemlockctl explain skips a line that is too long

Cause: Read failed at a line of more than 1 MiB, so that one log line of an odd request (a caller may name a database of up to 1 MiB) made the logs of the whole system unreadable. Change: such a line is skipped, as lines without JSON are. Result: explain.TestLongLineIsSkipped failed before ("bufio.Scanner: token too long") and passes now.

--- a/internal/cli/explain/explain.go
+++ b/internal/cli/explain/explain.go
@@ -20,7 +20,7 @@
 	// windowSeconds is how far a related line may be from a line of the request,
 	// before or after. A promotion with the preceding suspicion takes less.
 	windowSeconds = 5.0
-	// maxLineBytes is the size limit of one line. Read fails at a longer line.
+	// maxLineBytes is the size limit of one line. Read skips a longer line.
 	maxLineBytes = 1 << 20
 )
 
@@ -93,23 +93,45 @@
 	}
 }
 
-// Read returns the log lines in r. It skips lines without valid JSON and any text
-// before the JSON, such as the prefix of a log collector.
+// Read returns the log lines in r. It skips lines without valid JSON, lines of more than
+// maxLineBytes, and any text before the JSON, such as the prefix of a log collector.
+// Errors: those of r.
 func Read(r io.Reader) ([]Line, error) {
 	var lines []Line
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
-	for scanner.Scan() {
-		at := strings.IndexByte(scanner.Text(), '{')
-		if at < 0 {
+	reader := bufio.NewReader(r)
+	var text []byte
+	isLong := false
+	for {
+		part, err := reader.ReadSlice('\n')
+		isLong = isLong || len(text)+len(part) > maxLineBytes
+		if !isLong {
+			text = append(text, part...)
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
-		l := Line{Text: scanner.Text()[at:]}
-		if err := json.Unmarshal([]byte(l.Text), &l); err == nil {
+		if l, ok := parseLine(string(text)); ok && !isLong {
 			lines = append(lines, l)
 		}
+		text, isLong = text[:0], false
+		if err == io.EOF {
+			return lines, nil
+		}
+		if err != nil {
+			return lines, err
+		}
+	}
+}
+
+// parseLine returns the log line in text; ok is false if text has no valid JSON.
+func parseLine(text string) (l Line, ok bool) {
+	text = strings.TrimRight(text, "\r\n")
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
 	}
-	return lines, scanner.Err()
+	l.Text = text[at:]
+	return l, json.Unmarshal([]byte(l.Text), &l) == nil
 }
 
 // Explain returns the lines of the request and, around their time, the state
--- a/internal/cli/explain/explain_test.go
+++ b/internal/cli/explain/explain_test.go
@@ -39,3 +39,13 @@
 	var none *NotFoundError
 	assert.Assert(t, errors.As(err, &none))
 }
+
+// TestLongLineIsSkipped guards against a log whose one long line, such as that of an odd request,
+// makes all others unreadable.
+func TestLongLineIsSkipped(t *testing.T) {
+	log := `{"msg":"a","id":"1"}` + "\n" + `{"msg":"` + strings.Repeat("x", 3*maxLineBytes) + `"}` + "\n" + `{"msg":"b","id":"1"}`
+	lines, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 2)
+	assert.Equal(t, lines[1].Message, "b")
+}
