registry: the next endpoint at a former address ends no endpoint elsewhere

Cause: the table remembers who started last at an address. When an endpoint had started again at another address, the next one at the former address set it to gone, with the start and number of its earlier process, until its next announcement; a leading endpoint was so replaced, or a promotion was begun. An endpoint that had ended got a lower number back. Change: only an endpoint whose present record has that address, and has not ended, is superseded. Result: registry.TestFormerAddressEndsNoEndpoint failed before ("2 (int) != 1 (int)") and passes now.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -61,7 +61,12 @@
 		return asGone(e), nil
 	}
 	t.byAddress[e.Address] = e
-	if other == nil || other.Id == e.Id || other.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+	if other == nil || other.Id == e.Id {
+		return e, nil
+	}
+	// The other endpoint may have ended or started again at another address since.
+	other = t.byID[other.Id]
+	if other.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE || other.Address != e.Address {
 		return e, nil
 	}
 	// The other endpoint did not start later than e, so it is gone.
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -58,6 +58,18 @@
 	assert.Equal(t, table.Get("b").State, ready)
 }
 
+// TestFormerAddressEndsNoEndpoint guards against the end of an endpoint that runs at another
+// address by now, when its former address is used again.
+func TestFormerAddressEndsNoEndpoint(t *testing.T) {
+	table := NewTable()
+	table.Merge(announcement("a", addressX, 1, 1, ready))
+	table.Merge(announcement("a", "10.0.0.1:2", 2, 1, ready))
+	assert.Equal(t, len(table.Merge(announcement("b", addressX, 3, 1, ready))), 1)
+	assert.Equal(t, table.Get("a").State, ready)
+	assert.Equal(t, table.Get("a").BornMs, int64(2))
+	assert.Equal(t, table.Get("b").State, ready)
+}
+
 // TestNumberOutOfRangeHidesNoEndpoint guards against a record that no later announcement of the
 // endpoint can replace.
 func TestNumberOutOfRangeHidesNoEndpoint(t *testing.T) {
