--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	mathrand "math/rand/v2"
 	"net/http"
 	"path/filepath"
@@ -29,6 +30,7 @@
 	"hemlockmast/internal/fleet/fleetstate"
 	"hemlockmast/internal/fleet/positions"
 	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/fleet/registry"
 	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
 )
@@ -102,6 +104,7 @@
 func Open(ctx context.Context, cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick), peerDomains: make(map[string]string)}
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
+	n.machine.OnIgnored = func(err error) { n.log.Info("recorded endpoint ignored", "error", err.Error()) }
 	n.hub = fleethub.New(control.RandomID(), n.machine, n, time.Now)
 	n.watcher = newWatcher(n)
 	n.positions = positions.New(cfg.Dialer, cfg.Texts)
@@ -334,18 +337,51 @@
 const applyPollInterval = 2 * time.Millisecond
 
 // Announce processes an endpoint's announcement. next is the address for later
-// announcements; it is always empty because any control daemon accepts them.
-func (n *Node) Announce(e *fleetpb.Endpoint) (next string) {
-	n.watcher.noteAnnouncement(e.Id)
+// announcements; it is always empty because any control daemon accepts them. Errors:
+// *registry.InvalidError, *UnknownServiceError; the announcement then changes nothing.
+func (n *Node) Announce(e *fleetpb.Endpoint) (next string, err error) {
+	if err := registry.Check(e); err != nil {
+		return "", err
+	}
+	if !n.mayBelongTo(e.Id, e.Service) {
+		return "", &UnknownServiceError{Service: e.Service}
+	}
 	n.recordEndpoints(n.hub.Merge(e))
-	return ""
+	// The watcher remembers only endpoints that the table has room for.
+	if n.hub.Endpoint(e.Id) != nil {
+		n.watcher.noteAnnouncement(e.Id)
+	}
+	return "", nil
+}
+
+// mayBelongTo reports whether an endpoint may be one of a service: the configuration defines
+// the service, this daemon has no configuration yet, or the endpoint was accepted as one of the
+// service before. Otherwise it would supersede an endpoint in use that has its id or address.
+func (n *Node) mayBelongTo(id, service string) bool {
+	config, _ := n.machine.Configuration()
+	if config == nil || catalog.HasService(config, service) {
+		return true
+	}
+	held := n.hub.Endpoint(id)
+	return held != nil && held.Service == service
 }
 
+// UnknownServiceError reports an announcement of an endpoint of a service that the
+// configuration does not define.
+type UnknownServiceError struct{ Service string }
+
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("service %q is not defined", e.Service)
+}
+
+// CountRefused counts an announcement that was refused for the given reason.
+func (n *Node) CountRefused(reason string) { n.cfg.Metrics.AnnouncementRefused(reason) }
+
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
 // ended process in Unix milliseconds, or 0 for the process known at present.
 func (n *Node) MarkGone(id string, bornMs int64) {
-	n.log.Info("endpoint ended", "endpoint", id)
 	if left := n.hub.MarkGone(id, bornMs); left != nil {
+		n.log.Info("endpoint ended", "endpoint", id)
 		n.recordEndpoints([]*fleetpb.Endpoint{left})
 	}
 }
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -22,6 +22,10 @@
 	// onChange is called after each applied command that followers must learn of and after
 	// Restore, without mu held.
 	onChange func()
+	// OnIgnored, if not nil, is called for each record of an endpoint that another version
+	// accepted and this one ignores. It must be set before the first call of Apply or Restore,
+	// and must not call methods of the machine.
+	OnIgnored func(err error)
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -88,8 +92,9 @@
 	}
 	encoded, err := proto.Marshal(result)
 	if err != nil {
-		// Marshal fails only on strings that are not UTF-8, and a result has no strings.
-		panic(err)
+		// Not reached: Marshal fails only on strings that are not UTF-8, and a result has no
+		// strings.
+		return nil
 	}
 	return encoded
 }
@@ -131,14 +136,29 @@
 	return result
 }
 
-// announce records an endpoint.
+// announce records an endpoint and reports whether its record changed.
 func (m *Machine) announce(e *fleetpb.Endpoint) bool {
 	held := m.endpoints.Get(e.Id)
-	isTaken := len(m.endpoints.Merge(e)) > 0
+	changed, ok := m.merge(e)
+	if !ok {
+		return false
+	}
 	if held != nil && held.BornMs < e.BornMs && m.covered[e.Id] < held.BornMs {
 		m.restarted[e.Id] = e.BornMs
 	}
-	return isTaken
+	return changed
+}
+
+// merge adds a record to the endpoints and reports whether it changed them. It ignores a
+// record that this version refuses, and ok is then false.
+func (m *Machine) merge(e *fleetpb.Endpoint) (changed, ok bool) {
+	if err := registry.Check(e); err != nil {
+		if m.OnIgnored != nil {
+			m.OnIgnored(err)
+		}
+		return false, false
+	}
+	return len(m.endpoints.Merge(e)) > 0, true
 }
 
 // putConfiguration replaces the configuration if the version is higher than the current
@@ -184,7 +204,7 @@
 	}
 	m.endpoints = registry.NewTable()
 	for _, e := range state.Endpoints {
-		m.endpoints.Merge(e)
+		m.merge(e)
 	}
 	m.covered = make(map[string]int64)
 	for _, id := range state.Covered {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -30,13 +30,14 @@
 
 // Merge adds an announcement to the table and returns the records whose content changed.
 // An announcement that is newer but has the same content is not returned. Merge ignores
-// outdated announcements, and new endpoints when the table is full.
+// outdated announcements, those that Check refuses, and new endpoints when the table is
+// full. Another version of a daemon may have accepted what Check refuses here.
 func (t *Table) Merge(e *fleetpb.Endpoint) []*fleetpb.Endpoint {
 	held := t.byID[e.Id]
 	if held != nil && compareAnnouncements(e, held) <= 0 {
 		return nil
 	}
-	if held == nil && len(t.byID) >= maxEndpoints {
+	if Check(e) != nil || held == nil && len(t.byID) >= maxEndpoints {
 		return nil
 	}
 	var changed []*fleetpb.Endpoint
@@ -60,7 +61,12 @@
 		return asGone(e), nil
 	}
 	t.byAddress[e.Address] = e
-	if other == nil || other.Id == e.Id || other.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+	if other == nil || other.Id == e.Id {
+		return e, nil
+	}
+	// The other endpoint may have ended or started again at another address since.
+	other = t.byID[other.Id]
+	if other.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE || other.Address != e.Address {
 		return e, nil
 	}
 	// The other endpoint did not start later than e, so it is gone.
@@ -83,8 +89,8 @@
 	}
 	gone := asGone(held)
 	// A heartbeat sent before the end may still arrive. The higher sequence number makes
-	// it outdated.
-	gone.Sequence++
+	// it outdated; with the highest one, the state does.
+	gone.Sequence = min(gone.Sequence+1, maxSequence)
 	t.byID[id] = gone
 	return gone
 }
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -82,6 +82,7 @@
 	s.Promoted("gone", time.Second, failure)
 	s.Reported("SUSPICION_STALLED")
 	s.PositionQueried(nil)
+	s.AnnouncementRefused("format")
 	s.Attempts(3, 2)
 	s.OrderSent("pause", true)
 	s.OrderSent("step down", false)
@@ -102,6 +103,7 @@
 		`hemlockmast_promotion_seconds_bucket{le="0.5"} 1`,
 		`hemlockmast_endpoint_reports_total{suspicion="SUSPICION_STALLED"} 1`,
 		`hemlockmast_positions_total{outcome="done"} 1`,
+		`hemlockmast_announcements_refused_total{reason="format"} 1`,
 		`hemlockmast_attempts_unfinished 3`,
 		`hemlockmast_platform_calls_open 2`,
 		`hemlockmast_orders_total{order="pause",outcome="answered"} 1`,
