Tests: members and endpoints that restart have an address of their own

Cause: fixtures took a port by listening on 127.0.0.1:0, closed it and listened on it later. In between, another row, which runs in parallel, got the same number from the same range. With a print of /proc/net/tcp at the failed bind (not committed), TestReplacedVoterThenSecondLoss failed in both of 2 processes run at once with -count=40 (5 failed binds in all, before each process ended in a panic): at each of the 5 a listener of another row held the port, at none only an outgoing connection. The panic came from the fixture itself, whose clean-up called the stop function of members that had not started.

Change: ports.Own gives addresses as e2e's freeAddr did, which it replaces: a loopback IP of the process's own, a port below those of outgoing connections, and none twice. Used by the groups of control and confspread, the daemons of membership/runner and stand-in endpoints, which listen again after Restart. Members that have not started have an empty stop function.

--- a/internal/configuration/confspread/group_test.go
+++ b/internal/configuration/confspread/group_test.go
@@ -23,6 +23,7 @@
 	"hemlockmast/internal/controlgroup/agreelog"
 	"hemlockmast/internal/controlgroup/control"
 	"hemlockmast/internal/controlgroup/statemux"
+	"hemlockmast/internal/testing/ports"
 )
 
 const (
@@ -64,11 +65,8 @@
 func newGroup(t *testing.T) *group {
 	g := &group{cluster: newCluster(t, 2, 2)}
 	for i := range 3 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		assert.NilError(t, listener.Close())
 		g.members = append(g.members, &member{
-			name: fmt.Sprint("c", i), agreeAddr: listener.Addr().String(),
+			name: fmt.Sprint("c", i), agreeAddr: ports.Own(),
 			dir: filepath.Join(t.TempDir(), "control"),
 		})
 	}
--- a/internal/controlgroup/control/control_test.go
+++ b/internal/controlgroup/control/control_test.go
@@ -22,6 +22,7 @@
 	agreepb "hemlockmast/api/agree"
 	"hemlockmast/internal/controlgroup/agree"
 	"hemlockmast/internal/controlgroup/agreelog"
+	"hemlockmast/internal/testing/ports"
 )
 
 const (
@@ -144,12 +145,9 @@
 func newGroup(t testing.TB, names ...string) *group {
 	g := &group{t: t, tick: testTick}
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
 		g.members = append(g.members, &member{
-			name: name, address: l.Addr().String(), dir: filepath.Join(t.TempDir(), name), fs: &fullFS{},
+			name: name, address: ports.Own(), dir: filepath.Join(t.TempDir(), name), fs: &fullFS{}, stop: func() {},
 		})
-		assert.NilError(t, l.Close())
 	}
 	t.Cleanup(func() {
 		for _, m := range g.members {
@@ -452,7 +450,6 @@
 	assert.Assert(t, errors.As(err, &locked), "%v", err)
 	alone := newGroup(t, "a", "b")
 	alone.start(alone.members[0])
-	alone.members[1].stop = func() {}
 	var noGroup *NoGroupError
 	_, err = alone.members[0].control.Propose(ctx, []byte("x"))
 	assert.Assert(t, errors.As(err, &noGroup), "%v", err)
--- a/internal/controlgroup/control/replace_test.go
+++ b/internal/controlgroup/control/replace_test.go
@@ -24,7 +24,7 @@
 	g = newGroup(t, append(names, "spare")...)
 	g.replaceSilentTicks = 60
 	spare = g.member("spare")
-	spare.joinsLater, spare.stop = true, func() {}
+	spare.joinsLater = true
 	spare.isolated.Store(true)
 	for _, m := range g.members[:founders] {
 		g.start(m)
--- a/internal/membership/runner/runner_test.go
+++ b/internal/membership/runner/runner_test.go
@@ -14,6 +14,7 @@
 	"hemlockmast/internal/membership"
 	"hemlockmast/internal/membership/announcer"
 	"hemlockmast/internal/membership/runner"
+	"hemlockmast/internal/testing/ports"
 	"hemlockmast/internal/testing/standin"
 )
 
@@ -34,7 +35,7 @@
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	self := membership.Member{Name: name, FailureDomain: domain, Heartbeat: freeUDP(t),
+	self := membership.Member{Name: name, FailureDomain: domain, Heartbeat: ports.Own(),
 		Admin: server.Listener.Addr().String(), Link: name}
 	r, err := runner.New(runner.Config{Self: self, Seeds: seeds, Slots: []membership.SlotID{{Group: "g", Slot: "s1"}}})
 	assert.NilError(t, err)
@@ -50,13 +51,6 @@
 	return d
 }
 
-func freeUDP(t *testing.T) string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // await waits until ok holds. It checks again after each change that the daemon
 // reports.
 func (d *daemon) await(t *testing.T, what string, ok func() bool) {
--- a/internal/testing/e2e/clients_test.go
+++ b/internal/testing/e2e/clients_test.go
@@ -5,7 +5,6 @@
 	"database/sql"
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,20 +20,12 @@
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/internal/testing/devcluster"
+	"hemlockmast/internal/testing/ports"
 )
 
 // clusterPorts is how many ports a cluster may take.
 const clusterPorts = 40
 
-func splitAddr(t *testing.T, addr string) (string, int) {
-	t.Helper()
-	host, text, err := net.SplitHostPort(addr)
-	assert.NilError(t, err)
-	port, err := strconv.Atoi(text)
-	assert.NilError(t, err)
-	return host, port
-}
-
 // startCluster runs one daemon in each of three failure domains and one group
 // with three endpoints.
 func startCluster(t *testing.T) *devcluster.Cluster {
@@ -50,8 +41,7 @@
 
 func startClusterWith(t *testing.T, cfg devcluster.Config) *devcluster.Cluster {
 	t.Helper()
-	host, port := splitAddr(t, freeAddr(t))
-	nextPort.Add(clusterPorts)
+	host, port := ports.OwnRange(clusterPorts)
 	cfg.Folders, cfg.DaemonsPerDomain = []string{writeFolder(t)}, 1
 	cfg.DrainTimeout, cfg.Log = 5*time.Second, logr.Discard()
 	cfg.Host, cfg.FirstPort = host, port
--- a/internal/testing/e2e/outcomes_test.go
+++ b/internal/testing/e2e/outcomes_test.go
@@ -16,6 +16,7 @@
 	pb "hemlockmast/api/settings"
 	"hemlockmast/internal/daemon"
 	"hemlockmast/internal/shared/settings"
+	"hemlockmast/internal/testing/ports"
 	"hemlockmast/internal/testing/standin"
 )
 
@@ -41,11 +42,11 @@
 func pathSettings(t *testing.T, name, domain, folder string, roles ...string) *pb.Settings {
 	s := &pb.Settings{
 		Name: name, FailureDomain: domain, Roles: roles,
-		Listen:               &pb.Listen{Link: freeAddr(t), Admin: freeAddr(t), Heartbeat: freeAddr(t)},
+		Listen:               &pb.Listen{Link: ports.Own(), Admin: ports.Own(), Heartbeat: ports.Own()},
 		ConfigurationFolders: []string{folder},
 	}
 	if roles[0] == settings.RoleEntry {
-		s.Listen.Callers = freeAddr(t)
+		s.Listen.Callers = ports.Own()
 	}
 	return s
 }
@@ -74,7 +75,7 @@
 		Announce: []string{daemonURL},
 	}
 	if via != nil {
-		cfg.Addr = freeAddr(t)
+		cfg.Addr = ports.Own()
 		cfg.Advertise = via.addr()
 		via.setTarget(cfg.Addr)
 	}
--- a/internal/testing/e2e/processes_test.go
+++ b/internal/testing/e2e/processes_test.go
@@ -5,19 +5,19 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
+
+	"hemlockmast/internal/testing/ports"
 )
 
 // waitLimit bounds every wait of these tests.
@@ -53,18 +53,6 @@
 	return cmd
 }
 
-// nextPort numbers the addresses that a test process has given out.
-var nextPort atomic.Uint32
-
-// freeAddr returns an address that no other test uses: a loopback IP of this
-// process's own, and ports below those that the system gives to clients.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	const firstPort = 10000
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f, firstPort+nextPort.Add(1))
-}
-
 // daemonSpec is one daemon of a test.
 type daemonSpec struct {
 	Name    string            `json:"name"`
@@ -78,10 +66,10 @@
 func newSpec(t *testing.T, name, domain string, folder string, roles ...string) *daemonSpec {
 	s := &daemonSpec{
 		Name: name, Domain: domain, Roles: roles, Folders: []string{folder},
-		Listen: map[string]string{"link": freeAddr(t), "admin": freeAddr(t), "heartbeat": freeAddr(t)},
+		Listen: map[string]string{"link": ports.Own(), "admin": ports.Own(), "heartbeat": ports.Own()},
 	}
 	if roles[0] == "entry" {
-		s.Listen["callers"] = freeAddr(t)
+		s.Listen["callers"] = ports.Own()
 	}
 	return s
 }
--- a/internal/testing/ports/ports.go
+++ b/internal/testing/ports/ports.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"sync/atomic"
 )
 
 const (
@@ -17,6 +19,31 @@
 	maxAttempts = 200
 )
 
+const (
+	// firstOwnPort and ownPorts limit the ports of Own, for the same reason.
+	firstOwnPort = 10000
+	ownPorts     = 20000
+)
+
+// given counts the ports that OwnRange has returned.
+var given atomic.Uint32
+
+// Own returns a host:port for TCP and UDP that no other test uses: a loopback IP of this
+// process's own, and a port that it has not given out before. A daemon can therefore listen
+// on it, stop and listen on it again.
+func Own() string {
+	host, port := OwnRange(1)
+	return fmt.Sprintf("%s:%d", host, port)
+}
+
+// OwnRange is Own for count consecutive ports, of which it returns the first.
+func OwnRange(count int) (host string, first int) {
+	pid := os.Getpid()
+	last := given.Add(uint32(count))
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f),
+		firstOwnPort + int((last-uint32(count))%ownPorts)
+}
+
 // NoneError reports that no Count consecutive free ports were found.
 type NoneError struct{ Count int }
 
--- a/internal/testing/ports/ports_test.go
+++ b/internal/testing/ports/ports_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -24,3 +25,22 @@
 		}
 	}
 }
+
+// TestOwn checks that no address is given out twice, or from the range of
+// outgoing connections.
+func TestOwn(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 1000 {
+		address := ports.Own()
+		assert.Assert(t, !seen[address], address)
+		seen[address] = true
+		_, text, err := net.SplitHostPort(address)
+		assert.NilError(t, err)
+		port, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		assert.Assert(t, port < 32768)
+	}
+	l, err := net.Listen("tcp", ports.Own())
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+}
--- a/internal/testing/standin/endpoint.go
+++ b/internal/testing/standin/endpoint.go
@@ -14,6 +14,7 @@
 
 	"hemlockmast/internal/endpointside/endpoint"
 	"hemlockmast/internal/membership/announcer"
+	"hemlockmast/internal/testing/ports"
 	"hemlockmast/internal/testing/standin/disk"
 	"hemlockmast/internal/testing/standin/node"
 )
@@ -34,8 +35,8 @@
 	DataDir string
 	// Disk, if set, is used in place of DataDir.
 	Disk disk.Disk
-	// Addr is the listening address. If it is empty, a free port on loopback is
-	// used.
+	// Addr is the listening address. If it is empty, one on loopback is used that no
+	// other test of this machine uses.
 	Addr string
 	// Advertise is the address that daemons and replicas use. If it is empty,
 	// they use the listening address.
@@ -89,7 +90,7 @@
 		return nil, &ConfigError{Field: "Group and Slot", Reason: "must be given"}
 	}
 	if cfg.Addr == "" {
-		cfg.Addr = "127.0.0.1:0"
+		cfg.Addr = ports.Own()
 	}
 	e := &Endpoint{cfg: cfg, disk: cfg.Disk}
 	e.faults = newFaults(&e.cfg)
