Control group: an odd number of voters, also after a planned replacement

Cause: a newcomer that joined while all voters answered became an additional voter. Of three voters it made four; once the replaced VM was gone, four voters with one gone for good bear no further loss, for ever. The same held for four control VMs of which one was lost and not replaced. A voter that was replaced while it was paused or cut off never heard of it and did not come back without an operator.

Change, where ReplaceSilentTicks is set: - three or more voters grow only by two, or by one that makes the number odd, or by one that is to replace a silent voter. Further newcomers stay learners. - a silent voter is replaced by adding the newcomer first and removing the silent one next. The other order leaves, for a moment, two voters that need each other's disk. - an even number of four or more voters is left by removing a silent one, if the rest bears a loss at once. So are two silent voters of five or more, when the rest does. - a member that knows no leader for long asks whether it was removed. If no other incarnation has its name, it empties its log and joins under a new incarnation (JOIN_STATE_REJOIN; builds that do not know it go on as before). - learners notice that they are cut off; a fleet daemon that is a learner counts as current. fleetctl no longer removes voters itself after 20 s. - a learner that is silent for long is dropped at the next join.

Tests: TestReplacedVoterThenSecondLoss has 72 rows (newcomer first or later; the condition between the losses is an odd number of voters that bears as many losses as all living members would, where it was that all living members vote; this holds for four founders too, of which one is now a learner). TestReplacedVoterReturns cuts off or pauses a founder or the leader and lets it come back. TestLossesWithoutReplacement is new. TestRestartedEntryWaitsForConfiguration stops three control daemons in place of two, since two of four may now hold a majority. TestControlSurvivesRestartAndDiskLoss waits until the leader bears a loss, since a learner is current too.

--- a/internal/controlgroup/agree/change.go
+++ b/internal/controlgroup/agree/change.go
@@ -1,11 +1,16 @@
 package agree
 
-import agreepb "hemlockmast/api/agree"
+import (
+	"slices"
+
+	agreepb "hemlockmast/api/agree"
+)
 
 // AddLearner adds a member without a vote and removes an earlier learner of the
-// same name. The call is idempotent for a present member at the same address;
-// with another address it updates the recorded one. A call that returns an
-// error has no effect. Errors: *NotLeaderError, *NotReadyError, *ChangeError.
+// same name and learners that have been silent for ReplaceSilentTicks. The call is
+// idempotent for a present member at the same address; with another address it
+// updates the recorded one. A call that returns an error has no effect. Errors:
+// *NotLeaderError, *NotReadyError, *ChangeError.
 func (n *Node) AddLearner(id ID, address string) error {
 	if n.role != Leader {
 		return n.notLeader()
@@ -16,10 +21,11 @@
 		return nil
 	}
 	if wasRemoved(m, id) {
-		return &ChangeError{Name: id.Name, Reason: ChangeWasRemoved}
+		return &ChangeError{Name: id.Name, Reason: n.removalReason(id)}
 	}
 	next := withoutMembers(m, func(other *agreepb.Member) bool {
-		return !other.Voter && IDOf(other.Id) != id && other.Id.Name == id.Name
+		isObsolete := other.Id.Name == id.Name || n.isSilentForLong(IDOf(other.Id))
+		return !other.Voter && IDOf(other.Id) != id && isObsolete
 	})
 	next = withMember(next, newMember(id, address, present.GetVoter()))
 	if len(next.Members)-len(Voters(next)) > MaxLearners {
@@ -28,6 +34,20 @@
 	return n.appendMembership(id.Name, next)
 }
 
+// removalReason returns why a removed member is refused. A removal that is not committed
+// may still be undone. A member whose name has another incarnation must not replace it.
+func (n *Node) removalReason(id ID) ChangeReason {
+	if !wasRemoved(n.members.at(n.log.commit), id) {
+		return ChangeInProgress
+	}
+	for _, member := range n.members.current().membership.Members {
+		if member.Id.Name == id.Name {
+			return ChangeWasRemoved
+		}
+	}
+	return ChangeMayRejoin
+}
+
 // Remove removes all learners of this name and at most one voter; further
 // voters of the name need further calls. A call that returns an error has no
 // effect. Errors: *NotLeaderError, *NotReadyError, *ChangeError.
@@ -75,17 +95,20 @@
 	return nil
 }
 
-// minVotersToReplace is the number of voters from which a silent voter is replaced. A
-// smaller group is still being founded and needs every member.
+// minVotersToReplace is the number of voters from which a silent voter is replaced, and to
+// which silence alone may reduce a group. A smaller group is still being founded and needs
+// every member.
 const minVotersToReplace = 3
 
-// maybePromoteLearner takes the next step to promote a learner that holds every
-// committed entry. A voter of the same name is a former incarnation whose disk
-// is lost, so it is removed first; a later call makes the learner a voter.
-// Likewise, the learner takes the place of a voter that has been silent for
-// ReplaceSilentTicks. As an additional voter it would raise the size of a majority,
-// and the group would bear no further loss.
-func (n *Node) maybePromoteLearner() {
+// maybeChangeVoters takes the next step towards the voters that bear the most losses. Each
+// step waits until the previous one is committed.
+//
+// A voter of the same name as a learner that has caught up is a former incarnation whose
+// disk is lost: it is removed, and a later call makes the learner a voter. A learner also
+// takes the place of a voter that has been silent for ReplaceSilentTicks: it becomes a voter,
+// and a later call removes the silent one. In this order no step needs a voter whose disk is
+// lost meanwhile, as the removal of a voter from a group of three would.
+func (n *Node) maybeChangeVoters() {
 	if n.role != Leader || n.log.commit < n.termStart {
 		return
 	}
@@ -93,35 +116,85 @@
 	if current.index > n.log.commit {
 		return
 	}
-	m := current.membership
-	for _, member := range m.Members {
-		if member.Voter || !n.isCaughtUp(IDOf(member.Id)) {
-			continue
-		}
-		if former := voterNamed(m, member.Id.Name); former != nil {
-			_ = n.appendMembership(member.Id.Name, withoutMembers(m, func(other *agreepb.Member) bool {
-				return other == former
-			}))
+	learners := n.caughtUpLearners()
+	for _, learner := range learners {
+		if former := voterNamed(current.membership, learner.Id.Name); former != nil {
+			n.removeMember(IDOf(former.Id))
 			return
 		}
-		if silent := n.silentVoter(); silent != (ID{}) && n.cfg.ReplaceSilentTicks > 0 && len(Voters(m)) >= minVotersToReplace {
-			n.removeIfSilentForLong(silent)
-			return
-		}
-		if len(Voters(m)) >= MaxVoters {
-			continue
-		}
-		_ = n.appendMembership(member.Id.Name, withMember(m, newMember(IDOf(member.Id), member.Address, true)))
+	}
+	if len(learners) > 0 && n.hasRoomFor(len(learners)) {
+		first := learners[0]
+		promoted := newMember(IDOf(first.Id), first.Address, true)
+		_ = n.appendMembership(first.Id.Name, withMember(current.membership, promoted))
 		return
 	}
+	n.maybeRemoveSilentVoter(len(learners) > 0)
+}
+
+// caughtUpLearners returns the learners that hold every committed entry.
+func (n *Node) caughtUpLearners() []*agreepb.Member {
+	var list []*agreepb.Member
+	for _, member := range n.members.current().membership.Members {
+		if !member.Voter && n.isCaughtUp(IDOf(member.Id)) {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+// hasRoomFor reports whether one of the given number of learners may become an additional
+// voter. An even number of voters bears no more losses than the odd number below, and none
+// more once a voter is gone: a group of three or more grows only by two, or if a silent
+// voter is to be removed next.
+func (n *Node) hasRoomFor(learners int) bool {
+	voters := len(n.voters())
+	switch {
+	case voters >= MaxVoters:
+		return false
+	case voters < minVotersToReplace || voters%2 == 0 || n.cfg.ReplaceSilentTicks == 0:
+		return true
+	}
+	silent := n.silentVoter()
+	return n.isSilentForLong(silent) || learners > 1 && silent == ID{}
 }
 
-// removeIfSilentForLong removes a voter that has been silent for ReplaceSilentTicks. Until
-// then, a learner waits, since the voter may return.
-func (n *Node) removeIfSilentForLong(id ID) {
-	if n.progress[id].ticksSinceReply < n.cfg.ReplaceSilentTicks {
+// maybeRemoveSilentVoter removes the voter that has been silent for the longest time, if
+// that is at least ReplaceSilentTicks and either the group bears as many losses without it,
+// or more, or the group has its greatest size and a learner waits. The rest must bear a loss
+// at once: a voter that loses its disk at this moment could otherwise stop it for good,
+// although the silent one may return with its disk.
+func (n *Node) maybeRemoveSilentVoter(learnerWaits bool) {
+	silent := 0
+	for _, id := range n.voters() {
+		if n.isSilentForLong(id) {
+			silent++
+		}
+	}
+	voters := len(n.voters())
+	if silent == 0 || voters <= minVotersToReplace {
 		return
 	}
+	bearsAsManyWithout := voters%2 == 0 || silent > 1
+	if !bearsAsManyWithout && !(learnerWaits && voters >= MaxVoters) {
+		return
+	}
+	id := n.silentVoter()
+	rest := slices.DeleteFunc(n.voters(), func(other ID) bool { return other == id })
+	if n.countActive(rest) > quorum(len(rest)) {
+		n.removeMember(id)
+	}
+}
+
+// isSilentForLong reports whether a member has not replied for ReplaceSilentTicks.
+func (n *Node) isSilentForLong(id ID) bool {
+	p := n.progress[id]
+	return n.cfg.ReplaceSilentTicks > 0 && id != n.cfg.Self && p != nil && p.ticksSinceReply >= n.cfg.ReplaceSilentTicks
+}
+
+// removeMember removes a member. An error means that the step is not possible now; it is
+// tried again.
+func (n *Node) removeMember(id ID) {
 	_ = n.appendMembership(id.Name, withoutMembers(n.members.current().membership, func(m *agreepb.Member) bool {
 		return IDOf(m.Id) == id
 	}))
--- a/internal/controlgroup/agree/errors.go
+++ b/internal/controlgroup/agree/errors.go
@@ -54,6 +54,9 @@
 	ChangeLastVoter
 	ChangeLosesQuorum
 	ChangeWasRemoved
+	// ChangeMayRejoin is ChangeWasRemoved for a member whose name no other incarnation
+	// has. It may discard its log and join under a new incarnation.
+	ChangeMayRejoin
 )
 
 // String returns the reason as a phrase for an error message.
@@ -69,6 +72,8 @@
 		return "too few of the remaining voters answer"
 	case ChangeWasRemoved:
 		return "this incarnation was removed; format its data folder anew"
+	case ChangeMayRejoin:
+		return "this incarnation was removed; join under a new one"
 	}
 	return "another change is not committed yet"
 }
--- a/internal/controlgroup/agree/leader.go
+++ b/internal/controlgroup/agree/leader.go
@@ -83,20 +83,25 @@
 	if n.ticksSinceHeartbeat >= n.cfg.HeartbeatTicks {
 		n.ticksSinceHeartbeat = 0
 		n.heartbeat()
-		n.maybePromoteLearner()
+		n.maybeChangeVoters()
 	}
 }
 
 // quorumActive reports whether a majority of the voters replied within the
 // minimum election timeout.
 func (n *Node) quorumActive(voters []ID) bool {
+	return n.countActive(voters) >= quorum(len(voters))
+}
+
+// countActive returns how many of the voters replied within the minimum election timeout.
+func (n *Node) countActive(voters []ID) int {
 	heard := 0
 	for _, id := range voters {
 		if p := n.progress[id]; p != nil && p.ticksSinceReply < n.cfg.ElectionTicks {
 			heard++
 		}
 	}
-	return heard >= quorum(len(voters))
+	return heard
 }
 
 // heartbeat sends an append to every peer, including those that flow control
@@ -197,7 +202,7 @@
 	}
 	p.recordAccepted(m.LogIndex)
 	n.maybeCommit()
-	n.maybePromoteLearner()
+	n.maybeChangeVoters()
 }
 
 // maybeCommit advances the commit index to the last entry that a majority of
--- a/internal/controlgroup/agree/node.go
+++ b/internal/controlgroup/agree/node.go
@@ -121,9 +121,15 @@
 		n.tickLeader()
 		return
 	}
-	if n.ticksSinceContact >= n.electionTimeout && n.mayCampaign() {
+	if n.ticksSinceContact < n.electionTimeout {
+		return
+	}
+	if n.mayCampaign() {
 		n.campaign(PreCandidate)
+		return
 	}
+	// A learner that is cut off, or was removed, must not take its leader to be alive.
+	n.becomeFollower(n.term, ID{})
 }
 
 // Step handles one received message. It drops malformed messages and messages for
@@ -265,7 +271,7 @@
 	if n.role == Leader {
 		n.updateOwnProgress()
 		n.maybeCommit()
-		n.maybePromoteLearner()
+		n.maybeChangeVoters()
 	}
 }
 
--- a/internal/controlgroup/agree/types.go
+++ b/internal/controlgroup/agree/types.go
@@ -98,7 +98,8 @@
 	// HeartbeatTicks is the number of ticks between heartbeats.
 	HeartbeatTicks int
 	// ReplaceSilentTicks is the number of ticks without a reply after which a learner that
-	// has caught up takes the place of a voter; 0 means that none does.
+	// has caught up takes the place of a voter, or a voter is removed without which the group
+	// bears as many losses; 0 means neither, and that every learner becomes a voter.
 	ReplaceSilentTicks int
 	// Rand returns a random number in [0, n). Step, Tick and New call it.
 	Rand func(n int) int
--- a/internal/controlgroup/agreelog/log.go
+++ b/internal/controlgroup/agreelog/log.go
@@ -292,6 +292,18 @@
 	return nil
 }
 
+// Reformat durably replaces everything saved before by an empty log of a new incarnation.
+// Errors: as for Rewrite.
+func (l *Log) Reformat(id Identity) error {
+	former := l.id
+	l.id = id
+	err := l.Rewrite(agree.State{})
+	if err != nil {
+		l.id = former
+	}
+	return err
+}
+
 // writeGeneration writes a log file that holds a checkpoint. After *FullError the
 // file does not exist under its final name.
 func (f *Folder) writeGeneration(generation uint64, id Identity, st agree.State) (File, int64, error) {
--- a/internal/controlgroup/control/calls.go
+++ b/internal/controlgroup/control/calls.go
@@ -226,14 +226,26 @@
 	c.readers.confirmed = rest
 }
 
+// endReads refuses all reads in progress, whose node is replaced.
+func (c *Control) endReads() {
+	for token, list := range c.readers.byToken {
+		delete(c.readers.byToken, token)
+		c.readers.confirmed = append(c.readers.confirmed, list...)
+	}
+	for _, r := range c.readers.confirmed {
+		r.done <- c.convertError(&agree.NotLeaderError{})
+	}
+	c.readers.confirmed = nil
+}
+
 // removal is one call of Remove.
 type removal struct {
 	name string
 	done chan error
 }
 
-// Remove removes a member from the group permanently; it can only return with a
-// reformatted data folder. The call returns when the change is in the leader's
+// Remove removes a member from the group; if it runs, it joins again as a learner under a
+// new incarnation. The call returns when the change is in the leader's
 // log, not yet committed. Errors: *NotLeaderError; *NotProposedError, whose cause
 // may be an *agree.ChangeError or *agree.NotReadyError.
 func (c *Control) Remove(ctx context.Context, name string) error {
--- a/internal/controlgroup/control/control.go
+++ b/internal/controlgroup/control/control.go
@@ -134,7 +134,12 @@
 	stalled   error
 	retryDue  bool
 	snapshots uint64
-	addresses map[agree.ID]string
+	// initialState is the state machine's state before any command.
+	initialState []byte
+	// isMachineOutdated is set while the state machine's state is that of a former
+	// incarnation.
+	isMachineOutdated bool
+	addresses         map[agree.ID]string
 	// pending holds the proposals that await their outcome, by log index.
 	pending           map[uint64]*proposal
 	leaderTerm        uint64
@@ -181,6 +186,10 @@
 	}
 	c.joiner.results = make(chan joinResult, 1)
 	c.readers.byToken = make(map[uint64][]*reader)
+	if c.initialState, err = cfg.Machine.Snapshot(); err != nil {
+		_ = folder.Close()
+		return nil, &SnapshotError{Cause: err}
+	}
 	if err := c.load(); err != nil {
 		_ = folder.Close()
 		return nil, err
@@ -210,11 +219,16 @@
 			return err
 		}
 	}
+	return c.startNode(content.State)
+}
+
+func (c *Control) startNode(st agree.State) error {
+	var err error
 	c.node, err = agree.New(agree.Config{
 		Self: c.id, Group: c.group, Rand: c.cfg.Rand,
 		ElectionTicks: c.cfg.ElectionTicks, HeartbeatTicks: c.cfg.HeartbeatTicks,
 		ReplaceSilentTicks: c.cfg.ReplaceSilentTicks,
-	}, content.State)
+	}, st)
 	return err
 }
 
@@ -232,6 +246,7 @@
 	if err := c.cfg.Machine.Restore(s.State); err != nil {
 		return &SnapshotError{Index: s.Index, Cause: err}
 	}
+	c.isMachineOutdated = false
 	c.applied = s.Index
 	return nil
 }
--- a/internal/controlgroup/control/control_test.go
+++ b/internal/controlgroup/control/control_test.go
@@ -48,7 +48,10 @@
 func (j *journal) Restore(state []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.list = strings.Split(string(state), "\n")
+	j.list = nil
+	if len(state) > 0 {
+		j.list = strings.Split(string(state), "\n")
+	}
 	return nil
 }
 
@@ -122,6 +125,8 @@
 	name, address, dir string
 	fs                 *fullFS
 	isolated           atomic.Bool
+	// isPaused withholds the ticks, as if the process stood still.
+	isPaused atomic.Bool
 	// joinsLater is set for a member that no other one's settings name.
 	joinsLater bool
 	machine    *journal
@@ -185,6 +190,7 @@
 		}
 	}
 	ticks, stopTicks := g.clock.join(g.tick)
+	ticks = m.pausable(ctx, ticks)
 	m.machine = &journal{}
 	machine := StateMachine(m.machine)
 	if g.machineOverride != nil {
@@ -218,6 +224,29 @@
 	})
 }
 
+// pausable returns ticks without those that are received while the member is paused.
+func (m *member) pausable(ctx context.Context, ticks <-chan time.Time) <-chan time.Time {
+	out := make(chan time.Time)
+	go func() {
+		for {
+			select {
+			case now := <-ticks:
+				if m.isPaused.Load() {
+					continue
+				}
+				select {
+				case out <- now:
+				case <-ctx.Done():
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
 func (g *group) startAll() {
 	for _, m := range g.members {
 		g.start(m)
@@ -230,7 +259,9 @@
 		if time.Now().After(deadline) {
 			text := ""
 			for _, m := range g.members {
-				text += fmt.Sprintf("\n%s: %+v", m.name, m.control.Status())
+				if m.control != nil {
+					text += fmt.Sprintf("\n%s: %+v", m.name, m.control.Status())
+				}
 			}
 			g.t.Fatalf("timed out waiting for: %s%s", what, text)
 		}
--- a/internal/controlgroup/control/join.go
+++ b/internal/controlgroup/control/join.go
@@ -11,11 +11,15 @@
 
 	agreepb "hemlockmast/api/agree"
 	"hemlockmast/internal/controlgroup/agree"
+	"hemlockmast/internal/controlgroup/agreelog"
 )
 
 const (
 	// joinTimeout bounds one join request to a peer.
 	joinTimeout = 2 * time.Second
+	// leaderlessElections is the time for which a member knows no leader before it asks
+	// whether it was removed, in minimum election timeouts.
+	leaderlessElections = 4
 	// maxNameBytes is the maximum length of a member's name and of its address.
 	maxNameBytes = 255
 )
@@ -33,18 +37,30 @@
 type joinResult struct {
 	// group is the group whose leader accepted this member, or 0.
 	group uint64
+	// formerGroup is the group whose leader replied that this member was removed and may
+	// join under a new incarnation, or 0.
+	formerGroup uint64
 	// noPeerHasGroup is set if every peer replied that it has no group.
 	noPeerHasGroup bool
 }
 
 // requestJoin asks the peers for membership once per ElectionTicks, as long as the
-// committed membership does not contain this member at its current address.
+// committed membership does not contain this member at its current address. A member that
+// has known no leader for longer asks too: it does not hear of its own removal otherwise.
 func (c *Control) requestJoin(ctx context.Context) {
-	if c.joiner.inProgress || c.isMember() {
+	if c.joiner.inProgress {
 		return
 	}
+	interval := c.cfg.ElectionTicks
+	if c.isMember() {
+		if c.node.Status().Leader != (agree.ID{}) {
+			c.joiner.ticks = 0
+			return
+		}
+		interval *= leaderlessElections
+	}
 	c.joiner.ticks++
-	if c.joiner.ticks < c.cfg.ElectionTicks {
+	if c.joiner.ticks < interval {
 		return
 	}
 	c.joiner.ticks = 0
@@ -105,6 +121,9 @@
 		if reply.State == agreepb.JoinState_JOIN_STATE_ACCEPTED {
 			return joinResult{group: reply.Group}
 		}
+		if reply.State == agreepb.JoinState_JOIN_STATE_REJOIN {
+			return joinResult{formerGroup: reply.Group}
+		}
 		if reply.State != agreepb.JoinState_JOIN_STATE_NO_GROUP {
 			result.noPeerHasGroup = false
 		}
@@ -120,6 +139,9 @@
 func (c *Control) handleJoinResult(result joinResult) error {
 	c.joiner.inProgress = false
 	if c.node != nil {
+		if result.formerGroup == c.group && c.stalled == nil {
+			return c.rejoin()
+		}
 		return nil
 	}
 	if result.group != 0 {
@@ -133,6 +155,29 @@
 	return c.format(c.cfg.NewID(), agree.InitialState(c.id, c.cfg.Address))
 }
 
+// rejoin makes this member, which was removed, one with an empty disk. Its log holds no
+// acknowledged command that the voters without it lack, and its votes no longer count.
+func (c *Control) rejoin() error {
+	former := c.id
+	id := agree.ID{Name: c.cfg.Name, Incarnation: c.cfg.NewID()}
+	err := c.log.Reformat(agreelog.Identity{Group: c.group, Self: id})
+	if _, full := err.(*agreelog.FullError); full {
+		c.cfg.Log.Error(err, "disk is full; this member was removed and cannot join again yet")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.cfg.Log.Info("this member was removed while it was silent; it joins again with an empty log",
+		"former", former.String(), "member", id.String())
+	for index, p := range c.pending {
+		c.endWithUnknownOutcome(index, p)
+	}
+	c.endReads()
+	c.id, c.applied, c.isMachineOutdated = id, 0, true
+	return c.startNode(agree.State{})
+}
+
 // joinCall is one call of Join, for Run to handle.
 type joinCall struct {
 	request *agreepb.JoinRequest
@@ -171,6 +216,8 @@
 		return agreepb.JoinState_JOIN_STATE_FULL
 	case errors.As(err, &change) && change.Reason == agree.ChangeWasRemoved:
 		return agreepb.JoinState_JOIN_STATE_REMOVED
+	case errors.As(err, &change) && change.Reason == agree.ChangeMayRejoin:
+		return agreepb.JoinState_JOIN_STATE_REJOIN
 	}
 	return agreepb.JoinState_JOIN_STATE_BUSY
 }
--- a/internal/controlgroup/control/run.go
+++ b/internal/controlgroup/control/run.go
@@ -174,7 +174,9 @@
 		c.endCoveredProposals()
 	}
 	for _, e := range rd.Committed {
-		c.apply(e)
+		if err := c.apply(e); err != nil {
+			return false, err
+		}
 	}
 	c.completeReads(rd.Reads)
 	c.node.Advance()
@@ -207,13 +209,21 @@
 	}
 }
 
-func (c *Control) apply(e *agreepb.Entry) {
+// apply executes an entry. The first one after rejoin is the first of the log, so that the
+// state machine starts anew. Errors: *SnapshotError.
+func (c *Control) apply(e *agreepb.Entry) error {
+	if c.isMachineOutdated {
+		if err := c.restore(&agreepb.Snapshot{State: c.initialState}); err != nil {
+			return err
+		}
+	}
 	var result []byte
 	if e.Kind == agreepb.EntryKind_ENTRY_KIND_COMMAND {
 		result = c.cfg.Machine.Apply(e.Index, e.Command)
 	}
 	c.applied = e.Index
 	c.resolve(e, result)
+	return nil
 }
 
 // maybeCompact takes a snapshot once the log file exceeds a limit. The limit
--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -88,7 +88,7 @@
 	watcher   *watcher
 	positions *positions.Reader
 
-	// leaderSeen is the last time at which this member was a voter and knew the leader.
+	// leaderSeen is the last time at which this member had joined and knew the leader.
 	leaderSeen atomic.Pointer[time.Time]
 
 	// mu guards peerDomains: the failure domains of other control daemons by address, as
@@ -143,7 +143,7 @@
 }
 
 // observeLeader records when a leader is known and logs changes of the leader. It also
-// updates the metrics and removes silent voters.
+// updates the metrics.
 func (n *Node) observeLeader(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -155,8 +155,8 @@
 			return
 		case now := <-ticker.C:
 			st := n.control.Status()
-			// A member that is not a voter may not have received the state yet.
-			if st.Leader.Name != "" && st.Stalled == nil && st.Voter {
+			// A member that has not joined may not have received the state yet.
+			if st.Leader.Name != "" && st.Stalled == nil && st.Joined {
 				wasCurrent := n.IsCurrent()
 				n.leaderSeen.Store(&now)
 				if !wasCurrent {
@@ -170,7 +170,6 @@
 			config, _ := n.machine.Configuration()
 			n.cfg.Metrics.Member(st.Term, st.Role == agree.Leader, len(agree.Voters(st.Membership)), config.GetVersion())
 			losses.update(n, st)
-			n.removeSilentVoters(ctx, st)
 		}
 	}
 }
