Operators see which voter is silent and since when

control_losses_borne said how many losses the control group bears, and only a log line named the silent voters.

--- a/internal/cli/fleet/fleet.go
+++ b/internal/cli/fleet/fleet.go
@@ -29,6 +29,7 @@
 	leadsSeries         = "hemlockmast_control_leads"
 	votersSeries        = "hemlockmast_control_voters"
 	lossesBorneSeries   = "hemlockmast_control_losses_borne"
+	silentVotersSeries  = "hemlockmast_control_voter_silent_seconds"
 	promotionsSeries    = "hemlockmast_promotions_total"
 	requestsSeries      = "hemlockmast_requests_total"
 	refusalsSeries      = "hemlockmast_refusals_total"
@@ -66,7 +67,8 @@
 }
 
 // Show fetches the metrics of all daemons concurrently and writes a line for each.
-// It returns an *UnreachableError with the daemons that did not answer.
+// After them it names the
+// silent voters of the control group. It returns an *UnreachableError with the daemons that did not answer.
 func Show(ctx context.Context, w io.Writer, addresses []string) error {
 	daemons := make([]daemon, len(addresses))
 	var wait sync.WaitGroup
@@ -88,6 +90,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, d := range daemons {
+		d.writeSilentVoters(w)
+	}
 	if len(missing) > 0 {
 		return &UnreachableError{Addresses: missing}
 	}
@@ -126,6 +131,17 @@
 		d.formatSum(votersSeries), d.formatSum(lossesBorneSeries), d.formatSum(promotionsSeries), d.formatSum(requestsSeries), d.formatSum(refusalsSeries))
 }
 
+// writeSilentVoters writes a line for each control VM that the daemon, as the leader, does
+// not hear.
+func (d daemon) writeSilentVoters(w io.Writer) {
+	for _, m := range d.families[silentVotersSeries].GetMetric() {
+		since := time.Duration(m.GetGauge().GetValue() * float64(time.Second))
+		for _, label := range m.GetLabel() {
+			fmt.Fprintf(w, "control voter %s has been silent for %s\n", label.GetValue(), since)
+		}
+	}
+}
+
 // formatSum returns the sum of a metric over its series, or "-" if the daemon does
 // not have the metric.
 func (d daemon) formatSum(name string) string {
--- a/internal/cli/fleet/fleet_test.go
+++ b/internal/cli/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 func TestShow(t *testing.T) {
 	control := metrics.NewControl()
 	control.Member(4, true, 5, 17)
-	control.LossesBorne(1)
+	control.LossesBorne(1, map[string]time.Duration{"10.1.0.8:7440#3f": 4 * time.Second})
 	control.Promoted("leaving", time.Second, nil)
 	control.Promoted("gone", time.Second, nil)
 	entry := metrics.New()
@@ -42,4 +42,5 @@
 	assert.Equal(t, fields(1), "control, leads 17 4 5 1 2 - -")
 	assert.Equal(t, fields(2), "entry 16 - - - - 1 1")
 	assert.Assert(t, strings.Contains(lines[3], "no answer"))
+	assert.Equal(t, lines[4], "control voter 10.1.0.8:7440#3f has been silent for 4s")
 }
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -21,16 +21,9 @@
 	peerTimeoutMargin = 700 * time.Millisecond
 	// peerListInterval is the interval at which the list of control daemons is checked.
 	peerListInterval = 500 * time.Millisecond
-	// removeSilentAfter is how long a voter may be silent before it is removed from a group
-	// with more than fullVoters voters. It is much longer than a restart or a network
-	// partition.
-	removeSilentAfter = 20 * time.Second
 	// maxVoterSilence is how long a voter may be silent before it counts as lost: longer than
 	// an election.
 	maxVoterSilence = time.Second
-	// fullVoters is the number of voters of a complete group. In a group of this size or
-	// smaller, silent voters are not removed.
-	fullVoters = 4
 )
 
 // followAllPeers follows every other control daemon, so that each daemon learns of the
@@ -110,11 +103,11 @@
 		return
 	}
 	borne, silent := lossesBorne(st)
-	n.cfg.Metrics.LossesBorne(borne)
+	n.cfg.Metrics.LossesBorne(borne, silent)
 	isExposed := borne == 0
 	switch {
 	case isExposed && !l.isExposed:
-		n.log.Info("control group bears no further loss", "voters", len(agree.Voters(st.Membership)), "silent", silent)
+		n.log.Info("control group bears no further loss", "voters", len(agree.Voters(st.Membership)), "silent", formatSilent(silent))
 	case !isExposed && l.isExposed:
 		n.log.Info("control group bears a loss again", "voters", len(agree.Voters(st.Membership)), "losses", borne)
 	}
@@ -123,29 +116,23 @@
 
 // lossesBorne returns, from the leader's status, how many more voters may be lost before
 // the rest is no majority, and for how long each silent voter has not replied.
-func lossesBorne(st control.Status) (losses int, silent map[string]string) {
+func lossesBorne(st control.Status) (losses int, silent map[string]time.Duration) {
 	voters := agree.Voters(st.Membership)
-	silent = make(map[string]string)
+	silent = make(map[string]time.Duration)
 	for _, id := range voters {
 		if since := time.Duration(st.TicksSinceReply[id]) * tick; id != st.Self && since > maxVoterSilence {
-			silent[id.String()] = since.String()
+			silent[id.String()] = since
 		}
 	}
 	majority := len(voters)/2 + 1
 	return max(0, len(voters)-len(silent)-majority), silent
 }
 
-// removeSilentVoters removes voters whose VM was replaced: the group then has more than
-// fullVoters voters, and the former VM's voter remains silent.
-func (n *Node) removeSilentVoters(ctx context.Context, st control.Status) {
-	if st.Role != agree.Leader || len(agree.Voters(st.Membership)) <= fullVoters {
-		return
-	}
-	for id, silentTicks := range st.TicksSinceReply {
-		if time.Duration(silentTicks)*tick < removeSilentAfter {
-			continue
-		}
-		err := n.control.Remove(ctx, id.Name)
-		n.log.Info("removing a silent member of the control group", "member", id.String(), "error", err)
+// formatSilent returns the silent voters for a log line.
+func formatSilent(silent map[string]time.Duration) map[string]string {
+	text := make(map[string]string, len(silent))
+	for voter, since := range silent {
+		text[voter] = since.String()
 	}
+	return text
 }
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -15,7 +15,9 @@
 
 	term, leads, voters prometheus.Gauge
 	// lossesBorne has a series only while this member leads.
-	lossesBorne   *prometheus.GaugeVec
+	lossesBorne *prometheus.GaugeVec
+	// silentVoters has a series for each voter that the leader does not hear.
+	silentVoters  *prometheus.GaugeVec
 	revision      prometheus.Gauge
 	proposals     *prometheus.HistogramVec
 	promotions    *prometheus.CounterVec
@@ -36,6 +38,10 @@
 			Namespace: namespace, Name: "control_losses_borne",
 			Help: "Voters that may still be lost before the control group stops, as its leader knows it.",
 		}, nil),
+		silentVoters: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "control_voter_silent_seconds",
+			Help: "Time for which a voter has not answered the leader, for voters that count as lost.",
+		}, []string{"voter"}),
 		revision:  gauge("config_revision", "Revision of the configuration agreed on."),
 		proposals: histogram("control_proposal_seconds", "Time from a proposal to its outcome.", buckets, "outcome"),
 		promotions: counter("promotions_total", "Promotions that this member attempted, by reason and outcome.",
@@ -48,7 +54,7 @@
 		Buckets: []float64{0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30},
 	})
 	s.registry.MustRegister(
-		s.term, s.leads, s.voters, s.lossesBorne, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
+		s.term, s.leads, s.voters, s.lossesBorne, s.silentVoters, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
@@ -72,12 +78,21 @@
 	s.revision.Set(float64(revision))
 }
 
-// LossesBorne records how many more voters may be lost before the control group stops. Only
-// the leader knows.
-func (s *ControlSet) LossesBorne(n int) { s.lossesBorne.WithLabelValues().Set(float64(n)) }
+// LossesBorne records how many more voters may be lost before the control group stops, and
+// for how long each silent voter has not answered. Only the leader knows.
+func (s *ControlSet) LossesBorne(n int, silent map[string]time.Duration) {
+	s.lossesBorne.WithLabelValues().Set(float64(n))
+	s.silentVoters.Reset()
+	for voter, since := range silent {
+		s.silentVoters.WithLabelValues(voter).Set(since.Seconds())
+	}
+}
 
 // LossesUnknown removes what LossesBorne recorded, when this member no longer leads.
-func (s *ControlSet) LossesUnknown() { s.lossesBorne.Reset() }
+func (s *ControlSet) LossesUnknown() {
+	s.lossesBorne.Reset()
+	s.silentVoters.Reset()
+}
 
 // outcomeLabel returns the value of an outcome label.
 func outcomeLabel(err error) string {
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -73,7 +73,8 @@
 	s := NewControl()
 	failure := errors.New("no answer")
 	s.Member(4, true, 5, 17)
-	s.LossesBorne(2)
+	s.LossesBorne(3, map[string]time.Duration{"a#1": time.Second})
+	s.LossesBorne(2, map[string]time.Duration{"b#1": 4 * time.Second})
 	s.Proposed(2*time.Millisecond, nil)
 	s.Proposed(time.Second, failure)
 	s.Promoted("leaving", 400*time.Millisecond, nil)
@@ -86,6 +87,7 @@
 		`hemlockmast_control_leads 1`,
 		`hemlockmast_control_voters 5`,
 		`hemlockmast_control_losses_borne 2`,
+		`hemlockmast_control_voter_silent_seconds{voter="b#1"} 4`,
 		`hemlockmast_config_revision 17`,
 		`hemlockmast_control_proposal_seconds_count{outcome="done"} 1`,
 		`hemlockmast_control_proposal_seconds_count{outcome="failed"} 1`,
@@ -97,8 +99,10 @@
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), want)
 	}
+	assert.Assert(t, !strings.Contains(text, `voter="a#1"`))
 	s.Member(4, false, 5, 17)
 	s.LossesUnknown()
 	assert.Assert(t, strings.Contains(scrape(s), "hemlockmast_control_leads 0\n"))
 	assert.Assert(t, !strings.Contains(scrape(s), "hemlockmast_control_losses_borne"))
+	assert.Assert(t, !strings.Contains(scrape(s), "hemlockmast_control_voter_silent"))
 }
