--- a/internal/cli/fleet/fleet.go
+++ b/internal/cli/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -33,6 +34,10 @@
 	promotionsSeries    = "hemlockmast_promotions_total"
 	requestsSeries      = "hemlockmast_requests_total"
 	refusalsSeries      = "hemlockmast_refusals_total"
+	missingSeries       = "hemlockmast_acknowledged_commits_missing_total"
+	behindSeries        = "hemlockmast_primaries_behind_total"
+	unfinishedSeries    = "hemlockmast_attempts_unfinished"
+	openCallsSeries     = "hemlockmast_platform_calls_open"
 )
 
 // UnreachableError reports daemons that did not answer.
@@ -77,7 +82,7 @@
 	}
 	wait.Wait()
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tBEARS\tPROMOTIONS\tREQUESTS\tREFUSALS")
+	fmt.Fprintln(table, "ADDRESS\tROLE\tCONFIGURATION\tTERM\tVOTERS\tBEARS\tPROMOTIONS\tREQUESTS\tREFUSALS\tUNFINISHED\tOPEN CALLS\tMISSING")
 	var missing []string
 	for i, address := range addresses {
 		if daemons[i].err != nil {
@@ -127,8 +132,19 @@
 			role = "control, leads"
 		}
 	}
-	return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s", address, role, d.formatSum(configurationSeries), d.formatSum(termSeries),
-		d.formatSum(votersSeries), d.formatSum(lossesBorneSeries), d.formatSum(promotionsSeries), d.formatSum(requestsSeries), d.formatSum(refusalsSeries))
+	// Entries count missing commits, control daemons count primaries that lack a position.
+	missing := missingSeries
+	if role != "entry" {
+		missing = behindSeries
+	}
+	cells := []string{address, role}
+	for _, name := range []string{
+		configurationSeries, termSeries, votersSeries, lossesBorneSeries, promotionsSeries, requestsSeries, refusalsSeries,
+		unfinishedSeries, openCallsSeries, missing,
+	} {
+		cells = append(cells, d.formatSum(name))
+	}
+	return strings.Join(cells, "\t")
 }
 
 // writeSilentVoters writes a line for each control VM that the daemon, as the leader, does
--- a/internal/fleet/fleetctl/relief.go
+++ b/internal/fleet/fleetctl/relief.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -29,7 +30,13 @@
 	w.mu.Lock()
 	w.reliefCheckedAt[svc.service] = time.Now()
 	w.mu.Unlock()
-	id, ok := promotion.ReliefCandidate(w.replicaStates(ctx, svc))
+	states := w.replicaStates(ctx, svc)
+	if promotion.AnyPaused(states, promotion.NextTerm(states, svc.record.Term)) {
+		// A late order paused a replica, which therefore lags.
+		w.noteLeftPauses(svc.service, svc.attempt)
+		return true
+	}
+	id, ok := promotion.ReliefCandidate(states)
 	if !ok {
 		return true
 	}
@@ -39,13 +46,18 @@
 
 // replicaStates requests the status of the service's replicas.
 func (w *watcher) replicaStates(ctx context.Context, svc serviceState) []promotion.ReplicaState {
-	var list []promotion.ReplicaState
-	for _, e := range svc.others {
-		status, err := w.status(ctx, e)
-		list = append(list, promotion.ReplicaState{
-			ID: e.Id, Leaving: e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
-			Reached: err == nil, Status: status,
+	list := make([]promotion.ReplicaState, len(svc.others))
+	var wait sync.WaitGroup
+	for i, e := range svc.others {
+		wait.Go(func() {
+			status, err := w.status(ctx, e)
+			list[i] = promotion.ReplicaState{
+				ID: e.Id, Leaving: e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING,
+				Reached: err == nil, Status: status,
+				Dead: err != nil && promotion.ProvesDead(err) && w.isCovered(e),
+			}
 		})
 	}
+	wait.Wait()
 	return list
 }
--- /dev/null
+++ b/internal/fleet/fleetstate/attempts.go
@@ -0,0 +1,216 @@
+package fleetstate
+
+import (
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/shared/logpos"
+)
+
+// Attempt returns what is agreed on about attempts to replace a service's primary. The
+// caller must not modify it.
+func (m *Machine) Attempt(service string) *fleetpb.Attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.attempts[service]; a != nil {
+		return a
+	}
+	return &fleetpb.Attempt{Service: service}
+}
+
+// CountAttempts returns the number of services whose last attempt is unfinished, and the number
+// of calls that may still change a primary.
+func (m *Machine) CountAttempts() (unfinished, openCalls int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.attempts {
+		if a.Unfinished {
+			unfinished++
+		}
+		openCalls += len(OpenCalls(a, m.primaries[a.Service].GetEndpointId()))
+	}
+	return unfinished, openCalls
+}
+
+// copyAttempt returns a copy of a service's attempt for modification, or an empty one.
+// Attempts in the map are shared with readers and never modified.
+func (m *Machine) copyAttempt(service string) *fleetpb.Attempt {
+	if a := m.attempts[service]; a != nil {
+		return proto.CloneOf(a)
+	}
+	return &fleetpb.Attempt{Service: service}
+}
+
+func (m *Machine) sortedAttempts() []*fleetpb.Attempt {
+	list := make([]*fleetpb.Attempt, 0, len(m.attempts))
+	for _, a := range m.attempts {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *fleetpb.Attempt) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+// allocateToken begins an attempt. It returns a token of at least a.Least that was never
+// allocated for the service before, so that no two attempts use the same one, even if the
+// same holder requests them. The attempt is unfinished from now on, as its holder may send
+// an order without a further record.
+func (m *Machine) allocateToken(a *fleetpb.AllocateToken) uint64 {
+	p := m.copyPrimary(a.Service)
+	p.Token = max(p.Token+1, a.Least)
+	m.primaries[a.Service] = p
+	attempt := m.copyAttempt(a.Service)
+	attempt.Token, attempt.Holder = p.Token, a.Holder
+	attempt.WasUnfinished, attempt.Unfinished, attempt.Ended = attempt.Unfinished, true, false
+	m.attempts[a.Service] = attempt
+	return p.Token
+}
+
+// recordStepDown records that the primary will be ordered to step down, unless the attempt
+// has ended or a newer one has begun.
+func (m *Machine) recordStepDown(r *fleetpb.RecordStepDown) bool {
+	attempt := m.copyAttempt(r.Service)
+	if attempt.Token != r.Token || attempt.Ended {
+		return false
+	}
+	attempt.StepDownOrdered = true
+	m.attempts[r.Service] = attempt
+	return true
+}
+
+// recordCall records a call to the platform before it is made, unless the attempt has ended or
+// a newer one has begun.
+func (m *Machine) recordCall(r *fleetpb.RecordCall) bool {
+	attempt := m.copyAttempt(r.Service)
+	if attempt.Token != r.Token || attempt.Ended {
+		return false
+	}
+	attempt.Calls = append(attempt.Calls, &fleetpb.PromoteCall{Token: r.Token, EndpointId: r.EndpointId})
+	m.attempts[r.Service] = attempt
+	return true
+}
+
+// closeAttempt records how an attempt ended without a new primary, unless a newer one has
+// begun.
+func (m *Machine) closeAttempt(c *fleetpb.CloseAttempt) bool {
+	attempt := m.copyAttempt(c.Service)
+	if attempt.Token != c.Token {
+		return false
+	}
+	if c.CallRefused {
+		attempt.Calls = slices.DeleteFunc(attempt.Calls, func(call *fleetpb.PromoteCall) bool { return call.Token == c.Token })
+	}
+	attempt.Ended = true
+	mayBePaused := !c.NonePaused && (c.PausesLeft || attempt.WasUnfinished)
+	attempt.Unfinished = mayBePaused || len(OpenCalls(attempt, m.copyPrimary(c.Service).EndpointId)) > 0
+	m.attempts[c.Service] = attempt
+	return true
+}
+
+// setPrimary replaces the primary of a service if its record still has the expected number
+// and names another endpoint. It also ends the calls that the platform can no longer carry
+// out.
+func (m *Machine) setPrimary(s *fleetpb.SetPrimary) bool {
+	p := m.copyPrimary(s.Service)
+	if p.Number != s.IfNumber {
+		return false
+	}
+	isChanged := p.EndpointId != s.EndpointId
+	m.endAttempt(s, isChanged)
+	m.raiseFloor(s.Service, s.Floor)
+	p.EndpointId = s.EndpointId
+	if isChanged || s.Term > p.Term {
+		p.Inherited = s.Inherited
+	}
+	if isChanged {
+		p.Number++
+	}
+	p.Term = max(p.Term, s.Term)
+	m.primaries[s.Service] = p
+	return isChanged
+}
+
+// endAttempt ends the attempt of a service that has a new primary. Calls with a token below
+// that of the call that was carried out are over, and this call too unless an earlier one for
+// the same endpoint may have been carried out in its place. Without the token, it is at least
+// the lowest one of a call for the endpoint. The service needs another attempt if a call is
+// left, or unless no replica is known to be paused. A late record of the same primary leaves a
+// newer attempt as it is.
+func (m *Machine) endAttempt(s *fleetpb.SetPrimary, isChanged bool) {
+	attempt := m.copyAttempt(s.Service)
+	attempt.Calls = remainingCalls(attempt.Calls, s)
+	if isChanged || s.Token == attempt.Token {
+		attempt.StepDownOrdered, attempt.Ended = false, true
+	}
+	if s.Token == attempt.Token && !s.PausesLeft {
+		attempt.Unfinished = len(OpenCalls(attempt, s.EndpointId)) > 0
+	}
+	m.attempts[s.Service] = attempt
+}
+
+func remainingCalls(calls []*fleetpb.PromoteCall, s *fleetpb.SetPrimary) []*fleetpb.PromoteCall {
+	carriedOut, isAmbiguous := s.Token, false
+	for _, c := range calls {
+		if c.EndpointId != s.EndpointId {
+			continue
+		}
+		if carriedOut == 0 {
+			carriedOut = c.Token
+		}
+		isAmbiguous = isAmbiguous || c.Token < carriedOut
+	}
+	return slices.DeleteFunc(slices.Clone(calls), func(c *fleetpb.PromoteCall) bool {
+		return c.Token < carriedOut || c.Token == carriedOut && !isAmbiguous
+	})
+}
+
+// OpenCalls returns the calls of earlier attempts that may still change the primary. The
+// platform changes nothing for the present primary, so its calls before those for other
+// endpoints do not count, unless it may have been ordered to step down.
+func OpenCalls(a *fleetpb.Attempt, primary string) []*fleetpb.PromoteCall {
+	calls := a.Calls
+	for len(calls) > 0 && calls[0].EndpointId == primary && !a.StepDownOrdered {
+		calls = calls[1:]
+	}
+	return calls
+}
+
+// cover records that processes of endpoints held no acknowledged commit that another endpoint
+// of the service lacks, and up to which position this one holds the log.
+func (m *Machine) cover(c *fleetpb.Cover) {
+	for _, id := range c.EndpointIds {
+		m.covered[id] = max(m.covered[id], m.endpoints.Get(id).GetBornMs())
+	}
+	for id, bornMs := range c.EndedBornMs {
+		m.covered[id] = max(m.covered[id], bornMs)
+		m.endRestart(id, bornMs)
+	}
+	for id, bornMs := range c.RunningBornMs {
+		m.endRestart(id, bornMs)
+	}
+	m.raiseFloor(c.Service, c.Position)
+}
+
+// endRestart removes the mark of an endpoint that was started again, unless it has been started
+// once more after bornMs.
+func (m *Machine) endRestart(id string, bornMs int64) {
+	if m.restarted[id] <= bornMs {
+		delete(m.restarted, id)
+	}
+}
+
+// raiseFloor raises the position that the log of every later primary must reach.
+func (m *Machine) raiseFloor(service string, pos *fleetpb.LogPosition) {
+	attempt := m.copyAttempt(service)
+	if Position(attempt.Floor).Less(Position(pos)) {
+		attempt.Floor = pos
+		m.attempts[service] = attempt
+	}
+}
+
+// Position returns p as a position, or the empty one for nil.
+func Position(p *fleetpb.LogPosition) logpos.Pos {
+	return logpos.Pos{Term: p.GetTerm(), Index: p.GetIndex()}
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -29,8 +29,14 @@
 	// endpoints are part of the replicated state so that they survive a restart of all
 	// control daemons and entries need not wait for the next announcements.
 	endpoints *registry.Table
-	// covered holds the ids of ended endpoints that no promotion needs any more.
-	covered map[string]bool
+	// covered holds, by endpoint id, the start of the last process of the endpoint that ended
+	// and whose log no promotion needs, in Unix milliseconds.
+	covered map[string]int64
+	// restarted holds, by endpoint id, the start of a process before which others of the
+	// endpoint ended that are not covered. It may have started without their log.
+	restarted map[string]int64
+	// attempts holds, by service, what is agreed on about attempts to replace its primary.
+	attempts map[string]*fleetpb.Attempt
 }
 
 // New returns a machine with an empty state. onChange is called after each applied command
@@ -41,7 +47,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
-		covered: make(map[string]bool),
+		covered: make(map[string]int64), restarted: make(map[string]int64), attempts: make(map[string]*fleetpb.Attempt),
 	}
 }
 
@@ -98,21 +104,31 @@
 	case *fleetpb.Command_SetPrimary:
 		result.Taken = m.setPrimary(kind.SetPrimary)
 	case *fleetpb.Command_Announce:
-		result.Taken = len(m.endpoints.Merge(kind.Announce)) > 0
-		if kind.Announce.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			// The endpoint may have started again with the same id.
-			delete(m.covered, kind.Announce.Id)
-		}
+		result.Taken = m.announce(kind.Announce)
 	case *fleetpb.Command_Cover:
-		for _, id := range kind.Cover.EndpointIds {
-			m.covered[id] = true
-		}
+		m.cover(kind.Cover)
 		result.Taken = true
+	case *fleetpb.Command_RecordStepDown:
+		result.Taken = m.recordStepDown(kind.RecordStepDown)
+	case *fleetpb.Command_RecordCall:
+		result.Taken = m.recordCall(kind.RecordCall)
+	case *fleetpb.Command_CloseAttempt:
+		result.Taken = m.closeAttempt(kind.CloseAttempt)
 	}
 	result.Version = m.config.GetConfiguration().GetVersion()
 	return result
 }
 
+// announce records an endpoint.
+func (m *Machine) announce(e *fleetpb.Endpoint) bool {
+	held := m.endpoints.Get(e.Id)
+	isTaken := len(m.endpoints.Merge(e)) > 0
+	if held != nil && held.BornMs < e.BornMs && m.covered[e.Id] < held.BornMs {
+		m.restarted[e.Id] = e.BornMs
+	}
+	return isTaken
+}
+
 // putConfiguration replaces the configuration if the version is higher than the current
 // one. Otherwise it changes nothing, even if the content differs.
 func (m *Machine) putConfiguration(put *fleetpb.PutConfiguration) bool {
@@ -123,29 +139,6 @@
 	return true
 }
 
-// allocateToken returns a token of at least a.Least that was never allocated for the service
-// before, so that no two promotions of the service use the same one, even if the same holder
-// requests them.
-func (m *Machine) allocateToken(a *fleetpb.AllocateToken) uint64 {
-	p := m.copyPrimary(a.Service)
-	p.Token = max(p.Token+1, a.Least)
-	m.primaries[a.Service] = p
-	return p.Token
-}
-
-// setPrimary replaces the primary of a service if its record still has the expected number
-// and names another endpoint.
-func (m *Machine) setPrimary(s *fleetpb.SetPrimary) bool {
-	p := m.copyPrimary(s.Service)
-	if p.Number != s.IfNumber || p.EndpointId == s.EndpointId {
-		return false
-	}
-	p.EndpointId = s.EndpointId
-	p.Number++
-	m.primaries[s.Service] = p
-	return true
-}
-
 // copyPrimary returns a copy of a service's primary record for modification, or an empty
 // record if the service has none. Records in the map are shared with readers and never
 // modified.
@@ -160,8 +153,9 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
-		Covered: slices.Sorted(maps.Keys(m.covered))})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
+		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts(),
+		CoveredBornMs: m.covered, RestartedBornMs: m.restarted})
 }
 
 // Restore implements control.StateMachine.
@@ -180,9 +174,17 @@
 	for _, e := range state.Endpoints {
 		m.endpoints.Merge(e)
 	}
-	m.covered = make(map[string]bool)
+	m.covered = make(map[string]int64)
 	for _, id := range state.Covered {
-		m.covered[id] = true
+		// Earlier versions recorded only the id, of an endpoint that had ended.
+		m.covered[id] = m.endpoints.Get(id).GetBornMs()
+	}
+	maps.Copy(m.covered, state.CoveredBornMs)
+	m.restarted = make(map[string]int64)
+	maps.Copy(m.restarted, state.RestartedBornMs)
+	m.attempts = make(map[string]*fleetpb.Attempt)
+	for _, a := range state.Attempts {
+		m.attempts[a.Service] = a
 	}
 	m.mu.Unlock()
 	m.onChange()
@@ -212,12 +214,24 @@
 	return m.endpoints.All()
 }
 
-// IsCovered reports whether an endpoint is covered: it has ended and no promotion needs its
-// log.
-func (m *Machine) IsCovered(id string) bool {
+// IsCovered reports whether the process of an endpoint that started at bornMs, in Unix
+// milliseconds, is covered: it has ended and no promotion needs its log.
+func (m *Machine) IsCovered(id string, bornMs int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	covered, ok := m.covered[id]
+	return ok && covered >= bornMs
+}
+
+// IsRestarted reports whether an endpoint whose process started at bornMs, in Unix
+// milliseconds, had a process before that is not covered.
+func (m *Machine) IsRestarted(id string, bornMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.covered[id]
+	held := m.endpoints.Get(id)
+	isUnrecorded := held != nil && held.BornMs < bornMs && m.covered[id] < held.BornMs
+	_, isRecorded := m.restarted[id]
+	return isRecorded || isUnrecorded
 }
 
 // Primary returns a copy of a service's primary record, or an empty record if the service
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -1,6 +1,10 @@
 package promotion
 
-import "fmt"
+import (
+	"fmt"
+
+	"hemlockmast/internal/shared/logpos"
+)
 
 // OutcomeUnknownError reports a promotion that may have been carried out or may still be
 // carried out later.
@@ -57,7 +61,12 @@
 
 // OtherPrimaryError reports an outdated plan: another endpoint of the service is the
 // primary by now.
-type OtherPrimaryError struct{ Endpoint string }
+type OtherPrimaryError struct {
+	Endpoint string
+	// Term is the term in which it leads, Position the end of its log.
+	Term     uint64
+	Position logpos.Pos
+}
 
 func (e *OtherPrimaryError) Error() string {
 	return fmt.Sprintf("endpoint %s is already the primary of the service", e.Endpoint)
@@ -70,3 +79,39 @@
 func (e *NotPrimaryError) Error() string {
 	return fmt.Sprintf("endpoint %s is not the primary and cannot step down", e.Endpoint)
 }
+
+// BelowFloorError reports that the most up-to-date log that can be promoted lacks commits
+// which may have been acknowledged.
+type BelowFloorError struct {
+	Endpoint        string
+	Position, Floor logpos.Pos
+}
+
+func (e *BelowFloorError) Error() string {
+	return fmt.Sprintf("the log of endpoint %s ends at %s, before %s, up to which commits may have been acknowledged",
+		e.Endpoint, e.Position, e.Floor)
+}
+
+// ThrottledError reports that the platform refused a call because of too many calls.
+type ThrottledError struct{}
+
+func (*ThrottledError) Error() string { return "the platform refuses calls because there are too many" }
+
+// SupersededError reports that an attempt must not go on: a newer attempt has begun, or the
+// service has another primary.
+type SupersededError struct {
+	Service string
+	Token   uint64
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("the attempt for service %s with token %d is superseded", e.Service, e.Token)
+}
+
+// UnknownEndpointError reports that an attempt must not go on because its plan lacks an
+// endpoint of the service, which may have received acknowledged commits.
+type UnknownEndpointError struct{ Endpoint string }
+
+func (e *UnknownEndpointError) Error() string {
+	return fmt.Sprintf("endpoint %s announced itself after the attempt had begun", e.Endpoint)
+}
