promotion: open calls of silent endpoints are fenced; a holder that was paused does not call

Change: a call for the present primary fences the open one, with all other replicas paused; the replicas are looked at before each call, not more than 0.7 s before; 32 checks at once.

--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -43,7 +43,7 @@
 func (w *watcher) tryMarkChecking(service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.checking[service] || time.Now().Before(w.checkAt[service]) {
+	if w.checking[service] || len(w.checking) >= maxChecks || time.Now().Before(w.checkAt[service]) {
 		return false
 	}
 	w.checking[service] = true
@@ -53,7 +53,7 @@
 func (w *watcher) endCheck(service string, interval time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.checking[service] = false
+	delete(w.checking, service)
 	w.checkAt[service] = time.Now().Add(interval)
 }
 
@@ -84,11 +84,6 @@
 		w.record(svc, &fleetpb.SetPrimary{EndpointId: svc.primary.Id, Term: status.Term, IfToken: svc.attempt.Token})
 		return
 	}
-	if status.Term > svc.record.Term && svc.record.Term != 0 {
-		// A call for the primary was carried out late, after it had stepped down.
-		w.record(svc, &fleetpb.SetPrimary{EndpointId: svc.primary.Id, Term: status.Term, IfToken: svc.attempt.Token})
-		return
-	}
 	openCalls := fleetstate.OpenCalls(svc.attempt, svc.primary.Id)
 	if len(openCalls) > 0 || promotion.AnyPaused(states, status.Term+1) {
 		w.noteLeftPauses(svc.attempt)
@@ -172,6 +167,7 @@
 			})
 			if err != nil {
 				w.log.Info("silent endpoint not reported", "endpoint", id, "error", err.Error())
+				w.forgetSilenceReport(id)
 			}
 		}()
 	}
@@ -184,7 +180,11 @@
 	defer w.mu.Unlock()
 	var silent []string
 	for id, lastSeen := range w.lastSeenAt {
-		if now.Sub(lastSeen) > w.maxSilence() && !w.silenceReported[id].Equal(lastSeen) {
+		maxSilence := w.maxSilence()
+		if e := w.node.hub.Endpoint(id); e != nil && e.Primary {
+			maxSilence = maxMissedHeartbeats * w.node.cfg.Heartbeat
+		}
+		if now.Sub(lastSeen) > maxSilence && !w.silenceReported[id].Equal(lastSeen) {
 			silent = append(silent, id)
 			w.silenceReported[id] = lastSeen
 		}
@@ -192,6 +192,13 @@
 	return silent
 }
 
+// forgetSilenceReport makes this daemon report an endpoint's silence again.
+func (w *watcher) forgetSilenceReport(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.silenceReported, id)
+}
+
 // forgetAnswers makes this daemon probe the endpoints again that it has not heard of itself.
 // It is called when a control daemon no longer answers, as endpoints may have ended with it.
 func (w *watcher) forgetAnswers() {
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -47,6 +47,8 @@
 	// checkInterval is the time between two checks of a service with replicas that do not run
 	// or may be paused.
 	checkInterval = 300 * time.Millisecond
+	// maxChecks limits the checks in progress, of all services.
+	maxChecks = 32
 	// pauseCheckInterval is the same where replicas may only be paused.
 	pauseCheckInterval = time.Second
 	// maxAnswerAge is how long an answer to a probe counts for an endpoint that announces
@@ -73,7 +75,8 @@
 	log    logr.Logger
 	runner *promotion.Runner
 
-	// mu guards the fields below; nothing else is locked under it.
+	// mu guards the fields below. The locks of the node's state machine and hub may be taken
+	// while it is held.
 	mu sync.Mutex
 	// lastSeenAt holds, by endpoint id, when the endpoint last announced itself to this
 	// daemon or answered a probe.
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	isChanged := p.EndpointId != s.EndpointId
-	m.endAttempt(s, isChanged || s.IfToken != 0)
+	m.endAttempt(s, isChanged)
 	m.raiseFloor(s.Service, s.Floor)
 	p.EndpointId = s.EndpointId
 	if isChanged || s.Term > p.Term {
@@ -136,12 +136,12 @@
 // that of the call that was carried out are over, and this call too unless an earlier one for
 // the same endpoint may have been carried out in its place. Without the token, it is at least
 // the lowest one of a call for the endpoint. The service needs another attempt if a call is
-// left, or unless no replica is known to be paused. isNew means that the record is newer than
-// the last attempt; a late record of the same primary leaves a newer attempt as it is.
-func (m *Machine) endAttempt(s *fleetpb.SetPrimary, isNew bool) {
+// left, or unless no replica is known to be paused. A late record of the same
+// primary leaves a newer attempt as it is.
+func (m *Machine) endAttempt(s *fleetpb.SetPrimary, isChanged bool) {
 	attempt := m.copyAttempt(s.Service)
 	attempt.Calls = remainingCalls(attempt.Calls, s)
-	if isNew || s.Token == attempt.Token {
+	if isChanged || s.Token == attempt.Token {
 		attempt.StepDownOrdered, attempt.Ended = false, true
 	}
 	if s.Token == attempt.Token && !s.PausesLeft {
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -199,3 +199,17 @@
 	announce(2, fleetpb.EndpointState_ENDPOINT_STATE_GONE)
 	assert.Assert(t, !m.IsCovered("a", 2), "the process with start 2 may have held the only copy of a commit")
 }
+
+// The holder of attempt 2 has recorded its order to step down and is frozen before it sends it.
+func TestRecordOfALaterTermKeepsAnOrderToStepDownThatMayBeLate(t *testing.T) {
+	m := New(nil)
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "p", Term: 1})
+	assert.Assert(t, m.recordCallFor(t, m.begin(t), "p"))
+	second := m.begin(t)
+	assert.Assert(t, m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_RecordStepDown{
+		RecordStepDown: &fleetpb.RecordStepDown{Service: "s", Token: second},
+	}}).Taken)
+	assert.Assert(t, m.recordCallFor(t, second, "p"))
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "p", Term: 2, IfToken: second})
+	assert.Assert(t, len(OpenCalls(m.Attempt("s"), "p")) == 1, "the call of attempt 2 may make p lead again after the late order")
+}
--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hemlockmast/internal/shared/boottime"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/metrics"
 	"hemlockmast/internal/shared/stmt"
@@ -17,6 +18,9 @@
 	promoteCallTimeout = 1500 * time.Millisecond
 	// maxPromoteCalls limits the calls to the platform of one attempt.
 	maxPromoteCalls = 3
+	// maxConfirmationAge bounds the time between the last look at the replicas and a call. A
+	// daemon that was paused in between does not call.
+	maxConfirmationAge = commandTimeout + 200*time.Millisecond
 	// throttledDelay is the delay before a call is repeated that was refused because of too
 	// many calls.
 	throttledDelay = 100 * time.Millisecond
@@ -29,13 +33,14 @@
 	Promote(ctx context.Context, service, endpointID string, token uint64) error
 }
 
-// callPromoter asks the platform to promote an endpoint, again if the call is throttled. An
-// unanswered call is not repeated with its token, since the platform could then carry out
-// both, one of them late: the next attempt's token fences it.
-func (a *attempt) callPromoter(ctx context.Context, id string) error {
+// callPromoter asks the platform to promote the candidate, again if the call is throttled. It
+// looks at the replicas right before each call. An unanswered call is not repeated with its
+// token, since the platform could then carry out both, one of them late: the next attempt's
+// token fences it.
+func (a *attempt) callPromoter(ctx context.Context, candidate ReplicaState) error {
 	var err error
 	for range maxPromoteCalls {
-		err = a.callOnce(ctx, id)
+		err = a.confirmAndCall(ctx, candidate)
 		var throttled *ThrottledError
 		if !errors.As(err, &throttled) {
 			break
@@ -47,6 +52,19 @@
 	return err
 }
 
+// confirmAndCall makes one call if the replicas are still as the choice of the candidate found
+// them. Errors: *UnsafeError and *DelayedError, if no call was made, and those of Promoter.
+func (a *attempt) confirmAndCall(ctx context.Context, candidate ReplicaState) error {
+	asked := boottime.Now()
+	if err := a.confirmReplicas(ctx, candidate); err != nil {
+		return err
+	}
+	if age := boottime.Now() - asked; age > maxConfirmationAge {
+		return &DelayedError{Age: age}
+	}
+	return a.callOnce(ctx, candidate.ID)
+}
+
 // callOnce makes one call unless the context has ended.
 func (a *attempt) callOnce(ctx context.Context, id string) error {
 	if err := ctx.Err(); err != nil {
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"hemlockmast/internal/shared/logpos"
 )
@@ -115,3 +116,11 @@
 func (e *UnknownEndpointError) Error() string {
 	return fmt.Sprintf("endpoint %s joined or started again after the attempt had begun", e.Endpoint)
 }
+
+// DelayedError reports that no call was made because too much time had passed since the
+// replicas were looked at.
+type DelayedError struct{ Age time.Duration }
+
+func (e *DelayedError) Error() string {
+	return fmt.Sprintf("the replicas were last looked at %s before the call", e.Age)
+}
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -124,7 +124,8 @@
 func (a *attempt) confirmReplicas(ctx context.Context, candidate ReplicaState) error {
 	changed := make([]bool, len(a.replicas))
 	a.forEachReplica(func(i int, r Replica) {
-		changed[i] = (r.ID == candidate.ID || a.pauseTerm > 0) && !a.isUnchanged(ctx, i, candidate)
+		isNeeded := r.ID == candidate.ID || a.pauseTerm > 0 && r.ID != a.unpaused
+		changed[i] = isNeeded && !a.isUnchanged(ctx, i, candidate)
 	})
 	e := &UnsafeError{Service: a.plan.Service}
 	if a.primaryConn != nil && !a.isUnpromoted(a.primaryConn, a.plan.Primary.ID, a.finalPosition) {
--- a/internal/fleet/promotion/pauses_test.go
+++ b/internal/fleet/promotion/pauses_test.go
@@ -1,12 +1,17 @@
 package promotion_test
 
 import (
+	"context"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform/standin"
 )
 
@@ -47,3 +52,75 @@
 	assert.Assert(t, result.Primary != "")
 	f.assertNothingLost()
 }
+
+// frozenDialer dials connections to one endpoint whose holder is frozen after the answer to the
+// second status request, the one before the call.
+type frozenDialer struct {
+	stmt.Dialer
+	id      string
+	freeze  func()
+	answers *atomic.Int32
+}
+
+func (d frozenDialer) Dial(ctx context.Context, e stmt.Endpoint) (stmt.Conn, error) {
+	conn, err := d.Dialer.Dial(ctx, e)
+	if err == nil && e.ID == d.id {
+		return frozenConn{conn, d}, nil
+	}
+	return conn, err
+}
+
+type frozenConn struct {
+	stmt.Conn
+	dialer frozenDialer
+}
+
+func (c frozenConn) Status(deadline time.Time) (stmt.Status, error) {
+	status, err := c.Conn.Status(deadline)
+	if c.dialer.answers.Add(1) == 2 {
+		c.dialer.freeze()
+	}
+	return status, err
+}
+
+// The pause of svc-2 ends during the freeze, as if it had started again, and the primary, which
+// control does not reach, acknowledges through it.
+func TestHolderThatWasFrozenBeforeItsCallDoesNotCall(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	dialer := f.runner.Dialer
+	f.runner.Dialer = frozenDialer{cutDialer{dialer, "", "svc-0"}, "svc-1", func() {
+		time.Sleep(3 * time.Second)
+		conn, err := dialer.Dial(t.Context(), f.endpoint(2))
+		assert.Check(t, err == nil)
+		defer conn.Close()
+		_, err = conn.Do(time.Now().Add(time.Second), "RESUME", "-", logpos.Pos{})
+		assert.Check(t, err == nil)
+		assert.Check(t, f.write(0, "b"))
+	}, new(atomic.Int32)}
+	_, err := f.runner.Run(t.Context(), f.plan(1, false))
+	t.Log(err)
+	f.assertNothingLost()
+}
+
+func TestOpenCallOfASilentEndpointIsFencedByTheServingPrimary(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	plan := f.plan(2, true)
+	plan.OpenCalls = []promotion.Call{{Token: 1, EndpointID: "svc-2"}}
+	result, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Primary, "svc-0")
+	assert.Assert(t, result.PausesLeft)
+	assert.Equal(t, f.group.Promote("svc-2", 1), 409, "the open call is refused from now on")
+	result, err = f.runner.Run(t.Context(), f.plan(3, true))
+	assert.NilError(t, err)
+	f.assertNothingLost()
+	assert.Assert(t, f.write(f.index(result.Primary), "b"))
+}
+
+// index returns the index of the node with the given id.
+func (f *fixture) index(id string) int {
+	return slices.IndexFunc(f.group.Nodes(), func(n *standin.Node) bool { return n.ID == id })
+}
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -135,6 +135,9 @@
 
 	conns    []stmt.Conn
 	replicas []ReplicaState
+	// unpaused is the replica that need not be paused because only the primary receives from
+	// it; see fencingCandidate.
+	unpaused string
 	// primaryConn is the connection to the plan's primary on which it stepped down, or nil.
 	// finalPosition is the end of its log then.
 	primaryConn   stmt.Conn
@@ -189,9 +192,6 @@
 	}
 	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
 	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, a.accounted())
-	if err == nil {
-		err = a.confirmReplicas(ctx, candidate)
-	}
 	if err != nil {
 		a.result.CallRefused = true
 		return err
@@ -199,7 +199,7 @@
 	a.result.Promoted, a.result.Highest = candidate.position(), a.highestPosition(candidate)
 	a.log.Info("promotion called", "endpoint", candidate.ID, "position", candidate.Status.Received.String(),
 		"highest", a.result.Highest.String(), "pauseTerm", a.pauseTerm)
-	if err := a.callPromoter(ctx, candidate.ID); err != nil {
+	if err := a.callPromoter(ctx, candidate); err != nil {
 		return err
 	}
 	return a.awaitTakeover(ctx, candidate.ID)
@@ -231,6 +231,8 @@
 	switch {
 	case a.plan.PrimaryServes && !ok && len(a.plan.OpenCalls) == 0 && !AnyPaused(a.replicas, a.nextTerm()):
 		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
+	case !AllAnswer(a.replicas) && a.hasOpenCallForReplica():
+		return a.fencingCandidate(ctx)
 	case !AllAnswer(a.replicas):
 		return a.candidateAfterStepDown(ctx)
 	case a.plan.PrimaryServes && ok:
@@ -239,6 +241,26 @@
 	return a.pauseAll(ctx)
 }
 
+// fencingCandidate returns the primary as a candidate while it leads: the platform changes
+// nothing for it and refuses the open calls from then on. It is used if the endpoint of the
+// open call does not answer. The other replicas are paused first, so that this endpoint, if
+// it is promoted before the call, acknowledges only what the primary receives. Errors:
+// *UnsafeError.
+func (a *attempt) fencingCandidate(ctx context.Context) (ReplicaState, error) {
+	a.unpaused = a.plan.OpenCalls[len(a.plan.OpenCalls)-1].EndpointID
+	if !a.pauseReplicas(a.plan.Primary.ID, a.unpaused) {
+		return ReplicaState{}, a.unsafeError()
+	}
+	conn, status, err := a.connectPrimary(ctx)
+	if err != nil || status.Role != stmt.Primary {
+		a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
+		return ReplicaState{}, a.unsafeError()
+	}
+	conn.Close()
+	a.log.Info("open calls are fenced", "endpoint", a.plan.Primary.ID, "openCalls", a.plan.OpenCalls)
+	return a.primaryState(status), nil
+}
+
 // pauseOthers pauses all replicas but the successor while the primary serves, and waits until
 // the successor holds what the others hold. If it does not in time, all replicas are paused:
 // the primary could acknowledge nothing, as the successor does not receive.
