promotion: an open call is fenced also after a step-down, and sets no floor

Change: the primary is the candidate also if its step-down is recorded and no replica is ahead of it after the pauses; only a single called replica may stay unpaused; no floor for the plan's primary; its role and log are compared before the call; an order that it ignored is an error. Result: TestOpenCallOfASilentEndpointIsFencedAfterAStepDown and the tests of promotion, fleetstate and fleetctl pass.

--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -130,6 +130,18 @@
 	return -1
 }
 
+// CalledReplicas returns the ids of the endpoints other than the primary for which calls are
+// open, each once.
+func CalledReplicas(open []Call, primary string) []string {
+	var called []string
+	for _, c := range open {
+		if c.EndpointID != primary && !slices.Contains(called, c.EndpointID) {
+			called = append(called, c.EndpointID)
+		}
+	}
+	return called
+}
+
 // Successor returns the replica to promote while the primary still serves, the only one that
 // will not be paused: the endpoint of the last open call, else the preferred one, else the
 // most up-to-date one that is not leaving. next is that of NextTerm. ok is false if there is
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -124,3 +124,10 @@
 func (e *DelayedError) Error() string {
 	return fmt.Sprintf("the replicas were last looked at %s before the call", e.Age)
 }
+
+// StillPrimaryError reports that an endpoint answered the order to step down and still leads.
+type StillPrimaryError struct{ Endpoint string }
+
+func (e *StillPrimaryError) Error() string {
+	return fmt.Sprintf("endpoint %s was ordered to step down and still leads", e.Endpoint)
+}
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -128,7 +127,7 @@
 		changed[i] = isNeeded && !a.isUnchanged(ctx, i, candidate)
 	})
 	e := &UnsafeError{Service: a.plan.Service}
-	if a.primaryConn != nil && !a.isUnpromoted(a.primaryConn, a.plan.Primary.ID, a.finalPosition) {
+	if a.primaryConn != nil && !a.isSame(a.primaryConn, a.plan.Primary.ID, a.primaryStatus) {
 		e.NotPaused = append(e.NotPaused, a.plan.Primary.ID)
 	}
 	for i, s := range a.replicas {
@@ -156,7 +155,7 @@
 		return err != nil && ProvesDead(err)
 	}
 	if a.replicas[i].ID == candidate.ID {
-		return a.isUnpromoted(a.conns[i], candidate.ID, candidate.position())
+		return a.isSame(a.conns[i], candidate.ID, candidate.Status)
 	}
 	status, err := a.conns[i].Status(time.Now().Add(commandTimeout))
 	if err == nil && status.PausedTerm >= a.pauseTerm || isBusy(err) {
@@ -166,11 +165,11 @@
 	return false
 }
 
-// isUnpromoted reports whether an endpoint still holds its log up to pos and does not lead. A
-// connection that was opened before ends if the endpoint starts again.
-func (a *attempt) isUnpromoted(conn stmt.Conn, id string, pos logpos.Pos) bool {
+// isSame reports whether an endpoint still has the role of an earlier status and holds its log.
+// A connection that was opened before ends if the endpoint starts again.
+func (a *attempt) isSame(conn stmt.Conn, id string, earlier stmt.Status) bool {
 	status, err := conn.Status(time.Now().Add(commandTimeout))
-	if err == nil && status.Role != stmt.Primary && !status.Received.Less(pos) || isBusy(err) {
+	if err == nil && status.Role == earlier.Role && !status.Received.Less(earlier.Received) || isBusy(err) {
 		return true
 	}
 	a.logAnswer(id, orderStatus, status, err)
--- a/internal/fleet/promotion/pauses_test.go
+++ b/internal/fleet/promotion/pauses_test.go
@@ -124,3 +124,27 @@
 func (f *fixture) index(id string) int {
 	return slices.IndexFunc(f.group.Nodes(), func(n *standin.Node) bool { return n.ID == id })
 }
+
+func TestOpenCallOfASilentEndpointIsFencedAfterAStepDown(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	assert.Equal(t, f.group.Promote("svc-0", 1), 200)
+	f.stepDown(0)
+	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
+	plan := f.plan(3, false)
+	plan.StepDownOrdered = true
+	plan.OpenCalls = []promotion.Call{{Token: 2, EndpointID: "svc-2"}}
+	result, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, result.Primary, "svc-0")
+	assert.Assert(t, result.Promoted.IsZero(), "no floor from commits that no replica may receive")
+	f.assertNothingLost()
+}
+
+func (f *fixture) stepDown(i int) {
+	conn, err := f.runner.Dialer.Dial(f.t.Context(), f.endpoint(i))
+	assert.NilError(f.t, err)
+	defer conn.Close()
+	_, err = conn.StepDown(time.Now().Add(time.Second), 9)
+	assert.NilError(f.t, err)
+}
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -82,7 +82,8 @@
 	// Primary is the id of the new primary; empty after an error.
 	Primary string
 	// Term is the new primary's term, Promoted a position that its log had reached when it
-	// was promoted, Inherited the end of its log when it first reported that it leads, and
+	// was promoted; empty for the plan's primary, whose log may hold commits that were never
+	// acknowledged and that no replica receives. Inherited the end of its log when it first reported that it leads, and
 	// Highest the highest position that an endpoint reported before.
 	Term                         uint64
 	Promoted, Inherited, Highest logpos.Pos
@@ -138,10 +139,10 @@
 	// unpaused is the replica that need not be paused because only the primary receives from
 	// it; see fencingCandidate.
 	unpaused string
-	// primaryConn is the connection to the plan's primary on which it stepped down, or nil.
-	// finalPosition is the end of its log then.
+	// primaryConn is the connection to the plan's primary on which it answered or stepped
+	// down, or nil; primaryStatus is its status then.
 	primaryConn   stmt.Conn
-	finalPosition logpos.Pos
+	primaryStatus stmt.Status
 	// pauseTerm is the lowest term of the pauses that the attempt counts on; 0 if it counts
 	// on none.
 	pauseTerm uint64
@@ -196,7 +197,10 @@
 		a.result.CallRefused = true
 		return err
 	}
-	a.result.Promoted, a.result.Highest = candidate.position(), a.highestPosition(candidate)
+	a.result.Highest = a.highestPosition(candidate)
+	if candidate.ID != a.plan.Primary.ID {
+		a.result.Promoted = candidate.position()
+	}
 	a.log.Info("promotion called", "endpoint", candidate.ID, "position", candidate.Status.Received.String(),
 		"highest", a.result.Highest.String(), "pauseTerm", a.pauseTerm)
 	if err := a.callPromoter(ctx, candidate); err != nil {
@@ -231,33 +235,36 @@
 	switch {
 	case a.plan.PrimaryServes && !ok && len(a.plan.OpenCalls) == 0 && !AnyPaused(a.replicas, a.nextTerm()):
 		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
-	case !AllAnswer(a.replicas) && a.hasOpenCallForReplica():
-		return a.fencingCandidate(ctx)
 	case !AllAnswer(a.replicas):
-		return a.candidateAfterStepDown(ctx)
+		return a.candidateWithoutPauses(ctx)
 	case a.plan.PrimaryServes && ok:
 		return a.pauseOthers(ctx, successor.ID)
 	}
 	return a.pauseAll(ctx)
 }
 
-// fencingCandidate returns the primary as a candidate while it leads: the platform changes
-// nothing for it and refuses the open calls from then on. It is used if the endpoint of the
-// open call does not answer. The other replicas are paused first, so that this endpoint, if
-// it is promoted before the call, acknowledges only what the primary receives. Errors:
-// *UnsafeError.
+// fencingCandidate returns the primary as the candidate, because the endpoint of an open call
+// does not answer: the platform changes nothing for a primary that leads, and refuses the open
+// calls from then on. The other replicas are paused first, so that this endpoint, if it is
+// promoted before the call, acknowledges only what the primary receives. Errors: *UnsafeError.
 func (a *attempt) fencingCandidate(ctx context.Context) (ReplicaState, error) {
-	a.unpaused = a.plan.OpenCalls[len(a.plan.OpenCalls)-1].EndpointID
+	if called := CalledReplicas(a.plan.OpenCalls, a.plan.Primary.ID); len(called) == 1 {
+		a.unpaused = called[0]
+	}
 	if !a.pauseReplicas(a.plan.Primary.ID, a.unpaused) {
 		return ReplicaState{}, a.unsafeError()
 	}
+	a.pollReplicas()
 	conn, status, err := a.connectPrimary(ctx)
-	if err != nil || status.Role != stmt.Primary {
-		a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
+	a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
+	if err != nil {
+		return ReplicaState{}, a.unsafeError()
+	}
+	a.primaryConn, a.primaryStatus = conn, status
+	hasSteppedDown := a.isStepDownOrdered && !a.plan.PrimaryRestarted
+	if status.Role != stmt.Primary && !hasSteppedDown || !HasAll(status, a.replicas) {
 		return ReplicaState{}, a.unsafeError()
 	}
-	conn.Close()
-	a.log.Info("open calls are fenced", "endpoint", a.plan.Primary.ID, "openCalls", a.plan.OpenCalls)
 	return a.primaryState(status), nil
 }
 
@@ -266,7 +273,7 @@
 // the primary could acknowledge nothing, as the successor does not receive.
 func (a *attempt) pauseOthers(ctx context.Context, successor string) (ReplicaState, error) {
 	if !a.pauseReplicas(successor, successor) {
-		return a.candidateAfterStepDown(ctx)
+		return a.candidateWithoutPauses(ctx)
 	}
 	candidate, err := a.awaitCaughtUp(ctx, successor)
 	var behind *NotCaughtUpError
@@ -285,7 +292,7 @@
 	}
 	for {
 		if !a.pauseReplicas(expected.ID, "") {
-			return a.candidateAfterStepDown(ctx)
+			return a.candidateWithoutPauses(ctx)
 		}
 		latest, ok := MostUpToDate(a.replicas, a.plan.OpenCalls)
 		if !ok {
@@ -323,6 +330,15 @@
 	}
 }
 
+// candidateWithoutPauses chooses a candidate although some replica cannot be paused. Errors:
+// those of fencingCandidate and candidateAfterStepDown.
+func (a *attempt) candidateWithoutPauses(ctx context.Context) (ReplicaState, error) {
+	if len(CalledReplicas(a.plan.OpenCalls, a.plan.Primary.ID)) > 0 {
+		return a.fencingCandidate(ctx)
+	}
+	return a.candidateAfterStepDown(ctx)
+}
+
 // candidateAfterStepDown makes the primary step down because some replica cannot be
 // paused. After that, only what the primary's log holds can be acknowledged, so a replica
 // that has received all of it is a safe candidate. If none has in time, the primary itself
@@ -364,22 +380,24 @@
 			return a.primaryState(final), nil
 		}
 		time.Sleep(statusPollInterval)
-		a.forEachReplica(func(i int, _ Replica) {
-			if a.replicas[i].Reached {
-				a.runCommand(i, orderPoll, a.conns[i].Status)
-			}
-		})
+		a.pollReplicas()
 	}
 }
 
+// pollReplicas requests the status of the replicas that answer.
+func (a *attempt) pollReplicas() {
+	a.forEachReplica(func(i int, _ Replica) {
+		if a.replicas[i].Reached {
+			a.runCommand(i, orderPoll, a.conns[i].Status)
+		}
+	})
+}
+
 // stepDown makes the plan's primary step down and returns its final status, which holds
 // every acknowledged commit. It also accepts a replica that was ordered to step down before
 // and has not been started again. In both cases no other endpoint can have been promoted, as
 // no call for one is open. Errors: *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
-	if a.hasOpenCallForReplica() {
-		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
-	}
 	conn, status, err := a.connectPrimary(ctx)
 	if err != nil {
 		return stmt.Status{}, err
@@ -393,7 +411,7 @@
 	if err == nil && !(isComplete && HasAll(status, a.replicas)) {
 		err = &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
-	a.finalPosition = status.Received
+	a.primaryStatus = status
 	return status, err
 }
 
@@ -405,13 +423,12 @@
 	a.isStepDownOrdered, a.result.PausesLeft = true, true
 	status, err := conn.StepDown(time.Now().Add(commandTimeout), term)
 	a.logAnswer(a.plan.Primary.ID, orderStepDown, status, err)
+	if err == nil && status.Role == stmt.Primary {
+		err = &StillPrimaryError{Endpoint: a.plan.Primary.ID}
+	}
 	return status, err
 }
 
-func (a *attempt) hasOpenCallForReplica() bool {
-	return slices.ContainsFunc(a.plan.OpenCalls, func(c Call) bool { return c.EndpointID != a.plan.Primary.ID })
-}
-
 func (a *attempt) unsafeError() error {
 	e := &UnsafeError{Service: a.plan.Service}
 	for _, s := range a.replicas {
