soak: faults around promotions of several services

Cause: the soak had one service and no fault that hits a promotion under way, so it could not show rule LOST after a change of the leader. Stops by SIGTERM no longer delay other faults.

--- a/cmd/hemlockmast-soak/main.go
+++ b/cmd/hemlockmast-soak/main.go
@@ -42,6 +42,9 @@
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of runs, each with the next seed"},
 			&cli.DurationFlag{Name: "length", Value: 12 * time.Second, Usage: "time in which faults begin"},
 			&cli.StringFlag{Name: "logs", Value: os.TempDir(), Usage: "folder for the daemons' folders"},
+			&cli.BoolFlag{Name: "promotions", Usage: "several services, and faults around their promotions"},
+			&cli.BoolFlag{Name: "large", Usage: "54 processes and six services, with the faults of --promotions"},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the daemons' folders of good runs too"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the faults of every run"},
 		},
 		Action: runAll,
@@ -89,11 +92,15 @@
 	if err != nil {
 		return false, err
 	}
-	result, err := soak.Run(ctx, soak.Config{Binary: daemon, Folder: folder, Seed: seed, Length: cmd.Duration("length")})
+	result, err := soak.Run(ctx, soak.Config{
+		Binary: daemon, Folder: folder, Seed: seed, Length: cmd.Duration("length"),
+		Promotions: cmd.Bool("promotions") || cmd.Bool("large"), Large: cmd.Bool("large"),
+	})
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %+v, configuration %d, %d broken\n", seed, result.Counts, result.Configuration, len(result.Broken))
+	fmt.Printf("seed %d: %+v, configuration %d, %d promotions, %d broken\n", seed, result.Counts, result.Configuration,
+		result.Promotions, len(result.Broken))
 	if cmd.Bool("verbose") || len(result.Broken) > 0 {
 		for _, line := range append(result.Schedule, result.Broken...) {
 			fmt.Println("  ", line)
@@ -103,5 +110,8 @@
 		fmt.Println("   daemons' output and disks are kept in", folder)
 		return false, nil
 	}
+	if cmd.Bool("keep") {
+		return true, nil
+	}
 	return true, os.RemoveAll(folder)
 }
--- a/internal/testing/soak/callers.go
+++ b/internal/testing/soak/callers.go
@@ -84,6 +84,8 @@
 	history *history
 	rng     *rand.Rand
 	number  int
+	// service is the caller's service. It reads items of callers of the same service.
+	service int
 	// lastWrite is the number of the newest write.
 	lastWrite int
 	lastQuery int
@@ -96,7 +98,9 @@
 	sessionFloor int
 }
 
-func (c *caller) item() string { return fmt.Sprintf("item%d", c.number) }
+func itemName(caller int) string { return fmt.Sprintf("item%d", caller) }
+
+func (c *caller) item() string { return itemName(c.number) }
 
 func itemValue(item string, number int) string { return fmt.Sprintf("%s=%d", item, number) }
 
@@ -140,9 +144,9 @@
 }
 
 func (c *caller) openSession() bool {
-	c.entry = c.rng.IntN(entryCount)
+	c.entry = c.rng.IntN(c.fleet.entries)
 	c.level = []string{"current", "session", "session"}[c.rng.IntN(3)]
-	session, err := standin.Open(c.fleet.address(entryNetwork, c.entry, 0), c.level, openTimeout)
+	session, err := standin.Open(c.fleet.address(entryNetwork, c.entry, 0), standin.Database(serviceName(c.service), c.level), openTimeout)
 	if err != nil {
 		return false
 	}
@@ -219,7 +223,8 @@
 // readOther reads a random item. At level current the read must see every write that was
 // acknowledged before.
 func (c *caller) readOther() {
-	item := fmt.Sprintf("item%d", c.rng.IntN(callerCount))
+	services := c.fleet.services
+	item := itemName(c.service + services*c.rng.IntN(c.fleet.callers/services))
 	floor := 0
 	if c.level == "current" {
 		floor = c.history.highestAcknowledged(item)
@@ -248,8 +253,20 @@
 	}
 }
 
-// checkCommits compares the recorded outcomes with the primary's log.
-func (w *history) checkCommits(commits []standin.Commit) {
+// checkPromotions records a violation for each promotion that lost acknowledged commits.
+func (w *history) checkPromotions(promotions []standin.Promotion) {
+	for _, p := range promotions {
+		if len(p.Missing) > 0 {
+			c := p.Missing[0]
+			w.recordViolation("promote of %s to term %d, called by %s with token %d, lost %d acknowledged commits; first %d.%d %v, held by %v",
+				p.Endpoint, p.Term, p.Holder, p.Token, len(p.Missing), c.Term, c.Number, c.Data, p.HeldBy)
+		}
+	}
+}
+
+// checkCommits compares the recorded outcomes for the items of a service with its
+// primary's log. ownItem reports whether an item is of the service.
+func (w *history) checkCommits(commits []standin.Commit, ownItem func(item string) bool) {
 	kept := make(map[string]int)
 	latest := make(map[string]int)
 	for _, commit := range commits {
@@ -282,7 +299,7 @@
 		}
 	}
 	for item, number := range w.acknowledged {
-		if kept[itemValue(item, number)] == 0 {
+		if ownItem(item) && kept[itemValue(item, number)] == 0 {
 			w.recordViolation("%s=%d was acknowledged and is not in the log, which has %d", item, number, latest[item])
 		}
 	}
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,42 +26,67 @@
 	return fmt.Sprintf("%6.2f s %s %d for %.2f s", e.at.Seconds(), e.kind, e.target, e.length.Seconds())
 }
 
+// targets returns the number of possible targets of a fault.
+type targets func(size) int
+
+func oneTarget(size) int     { return 1 }
+func allEntries(s size) int  { return s.entries }
+func allControls(s size) int { return s.controls }
+func allNodes(s size) int    { return s.services * endpointCount }
+
 // fault begins and ends one kind of fault at any of its targets.
 type fault struct {
-	targets int
+	targets targets
 	begin   func(f *fleet, target int) error
 	end     func(f *fleet, target int) error
 }
 
-func stopControl(signal syscall.Signal) func(*fleet, int) error {
-	return func(f *fleet, i int) error { f.stop(controlName(i), signal); return nil }
-}
+func killControl(f *fleet, i int) error    { f.stop(f.control(i), syscall.SIGKILL); return nil }
+func killEntry(f *fleet, i int) error      { f.stop(entryName(i), syscall.SIGKILL); return nil }
+func restartEntry(f *fleet, i int) error   { return f.restart(entryName(i)) }
+func restartControl(f *fleet, i int) error { return f.restart(f.control(i)) }
 
-func stopEntry(signal syscall.Signal) func(*fleet, int) error {
-	return func(f *fleet, i int) error { f.stop(entryName(i), signal); return nil }
+// stopsSlowly is a fault that stops a daemon with SIGTERM and starts it again after its
+// end. Other faults begin meanwhile.
+func stopsSlowly(targets targets, name func(*fleet, int) string) fault {
+	return fault{
+		targets: targets,
+		begin: func(f *fleet, i int) error {
+			f.background.Go(func() { f.stop(name(f, i), syscall.SIGTERM) })
+			return nil
+		},
+		end: func(f *fleet, i int) error {
+			f.background.Go(func() {
+				p := f.process(name(f, i))
+				standin.WaitFor(stopTimeout, func() bool { return !p.isRunning() })
+				if err := f.restart(name(f, i)); err != nil {
+					f.noteEvent("restart failed: " + err.Error())
+				}
+			})
+			return nil
+		},
+	}
 }
 
-func restartControl(f *fleet, i int) error { return f.restart(controlName(i)) }
-func restartEntry(f *fleet, i int) error   { return f.restart(entryName(i)) }
-
-func pauseProcess(name func(int) string) fault {
+func pauseProcess(targets targets, name func(*fleet, int) string) fault {
 	return fault{
-		begin: func(f *fleet, i int) error { f.signal(name(i), syscall.SIGSTOP); return nil },
-		end:   func(f *fleet, i int) error { f.signal(name(i), syscall.SIGCONT); return nil },
+		targets: targets,
+		begin:   func(f *fleet, i int) error { f.signal(name(f, i), syscall.SIGSTOP); return nil },
+		end:     func(f *fleet, i int) error { f.signal(name(f, i), syscall.SIGCONT); return nil },
 	}
 }
 
 func endpointFault(faults standin.Faults) fault {
 	return fault{
-		targets: endpointCount,
-		begin:   func(f *fleet, i int) error { f.group.Nodes()[i].Set(faults); return nil },
-		end:     func(f *fleet, i int) error { f.group.Nodes()[i].Set(standin.Faults{}); return nil },
+		targets: allNodes,
+		begin:   func(f *fleet, i int) error { f.nodes[i].Set(faults); return nil },
+		end:     func(f *fleet, i int) error { f.nodes[i].Set(standin.Faults{}); return nil },
 	}
 }
 
 func impairLink(d Impairment) fault {
 	return fault{
-		targets: endpointCount,
+		targets: allNodes,
 		begin:   func(f *fleet, i int) error { f.links[i].set(d); return nil },
 		end: func(f *fleet, i int) error {
 			f.links[i].set(Impairment{})
@@ -72,24 +98,19 @@
 	}
 }
 
-func withTargets(f fault, targets int) fault {
-	f.targets = targets
-	return f
-}
-
 func noop(*fleet, int) error { return nil }
 
 // loseDisk kills a control daemon and deletes its data folder.
 func loseDisk(f *fleet, i int) error {
-	f.stop(controlName(i), syscall.SIGKILL)
-	return os.RemoveAll(f.process(controlName(i)).settings.DataFolder)
+	f.stop(f.control(i), syscall.SIGKILL)
+	return os.RemoveAll(f.process(f.control(i)).settings.DataFolder)
 }
 
 // tearWrite kills a control daemon and appends an incomplete record to its log, as a crash
 // during a write leaves it.
 func tearWrite(f *fleet, i int) error {
-	f.stop(controlName(i), syscall.SIGKILL)
-	files, err := filepath.Glob(filepath.Join(f.process(controlName(i)).settings.DataFolder, "control", "*.log"))
+	f.stop(f.control(i), syscall.SIGKILL)
+	files, err := filepath.Glob(filepath.Join(f.process(f.control(i)).settings.DataFolder, "control", "*.log"))
 	if err != nil || len(files) == 0 {
 		return err
 	}
@@ -119,7 +140,7 @@
 
 func forAllControls(do func(*fleet, int) error) func(*fleet, int) error {
 	return func(f *fleet, _ int) error {
-		for i := range controlCount {
+		for i := range f.controls {
 			if err := do(f, i); err != nil {
 				return err
 			}
@@ -130,16 +151,16 @@
 
 // faultKinds maps names to faults. The schedule of a seed depends on the sorted names.
 var faultKinds = map[string]fault{
-	"entry killed":            {entryCount, stopEntry(syscall.SIGKILL), restartEntry},
-	"entry stopped":           {entryCount, stopEntry(syscall.SIGTERM), restartEntry},
-	"entry paused":            withTargets(pauseProcess(entryName), entryCount),
-	"entry's settings change": {entryCount, changeSettings, noop},
-	"control killed":          {controlCount, stopControl(syscall.SIGKILL), restartControl},
-	"control stopped":         {controlCount, stopControl(syscall.SIGTERM), restartControl},
-	"control paused":          withTargets(pauseProcess(controlName), controlCount),
-	"all controls killed":     {1, forAllControls(stopControl(syscall.SIGKILL)), forAllControls(restartControl)},
-	"control's disk lost":     {controlCount, loseDisk, restartControl},
-	"control's write torn":    {controlCount, tearWrite, restartControl},
+	"entry killed":            {allEntries, killEntry, restartEntry},
+	"entry stopped":           stopsSlowly(allEntries, (*fleet).entry),
+	"entry paused":            pauseProcess(allEntries, (*fleet).entry),
+	"entry's settings change": {allEntries, changeSettings, noop},
+	"control killed":          {allControls, killControl, restartControl},
+	"control stopped":         stopsSlowly(allControls, (*fleet).control),
+	"control paused":          pauseProcess(allControls, (*fleet).control),
+	"all controls killed":     {oneTarget, forAllControls(killControl), forAllControls(restartControl)},
+	"control's disk lost":     {allControls, loseDisk, restartControl},
+	"control's write torn":    {allControls, tearWrite, restartControl},
 	"endpoint down":           endpointFault(standin.Faults{Down: true}),
 	"endpoint silent":         endpointFault(standin.Faults{Silent: true}),
 	"endpoint deaf":           endpointFault(standin.Faults{Deaf: true}),
@@ -149,7 +170,7 @@
 	"link delayed":            impairLink(Impairment{Delay: 30 * time.Millisecond}),
 	"link silent":             impairLink(Impairment{Silent: true}),
 	"link cut one way":        impairLink(Impairment{OneWay: true}),
-	"link reset": {endpointCount, func(f *fleet, i int) error { f.links[i].resetConnections(); return nil },
+	"link reset": {allNodes, func(f *fleet, i int) error { f.links[i].resetConnections(); return nil },
 		noop},
 }
 
@@ -165,20 +186,47 @@
 	minDiskLossGap = 10 * time.Second
 )
 
-// schedule returns the faults of a run, drawn with its seed.
-func schedule(seed uint64, length time.Duration) []scheduledFault {
-	rng := rand.New(rand.NewPCG(seed, 2))
-	names := make([]string, 0, len(faultKinds))
+// step is one action of a run, which may return a text for its record.
+type step struct {
+	at   time.Duration
+	text string
+	do   func(f *fleet) (string, error)
+}
+
+// schedule returns the steps of a run, drawn with its seed.
+func schedule(cfg Config) []step {
+	var steps []step
+	keep := func(string) bool { return true }
+	if cfg.Promotions {
+		steps = promotionSteps(cfg)
+		keep = func(kind string) bool { return strings.HasPrefix(kind, "entry") || strings.HasPrefix(kind, "link") }
+	}
+	for _, e := range draw(cfg, keep) {
+		k := faultKinds[e.kind]
+		steps = append(steps,
+			step{e.at, "begin " + e.String(), func(f *fleet) (string, error) { return "", k.begin(f, e.target) }},
+			step{e.at + e.length, "end   " + e.String(), func(f *fleet) (string, error) { return "", k.end(f, e.target) }})
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	return steps
+}
+
+// draw returns random faults of the kinds to keep.
+func draw(cfg Config, keep func(kind string) bool) []scheduledFault {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
+	var names []string
 	for name := range faultKinds {
-		names = append(names, name)
+		if keep(name) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	var list []scheduledFault
 	lastDisk := -minDiskLossGap
 	free := make(map[string]time.Duration)
-	for at := time.Duration(0); at < length; at += meanFaultGap/2 + time.Duration(rng.Int64N(int64(meanFaultGap))) {
+	for at := time.Duration(0); at < cfg.Length; at += meanFaultGap/2 + time.Duration(rng.Int64N(int64(meanFaultGap))) {
 		e := scheduledFault{at: at, kind: names[rng.IntN(len(names))], length: minFaultLength + time.Duration(rng.Int64N(int64(maxFaultLength-minFaultLength)))}
-		e.target = rng.IntN(faultKinds[e.kind].targets)
+		e.target = rng.IntN(faultKinds[e.kind].targets(cfg.size()))
 		if e.kind == "control's disk lost" {
 			if at-lastDisk < minDiskLossGap {
 				continue
@@ -187,7 +235,7 @@
 		}
 		// Each resource has at most one fault at a time; faults of different resources
 		// may overlap.
-		resources := e.resources()
+		resources := e.resources(cfg.size())
 		if slices.ContainsFunc(resources, func(t string) bool { return free[t] > at }) {
 			continue
 		}
@@ -200,10 +248,10 @@
 }
 
 // resources names the daemons, endpoints or links that the fault affects.
-func (e scheduledFault) resources() []string {
+func (e scheduledFault) resources(s size) []string {
 	if e.kind == "all controls killed" {
 		var all []string
-		for i := range controlCount {
+		for i := range s.controls {
 			all = append(all, fmt.Sprint("control", i))
 		}
 		return all
@@ -211,22 +259,9 @@
 	return []string{fmt.Sprint(e.kind[:4], e.target)}
 }
 
-// inject begins and ends the faults of the schedule and calls note before each step. It
-// returns once every fault has ended, or with the first error.
-func inject(ctx context.Context, f *fleet, list []scheduledFault, note func(string)) error {
-	type step struct {
-		at   time.Duration
-		text string
-		do   func() error
-	}
-	var steps []step
-	for _, e := range list {
-		k := faultKinds[e.kind]
-		steps = append(steps,
-			step{e.at, "begin " + e.String(), func() error { return k.begin(f, e.target) }},
-			step{e.at + e.length, "end   " + e.String(), func() error { return k.end(f, e.target) }})
-	}
-	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+// inject runs the steps and calls note before or after each one. It returns after the last
+// one, or with the first error.
+func inject(ctx context.Context, f *fleet, steps []step, note func(string)) error {
 	started := time.Now()
 	for _, s := range steps {
 		select {
@@ -235,9 +270,13 @@
 			return ctx.Err()
 		}
 		note(s.text)
-		if err := s.do(); err != nil {
+		detail, err := s.do(f)
+		if err != nil {
 			return err
 		}
+		if detail != "" {
+			note(s.text + ": " + detail)
+		}
 	}
 	return nil
 }
--- a/internal/testing/soak/link.go
+++ b/internal/testing/soak/link.go
@@ -7,7 +7,12 @@
 	"time"
 )
 
-// Disturbance is a network fault of a link; it affects all connections through it.
+const (
+	maxReopenAttempts = 50
+	reopenPause       = 20 * time.Millisecond
+)
+
+// Impairment is a network fault of a link; it affects all connections through it.
 type Impairment struct {
 	// Delay is added to each read in both directions.
 	Delay time.Duration
@@ -18,13 +23,13 @@
 
 // link is a TCP proxy on loopback between the daemons and one endpoint.
 type link struct {
-	listener net.Listener
-	target   string
+	near, target string
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	current Impairment
-	conns   map[net.Conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	current  Impairment
+	conns    map[net.Conn]struct{}
 }
 
 func newLink(target string) (*link, error) {
@@ -32,18 +37,41 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
-	go l.accept()
+	l := &link{listener: listener, near: listener.Addr().String(), target: target, conns: make(map[net.Conn]struct{})}
+	go l.accept(listener)
 	return l, nil
 }
 
-func (l *link) address() string { return l.listener.Addr().String() }
+func (l *link) address() string { return l.near }
 
+// close refuses new connections and resets the open ones.
 func (l *link) close() {
+	l.mu.Lock()
 	_ = l.listener.Close()
+	l.mu.Unlock()
 	l.resetConnections()
 }
 
+// reopen listens again after close. Another program may hold the port for a moment.
+func (l *link) reopen() error {
+	var listener net.Listener
+	var err error
+	for range maxReopenAttempts {
+		if listener, err = net.Listen("tcp", l.near); err == nil {
+			break
+		}
+		time.Sleep(reopenPause)
+	}
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go l.accept(listener)
+	return nil
+}
+
 // set replaces the impairment, also for open connections.
 func (l *link) set(d Impairment) {
 	l.mu.Lock()
@@ -69,9 +97,9 @@
 	}
 }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -11,15 +12,15 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"hemlockmast/internal/shared/wait"
 	"hemlockmast/platform/standin"
 )
 
 const (
-	// callerCount is the number of concurrent callers.
-	callerCount = 12
 	// publishPause is the pause between two published configurations.
 	publishPause = 400 * time.Millisecond
 	// recoveryTimeout bounds the time from the end of the faults until every entry
@@ -38,6 +39,9 @@
 	Seed           uint64
 	// Length is the period in which faults begin; the last ones end after it.
 	Length time.Duration
+	// Promotions selects faults around promotions of several services. Large has most of
+	// the processes that a shared machine bears.
+	Promotions, Large bool
 }
 
 // Result is the outcome of a run.
@@ -45,6 +49,8 @@
 	Counts Counts
 	// Configuration is the version of the newest acknowledged configuration.
 	Configuration uint64
+	// Promotions is the number of promotions that took effect.
+	Promotions int
 	// Schedule lists the faults in the order in which they began and ended.
 	Schedule []string
 	// Broken describes each violation of a guarantee. It is empty in a good run.
@@ -54,7 +60,7 @@
 // Run injects the faults of one schedule. An error means that the run itself failed;
 // violated guarantees are in Result.Broken.
 func Run(ctx context.Context, cfg Config) (Result, error) {
-	f, err := startFleet(cfg.Binary, cfg.Folder, connectionLimit(cfg.Seed))
+	f, err := startFleet(cfg)
 	if err != nil {
 		return Result{}, err
 	}
@@ -73,12 +79,17 @@
 	calling, stopCalling := context.WithCancel(working)
 	defer stopCalling()
 	var calls sync.WaitGroup
-	for i := range callerCount {
-		c := &caller{fleet: f, history: w, number: i, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i)))}
+	for i := range f.callers {
+		c := &caller{fleet: f, history: w, number: i, service: i % f.services, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i)))}
 		calls.Go(func() { c.run(calling) })
 	}
 	var played []string
-	err = inject(ctx, f, schedule(cfg.Seed, cfg.Length), func(text string) { played = append(played, text) })
+	err = inject(ctx, f, schedule(cfg), func(text string) {
+		f.noteEvent(text)
+		played = append(played, text)
+	})
+	wait.For(ctx, time.Until(f.platform.BusyUntil()))
+	f.background.Wait()
 	if err == nil {
 		o.checkRecovery(ctx)
 	}
@@ -86,8 +97,21 @@
 	calls.Wait()
 	stop()
 	background.Wait()
-	w.checkCommits(f.group.Commits())
-	return Result{Counts: w.counts, Configuration: o.newestAcknowledged, Schedule: played, Broken: w.violations}, err
+	result := Result{Counts: w.counts, Configuration: o.newestAcknowledged, Schedule: played}
+	for i, g := range f.groups {
+		result.Promotions += len(g.Promotions())
+		w.checkPromotions(g.Promotions())
+		if g.Primary() == nil {
+			w.recordViolation("service %s has no primary at the end", g.Service)
+			continue
+		}
+		w.checkCommits(g.Commits(), func(item string) bool {
+			number, err := strconv.Atoi(strings.TrimPrefix(item, "item"))
+			return err == nil && number%f.services == i
+		})
+	}
+	result.Broken = w.violations
+	return result, err
 }
 
 // operator publishes configurations and checks that acknowledged ones are kept and reach
@@ -127,7 +151,7 @@
 // publishVersion publishes a version through one control daemon and reports whether it
 // was acknowledged.
 func (o *operator) publishVersion(control int, version uint64) bool {
-	body := standin.Levels(int(version), routeTimeoutMs, stalenessMs, o.fleet.connectionLimit)
+	body := standin.Levels(int(version), routeTimeoutMs, stalenessMs, o.fleet.connectionLimit, o.fleet.serviceNames()...)
 	o.mu.Lock()
 	o.newestSent = max(o.newestSent, version)
 	o.mu.Unlock()
@@ -150,11 +174,11 @@
 	version := o.acknowledgedVersion()
 	for ctx.Err() == nil {
 		version++
-		for ctx.Err() == nil && !o.publishVersion(rand.IntN(controlCount), version) {
+		for ctx.Err() == nil && !o.publishVersion(rand.IntN(o.fleet.controls), version) {
 			time.Sleep(publishPause / 4)
 		}
 		if version%5 == 0 {
-			o.publishVersion(rand.IntN(controlCount), version-3)
+			o.publishVersion(rand.IntN(o.fleet.controls), version-3)
 		}
 		time.Sleep(publishPause)
 	}
@@ -184,13 +208,13 @@
 	type key struct{ entry, generation int }
 	inForce := make(map[key]uint64)
 	for ctx.Err() == nil {
-		for i := range controlCount {
+		for i := range o.fleet.controls {
 			before := o.acknowledgedVersion()
 			if version, ok := o.publishedVersion(i); ok && version < before {
 				o.history.recordViolation("control %d answered with configuration %d after %d was acknowledged", i, version, before)
 			}
 		}
-		for i := range entryCount {
+		for i := range o.fleet.entries {
 			k := key{i, o.fleet.process(entryName(i)).generation}
 			version, ok := o.inForceAt(ctx, i)
 			if !ok || k.generation != o.fleet.process(entryName(i)).generation {
@@ -244,18 +268,29 @@
 // unrecovered describes the first daemon that has not recovered, or returns "".
 func (o *operator) unrecovered(ctx context.Context) string {
 	wanted := o.acknowledgedVersion()
-	for i := range controlCount {
+	for i := range o.fleet.controls {
 		if version, ok := o.publishedVersion(i); !ok || version < wanted {
 			return fmt.Sprintf("control %d does not answer with configuration %d", i, wanted)
 		}
 	}
-	for i := range entryCount {
-		if version, ok := o.inForceAt(ctx, i); !ok || version < wanted {
-			return fmt.Sprintf("entry %d does not run configuration %d", i, wanted)
-		}
+	found := make([]string, o.fleet.entries)
+	var wait sync.WaitGroup
+	for i := range o.fleet.entries {
+		wait.Go(func() { found[i] = o.unrecoveredEntry(ctx, i, wanted) })
+	}
+	wait.Wait()
+	return cmp.Or(found...)
+}
+
+// unrecoveredEntry is unrecovered for one entry and the configuration wanted.
+func (o *operator) unrecoveredEntry(ctx context.Context, i int, wanted uint64) string {
+	if version, ok := o.inForceAt(ctx, i); !ok || version < wanted {
+		return fmt.Sprintf("entry %d does not run configuration %d", i, wanted)
+	}
+	for _, service := range o.fleet.serviceNames() {
 		for _, level := range []string{"current", "session", "bounded"} {
-			if answer := o.probe(i, level); answer != "" {
-				return fmt.Sprintf("entry %d at level %s answers %s", i, level, answer)
+			if answer := o.probe(i, service, level); answer != "" {
+				return fmt.Sprintf("entry %d for %s at level %s answers %s", i, service, level, answer)
 			}
 		}
 	}
@@ -263,8 +298,8 @@
 }
 
 // probe writes and reads once through an entry. It returns the error, or "".
-func (o *operator) probe(i int, level string) string {
-	c, err := standin.Open(o.fleet.address(entryNetwork, i, 0), level, openTimeout)
+func (o *operator) probe(i int, service, level string) string {
+	c, err := standin.Open(o.fleet.address(entryNetwork, i, 0), standin.Database(service, level), openTimeout)
 	if err != nil {
 		return err.Error()
 	}
