soak: a read of an older write is right if the log has it after the acknowledged one

Both entries had been paused for 4.4 s, longer than a caller waits: a write that its caller had given up can run after later ones, and is then the newest. Change: such a read counts as a violation unless the log holds the write that it saw after the acknowledged one, which the check looks up at the end. A read that saw nothing or a value that is not in the log still counts.

--- a/internal/testing/soak/callers.go
+++ b/internal/testing/soak/callers.go
@@ -30,8 +30,19 @@
 	acknowledged map[string]int
 	// notRunCodes maps each value that was reported as not run to the error code.
 	notRunCodes map[string]string
-	counts      Counts
-	violations  []string
+	// olderReads are reads that saw a lower number than was acknowledged before.
+	olderReads []olderRead
+	counts     Counts
+	violations []string
+}
+
+// olderRead is a read that saw a lower number than was acknowledged before. It is right
+// only if the write with this number was committed after the acknowledged one, as a write in
+// doubt may be that an entry carries out late.
+type olderRead struct {
+	item          string
+	number, floor int
+	text          string
 }
 
 // Counts holds the number of writes by outcome, of reads, and of broken sessions.
@@ -50,6 +61,12 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+func (w *history) recordOlderRead(r olderRead) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.olderReads = append(w.olderReads, r)
+}
+
 func (w *history) highestAcknowledged(item string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -248,8 +265,8 @@
 	case !ok:
 		c.history.recordViolation("read of %s at level %s through entry %d answered %q", item, level, entry, a.Rows)
 	case number < floor:
-		c.history.recordViolation("read of %s at level %s through entry %d saw write %d, %d was acknowledged before",
-			item, level, entry, number, floor)
+		c.history.recordOlderRead(olderRead{item, number, floor, fmt.Sprintf(
+			"read of %s at level %s through entry %d saw write %d, %d was acknowledged before", item, level, entry, number, floor)})
 	}
 }
 
@@ -269,7 +286,9 @@
 func (w *history) checkCommits(commits []standin.Commit, ownItem func(item string) bool) {
 	kept := make(map[string]int)
 	latest := make(map[string]int)
-	for _, commit := range commits {
+	// places maps values to one more than their index in the log.
+	places := make(map[string]int)
+	for i, commit := range commits {
 		for item, v := range commit.Data {
 			name, isTwin := strings.CutPrefix(item, "twin-")
 			if isTwin {
@@ -283,6 +302,7 @@
 				continue
 			}
 			kept[v]++
+			places[v] = i + 1
 			number, ok := numberOf(item, v)
 			if !ok {
 				w.recordViolation("commit %d.%d has %q for %s", commit.Term, commit.Number, v, item)
@@ -290,6 +310,11 @@
 			latest[item] = number
 		}
 	}
+	for _, r := range w.olderReads {
+		if ownItem(r.item) && places[itemValue(r.item, r.number)] <= places[itemValue(r.item, r.floor)] {
+			w.recordViolation("%s", r.text)
+		}
+	}
 	for v, n := range kept {
 		if n > 1 {
 			w.recordViolation("%s was committed %d times", v, n)
