--- a/internal/testing/soak/callers.go
+++ b/internal/testing/soak/callers.go
@@ -30,8 +30,19 @@
 	acknowledged map[string]int
 	// notRunCodes maps each value that was reported as not run to the error code.
 	notRunCodes map[string]string
-	counts      Counts
-	violations  []string
+	// olderReads are reads that saw a lower number than was acknowledged before.
+	olderReads []olderRead
+	counts     Counts
+	violations []string
+}
+
+// olderRead is a read that saw a lower number than was acknowledged before. It is right
+// only if the write with this number was committed after the acknowledged one, as a write in
+// doubt may be that an entry carries out late.
+type olderRead struct {
+	item          string
+	number, floor int
+	text          string
 }
 
 // Counts holds the number of writes by outcome, of reads, and of broken sessions.
@@ -50,6 +61,12 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+func (w *history) recordOlderRead(r olderRead) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.olderReads = append(w.olderReads, r)
+}
+
 func (w *history) highestAcknowledged(item string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -84,6 +101,8 @@
 	history *history
 	rng     *rand.Rand
 	number  int
+	// service is the caller's service. It reads items of callers of the same service.
+	service int
 	// lastWrite is the number of the newest write.
 	lastWrite int
 	lastQuery int
@@ -96,7 +115,9 @@
 	sessionFloor int
 }
 
-func (c *caller) item() string { return fmt.Sprintf("item%d", c.number) }
+func itemName(caller int) string { return fmt.Sprintf("item%d", caller) }
+
+func (c *caller) item() string { return itemName(c.number) }
 
 func itemValue(item string, number int) string { return fmt.Sprintf("%s=%d", item, number) }
 
@@ -140,9 +161,9 @@
 }
 
 func (c *caller) openSession() bool {
-	c.entry = c.rng.IntN(entryCount)
+	c.entry = c.rng.IntN(c.fleet.entries)
 	c.level = []string{"current", "session", "session"}[c.rng.IntN(3)]
-	session, err := standin.Open(c.fleet.address(entryNetwork, c.entry, 0), c.level, openTimeout)
+	session, err := standin.Open(c.fleet.address(entryNetwork, c.entry, 0), standin.Database(serviceName(c.service), c.level), openTimeout)
 	if err != nil {
 		return false
 	}
@@ -219,7 +240,8 @@
 // readOther reads a random item. At level current the read must see every write that was
 // acknowledged before.
 func (c *caller) readOther() {
-	item := fmt.Sprintf("item%d", c.rng.IntN(callerCount))
+	services := c.fleet.services
+	item := itemName(c.service + services*c.rng.IntN(c.fleet.callers/services))
 	floor := 0
 	if c.level == "current" {
 		floor = c.history.highestAcknowledged(item)
@@ -243,16 +265,30 @@
 	case !ok:
 		c.history.recordViolation("read of %s at level %s through entry %d answered %q", item, level, entry, a.Rows)
 	case number < floor:
-		c.history.recordViolation("read of %s at level %s through entry %d saw write %d, %d was acknowledged before",
-			item, level, entry, number, floor)
+		c.history.recordOlderRead(olderRead{item, number, floor, fmt.Sprintf(
+			"read of %s at level %s through entry %d saw write %d, %d was acknowledged before", item, level, entry, number, floor)})
 	}
 }
 
-// checkCommits compares the recorded outcomes with the primary's log.
-func (w *history) checkCommits(commits []standin.Commit) {
+// checkPromotions records a violation for each promotion that lost acknowledged commits.
+func (w *history) checkPromotions(promotions []standin.Promotion) {
+	for _, p := range promotions {
+		if len(p.Missing) > 0 {
+			c := p.Missing[0]
+			w.recordViolation("promote of %s to term %d, called by %s with token %d, lost %d acknowledged commits; first %d.%d %v, held by %v",
+				p.Endpoint, p.Term, p.Holder, p.Token, len(p.Missing), c.Term, c.Number, c.Data, p.HeldBy)
+		}
+	}
+}
+
+// checkCommits compares the recorded outcomes for the items of a service with its
+// primary's log. ownItem reports whether an item is of the service.
+func (w *history) checkCommits(commits []standin.Commit, ownItem func(item string) bool) {
 	kept := make(map[string]int)
 	latest := make(map[string]int)
-	for _, commit := range commits {
+	// places maps values to one more than their index in the log.
+	places := make(map[string]int)
+	for i, commit := range commits {
 		for item, v := range commit.Data {
 			name, isTwin := strings.CutPrefix(item, "twin-")
 			if isTwin {
@@ -266,6 +302,7 @@
 				continue
 			}
 			kept[v]++
+			places[v] = i + 1
 			number, ok := numberOf(item, v)
 			if !ok {
 				w.recordViolation("commit %d.%d has %q for %s", commit.Term, commit.Number, v, item)
@@ -273,6 +310,11 @@
 			latest[item] = number
 		}
 	}
+	for _, r := range w.olderReads {
+		if ownItem(r.item) && places[itemValue(r.item, r.number)] <= places[itemValue(r.item, r.floor)] {
+			w.recordViolation("%s", r.text)
+		}
+	}
 	for v, n := range kept {
 		if n > 1 {
 			w.recordViolation("%s was committed %d times", v, n)
@@ -282,7 +324,7 @@
 		}
 	}
 	for item, number := range w.acknowledged {
-		if kept[itemValue(item, number)] == 0 {
+		if ownItem(item) && kept[itemValue(item, number)] == 0 {
 			w.recordViolation("%s=%d was acknowledged and is not in the log, which has %d", item, number, latest[item])
 		}
 	}
