Operators and tests see which control VM is a learner

TestReplacedControlDaemonReturns: a stopped voter whose place a learner took starts again with its disk and holds what was acknowledged.

--- a/internal/cli/fleet/fleet.go
+++ b/internal/cli/fleet/fleet.go
@@ -28,6 +28,7 @@
 	configurationSeries = "hemlockmast_config_revision"
 	termSeries          = "hemlockmast_control_term"
 	leadsSeries         = "hemlockmast_control_leads"
+	votesSeries         = "hemlockmast_control_votes"
 	votersSeries        = "hemlockmast_control_voters"
 	lossesBorneSeries   = "hemlockmast_control_losses_borne"
 	silentVotersSeries  = "hemlockmast_control_voter_silent_seconds"
@@ -127,10 +128,7 @@
 func (d daemon) row(address string) string {
 	role := "entry"
 	if _, ok := d.families[termSeries]; ok {
-		role = "control"
-		if d.sum(leadsSeries) > 0 {
-			role = "control, leads"
-		}
+		role = d.controlRole()
 	}
 	// Entries count missing commits, control daemons count primaries that lack a position.
 	missing := missingSeries
@@ -158,6 +156,19 @@
 	}
 }
 
+// controlRole returns the role of a control daemon in its group. Builds without the metric
+// have no learners for long.
+func (d daemon) controlRole() string {
+	_, isKnown := d.families[votesSeries]
+	switch {
+	case d.sum(leadsSeries) > 0:
+		return "control, leads"
+	case isKnown && d.sum(votesSeries) == 0:
+		return "control, learner"
+	}
+	return "control"
+}
+
 // formatSum returns the sum of a metric over its series, or "-" if the daemon does
 // not have the metric.
 func (d daemon) formatSum(name string) string {
--- a/internal/cli/fleet/fleet_test.go
+++ b/internal/cli/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 	"hemlockmast/internal/shared/metrics"
 )
 
-// TestShow checks the rows of a control leader, an entry and an unreachable daemon.
+// TestShow checks the rows of a control leader, an entry, a learner and an unreachable daemon.
 func TestShow(t *testing.T) {
 	control := metrics.NewControl()
 	control.Member(4, true, 5, 17)
@@ -22,6 +22,11 @@
 	control.Promoted("gone", time.Second, nil)
 	control.Attempts(3, 7)
 	control.PrimaryBehind()
+	learner := metrics.NewControl()
+	learner.Member(4, false, 3, 17)
+	learner.Votes(false)
+	learnerServer := httptest.NewServer(learner.Handler())
+	defer learnerServer.Close()
 	entry := metrics.New()
 	entry.CommitMissing()
 	entry.CommitMissing()
@@ -34,17 +39,19 @@
 	gone := httptest.NewServer(entry.Handler())
 	gone.Close()
 	addresses := []string{
-		controlServer.Listener.Addr().String(), entryServer.Listener.Addr().String(), gone.Listener.Addr().String(),
+		controlServer.Listener.Addr().String(), entryServer.Listener.Addr().String(),
+		learnerServer.Listener.Addr().String(), gone.Listener.Addr().String(),
 	}
 	var out strings.Builder
 	err := fleet.Show(t.Context(), &out, addresses)
 	var missing *fleet.UnreachableError
 	assert.Assert(t, errors.As(err, &missing))
-	assert.DeepEqual(t, missing.Addresses, addresses[2:])
+	assert.DeepEqual(t, missing.Addresses, addresses[3:])
 	lines := strings.Split(out.String(), "\n")
 	fields := func(i int) string { return strings.Join(strings.Fields(lines[i])[1:], " ") }
 	assert.Equal(t, fields(1), "control, leads 17 4 5 1 2 - - 3 7 1")
 	assert.Equal(t, fields(2), "entry 16 - - - - 1 1 - - 2")
-	assert.Assert(t, strings.Contains(lines[3], "no answer"))
-	assert.Equal(t, lines[4], "control voter 10.1.0.8:7440#3f has been silent for 4s")
+	assert.Assert(t, strings.HasPrefix(fields(3), "control, learner 17 4 3 "), fields(3))
+	assert.Assert(t, strings.Contains(lines[4], "no answer"))
+	assert.Equal(t, lines[5], "control voter 10.1.0.8:7440#3f has been silent for 4s")
 }
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -97,6 +97,7 @@
 
 // update handles a new status of this member.
 func (l *lossWatch) update(n *Node, st control.Status) {
+	n.cfg.Metrics.Votes(st.Voter)
 	if st.Role != agree.Leader {
 		n.cfg.Metrics.LossesUnknown()
 		l.isExposed = false
--- a/internal/fleet/fleetd/fleetd_test.go
+++ b/internal/fleet/fleetd/fleetd_test.go
@@ -71,8 +71,6 @@
 	f.start(wiped)
 	assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return holds(1, 6) }))
 	assert.Assert(t, standin.WaitFor(8*time.Second, func() bool { return f.isCurrent(1) }))
-	// By then the former incarnation counts as lost until the new one has its place.
-	time.Sleep(1500 * time.Millisecond)
 	assert.Assert(t, standin.WaitFor(8*time.Second, f.bearsLoss))
 	f.stop("control-2")
 	f.publish(standin.Configuration(7, 800))
@@ -90,14 +88,44 @@
 	return err == nil && answer.Current
 }
 
-// bearsLoss reports whether the control group's leader bears a further loss.
+// TestReplacedControlDaemonReturns stops a voter until the learner among four control daemons
+// has its place. Started again with its disk, it must join again and hold what was
+// acknowledged meanwhile.
+func TestReplacedControlDaemonReturns(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	assert.Assert(t, standin.WaitFor(8*time.Second, f.bearsLoss))
+	replaced := f.stop("control-0") // the founder votes
+	f.publish(standin.Configuration(6, 800))
+	assert.Assert(t, standin.WaitFor(8*time.Second, f.bearsLoss))
+	replaced.MayFound = false
+	f.start(replaced)
+	holds := func(version int) func() bool {
+		return func() bool {
+			status, body := f.operatorRequest(0, "GET", standin.ReadPath, "")
+			return status == http.StatusOK && body == standin.Configuration(version, 800) && f.isCurrent(0)
+		}
+	}
+	assert.Assert(t, standin.WaitFor(8*time.Second, holds(6)))
+	f.publish(standin.Configuration(7, 800))
+	assert.Assert(t, standin.WaitFor(8*time.Second, holds(7)))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Assert(t, strings.Contains(strings.Join(f.logLines, "\n"), "joins again with an empty log"))
+}
+
+// bearsLoss reports whether three of the control daemons that run have a vote, and the
+// leader bears a further loss.
 func (f *fleet) bearsLoss() bool {
+	voters, isBorne := 0, false
 	for i := range 4 {
-		if strings.Contains(f.metrics(fmt.Sprintf("127.0.1.%d:%d", i+1, f.port)), "hemlockmast_control_losses_borne 1") {
-			return true
+		text := f.metrics(fmt.Sprintf("127.0.1.%d:%d", i+1, f.port))
+		if strings.Contains(text, "hemlockmast_control_votes 1\n") {
+			voters++
 		}
+		isBorne = isBorne || strings.Contains(text, "hemlockmast_control_losses_borne 1\n")
 	}
-	return false
+	return voters == 3 && isBorne
 }
 
 // TestSingleControlDaemonAcknowledgesNothing checks that a configuration is not
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -13,7 +13,7 @@
 type ControlSet struct {
 	registry *prometheus.Registry
 
-	term, leads, voters prometheus.Gauge
+	term, leads, votes, voters prometheus.Gauge
 	// lossesBorne has a series only while this member leads.
 	lossesBorne *prometheus.GaugeVec
 	// silentVoters has a series for each voter that the leader does not hear.
@@ -48,6 +48,7 @@
 		registry: prometheus.NewRegistry(),
 		term:     gauge("control_term", "Term of the control group as this member knows it."),
 		leads:    gauge("control_leads", "1 while this member leads the control group."),
+		votes:    gauge("control_votes", "1 while this member of the control group has a vote, 0 while it is a learner."),
 		voters:   gauge("control_voters", "Members of the control group that vote."),
 		lossesBorne: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "control_losses_borne",
@@ -70,7 +71,7 @@
 	})
 	s.addAttempts()
 	s.registry.MustRegister(
-		s.term, s.leads, s.voters, s.lossesBorne, s.silentVoters, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
+		s.term, s.leads, s.votes, s.voters, s.lossesBorne, s.silentVoters, s.revision, s.proposals, s.promotions, s.promotionTime, s.reports, s.positions,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
@@ -110,6 +111,14 @@
 	s.revision.Set(float64(revision))
 }
 
+// Votes records whether this member has a vote.
+func (s *ControlSet) Votes(votes bool) {
+	s.votes.Set(0)
+	if votes {
+		s.votes.Set(1)
+	}
+}
+
 // LossesBorne records how many more voters may be lost before the control group stops, and
 // for how long each silent voter has not answered. Only the leader knows.
 func (s *ControlSet) LossesBorne(n int, silent map[string]time.Duration) {
--- a/internal/shared/metrics/metrics_test.go
+++ b/internal/shared/metrics/metrics_test.go
@@ -75,6 +75,7 @@
 	s := NewControl()
 	failure := errors.New("no answer")
 	s.Member(4, true, 5, 17)
+	s.Votes(true)
 	s.LossesBorne(3, map[string]time.Duration{"a#1": time.Second})
 	s.LossesBorne(2, map[string]time.Duration{"b#1": 4 * time.Second})
 	s.Proposed(2*time.Millisecond, nil)
@@ -93,6 +94,7 @@
 	for _, want := range []string{
 		`hemlockmast_control_term 4`,
 		`hemlockmast_control_leads 1`,
+		`hemlockmast_control_votes 1`,
 		`hemlockmast_control_voters 5`,
 		`hemlockmast_control_losses_borne 2`,
 		`hemlockmast_control_voter_silent_seconds{voter="b#1"} 4`,
