agreelog: test that a crash during Reformat leaves one incarnation or the other

Reformat replaces a removed member's log by an empty one of a new incarnation. The test stops it at each operation and reads the folder after a reboot.

--- a/internal/controlgroup/agreelog/log_test.go
+++ b/internal/controlgroup/agreelog/log_test.go
@@ -139,6 +139,32 @@
 
 func unlocked(fs *memFS) *memFS { fs.locked = false; return fs }
 
+// TestCrashDuringReformat stops Reformat at each operation. The folder must then hold the
+// former incarnation with all it had saved, or the new one with nothing.
+func TestCrashDuringReformat(t *testing.T) {
+	next := Identity{Group: testID.Group, Self: agree.ID{Name: testID.Self.Name, Incarnation: testID.Self.Incarnation + 1}}
+	wasNext := 0
+	for crashAfter, isDone := 1, false; !isDone; crashAfter++ {
+		fs, _, _, _ := folderWithSaves(t)
+		f, err := OpenFolder(unlocked(fs), dir)
+		assert.NilError(t, err)
+		l, before, err := f.Load()
+		assert.NilError(t, err)
+		fs.crashAt = fs.ops + crashAfter
+		isDone = l.Reformat(next) == nil && fs.ops < fs.crashAt
+		after, err := (&Folder{fs: fs.reboot(), dir: dir}).Read()
+		assert.NilError(t, err)
+		if after.Identity == next {
+			wasNext++
+			assert.Equal(t, stateString(after.State), stateString(agree.State{}))
+			continue
+		}
+		assert.Assert(t, !isDone && after.Identity == testID, "%+v", after.Identity)
+		assert.Equal(t, stateString(after.State), stateString(before.State))
+	}
+	assert.Assert(t, wasNext > 0)
+}
+
 // folderWithSaves returns a formatted folder with four saves: the file system,
 // the path and bytes of the log file, and the offsets of its records and its end.
 func folderWithSaves(t *testing.T) (*memFS, string, []byte, []int64) {
