Test: odd records in the agreed log are read back

fleetd.TestOddRecordsInTheLogAreReadBack has the leader append a command that is not a message, a replica with port 0 and a record that ends the primary, as a version that accepts them would; then every control daemon restarts, a configuration arrives and the primary crashes.

--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/fleetrpc"
 	"hemlockmast/platform/standin"
 )
 
@@ -159,3 +163,48 @@
 	answer, _ := r.ReadString('\n')
 	return strings.HasPrefix(hello, "READY") && (strings.HasPrefix(answer, "COMPLETE") || strings.HasPrefix(answer, "ROW"))
 }
+
+// TestOddRecordsInTheLogAreReadBack guards against records of another version in the agreed log
+// with which a daemon does not start again, or which hide or block the endpoints in use.
+func TestOddRecordsInTheLogAreReadBack(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.publish(standin.Levels(5, 800, 1500, 40))
+	f.querySucceedsAt(0, "current", "STORE item v")
+	primary := f.group.Nodes()[0]
+	odd := &fleetpb.Endpoint{Id: "odd", Service: "svc", Address: "127.0.3.1:0", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1}
+	ended := &fleetpb.Endpoint{Id: primary.ID, Service: "svc", Address: primary.Address, State: 77, BornMs: math.MaxInt64, Sequence: 1}
+	// The string of field 1 is not UTF-8.
+	records := [][]byte{{0x22, 0x03, 0x0a, 0x01, 0xff}}
+	for _, e := range []*fleetpb.Endpoint{odd, ended} {
+		data, err := proto.Marshal(&fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}})
+		assert.NilError(t, err)
+		records = append(records, data)
+	}
+	for _, record := range records {
+		ok := standin.WaitFor(5*time.Second, func() bool { return f.propose(record) })
+		assert.Assert(t, ok, "%q", record)
+	}
+	for i := range 3 {
+		f.start(f.stop(fmt.Sprintf("control-%d", i)))
+	}
+	f.publish(standin.Levels(6, 900, 1500, 40))
+	for entry := range 2 {
+		f.querySucceedsAt(entry, "current", "STORE item w")
+	}
+	primary.Set(standin.Faults{Down: true})
+	for entry := range 2 {
+		f.querySucceedsAt(entry, "current", "STORE item x")
+	}
+}
+
+// propose has the control group append a command to its log, through whichever daemon leads.
+func (f *fleet) propose(command []byte) bool {
+	for i := range 3 {
+		address := f.daemons[fmt.Sprintf("control-%d", i)].settings.Internal
+		client := fleetrpc.NewClient(fleetrpc.NewHTTPClient(), address)
+		if _, err := client.Propose(f.t.Context(), &fleetpb.ProposeRequest{Command: command}); err == nil {
+			return true
+		}
+	}
+	return false
+}
