An announcement far ahead of its process no longer hides what the process says

Cause: any sequence up to 2^40 was accepted for a running process, 2^40 being also below the numbers of an endpoint that counts from the time. One of 10^12 hid all later announcements of a running primary (here: it stayed in the state leaving). Change: a control daemon refuses a number more than 2^32 above the last one of the same process; the bound of a number is 2^53, so that endpoints may count from the time in microseconds.

--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -319,14 +319,19 @@
 
 // Announce processes an endpoint's announcement. next is the address for later
 // announcements; it is always empty because any control daemon accepts them. Errors:
-// *registry.InvalidError, *UnknownServiceError; the announcement then changes nothing.
+// *registry.InvalidError, *UnknownServiceError, *SequenceError; the announcement then changes
+// nothing.
 func (n *Node) Announce(e *fleetpb.Endpoint) (next string, err error) {
 	if err := registry.Check(e); err != nil {
 		return "", err
 	}
-	if !n.mayBelongTo(e.Id, e.Service) {
+	held := n.hub.Endpoint(e.Id)
+	if !n.mayBelongTo(held, e.Service) {
 		return "", &UnknownServiceError{Service: e.Service}
 	}
+	if held != nil && held.BornMs == e.BornMs && e.Sequence > held.Sequence+maxSequenceStep {
+		return "", &SequenceError{Held: held.Sequence, Announced: e.Sequence}
+	}
 	n.recordEndpoints(n.hub.Merge(e))
 	// The watcher remembers only endpoints that the table has room for.
 	if n.hub.Endpoint(e.Id) != nil {
@@ -335,15 +340,28 @@
 	return "", nil
 }
 
+// maxSequenceStep bounds how much higher than the last one the number of an announcement of the
+// same process may be. A record with a number that the process does not reach would hide all
+// its later announcements.
+const maxSequenceStep = 1 << 32
+
+// SequenceError reports an announcement whose number, Announced, is too far above the last one of
+// the same process, Held.
+type SequenceError struct{ Held, Announced uint64 }
+
+func (e *SequenceError) Error() string {
+	return fmt.Sprintf("sequence number %d is too far above %d", e.Announced, e.Held)
+}
+
 // mayBelongTo reports whether an endpoint may be one of a service: the configuration defines
 // the service, this daemon has no configuration yet, or the endpoint was accepted as one of the
 // service before. Otherwise it would supersede an endpoint in use that has its id or address.
-func (n *Node) mayBelongTo(id, service string) bool {
+// held is the endpoint's record, or nil.
+func (n *Node) mayBelongTo(held *fleetpb.Endpoint, service string) bool {
 	config, _ := n.machine.Configuration()
 	if config == nil || catalog.HasService(config, service) {
 		return true
 	}
-	held := n.hub.Endpoint(id)
 	return held != nil && held.Service == service
 }
 
--- a/internal/fleet/registry/check.go
+++ b/internal/fleet/registry/check.go
@@ -14,8 +14,9 @@
 	maxNameBytes = 255
 	// maxBornMs bounds the start of a process, in Unix milliseconds: the year 2109.
 	maxBornMs = 1 << 42
-	// maxSequence bounds the number of an announcement: 34 years at one a millisecond.
-	maxSequence = 1 << 40
+	// maxSequence bounds the number of an announcement, which need not begin at 1. JSON numbers
+	// are exact up to here in every language.
+	maxSequence = 1 << 53
 	// maxSlots bounds the statements that an endpoint says to run at once.
 	maxSlots = 1 << 16
 )
