--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -90,7 +90,7 @@
 	watcher   *watcher
 	positions *positions.Reader
 
-	// leaderSeen is the last time at which this member was a voter and knew the leader.
+	// leaderSeen is the last time at which this member had joined and knew the leader.
 	leaderSeen atomic.Pointer[time.Time]
 
 	// mu guards peerDomains: the failure domains of other control daemons by address, as
@@ -146,7 +146,7 @@
 }
 
 // observeLeader records when a leader is known and logs changes of the leader. It also
-// updates the metrics and removes silent voters.
+// updates the metrics.
 func (n *Node) observeLeader(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -158,8 +158,8 @@
 			return
 		case now := <-ticker.C:
 			st := n.control.Status()
-			// A member that is not a voter may not have received the state yet.
-			if st.Leader.Name != "" && st.Stalled == nil && st.Voter {
+			// A member that has not joined may not have received the state yet.
+			if st.Leader.Name != "" && st.Stalled == nil && st.Joined {
 				wasCurrent := n.IsCurrent()
 				n.leaderSeen.Store(&now)
 				if !wasCurrent {
@@ -174,7 +174,6 @@
 			n.cfg.Metrics.Member(st.Term, st.Role == agree.Leader, len(agree.Voters(st.Membership)), config.GetVersion())
 			n.cfg.Metrics.Attempts(n.machine.CountAttempts())
 			losses.update(n, st)
-			n.removeSilentVoters(ctx, st)
 		}
 	}
 }
@@ -269,6 +268,25 @@
 	return result, err
 }
 
+// proposeAsLeader commits a command if this member leads the control group. It returns the
+// command's result once this member has applied it. Errors: those of control.
+func (n *Node) proposeAsLeader(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
+	data, err := fleetstate.Encode(cmd)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	encoded, err := n.control.Propose(ctx, data)
+	n.cfg.Metrics.Proposed(time.Since(started), err)
+	if err != nil {
+		return nil, err
+	}
+	result := &fleetpb.CommandResult{}
+	return result, proto.Unmarshal(encoded, result)
+}
+
 // proposeToLeader commits a command through this member, or through the leader if another
 // member leads.
 func (n *Node) proposeToLeader(ctx context.Context, cmd *fleetpb.Command) (*fleetpb.CommandResult, error) {
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -47,11 +47,25 @@
 	// checkInterval is the time between two checks of a service with replicas that do not run
 	// or may be paused.
 	checkInterval = 300 * time.Millisecond
+	// pauseCheckInterval is the same where replicas may only be paused.
+	pauseCheckInterval = time.Second
+	// maxAnswerAge is how long an answer to a probe counts for an endpoint that announces
+	// itself to another daemon.
+	maxAnswerAge = time.Minute
+	// maxOrderDelay is how late an order to an endpoint may be carried out. A later one could
+	// only leave a replica paused, which costs reads there.
+	maxOrderDelay = 15 * time.Second
 	// heartbeatMargin is how late a replica's announcement may be before the replica is
 	// probed.
 	heartbeatMargin = 200 * time.Millisecond
 )
 
+// knownAttempt is an unfinished attempt with the time at which a daemon first saw it.
+type knownAttempt struct {
+	token uint64
+	since time.Time
+}
+
 // watcher detects failed, leaving, stalled and overloaded primaries and replaces them
 // while its member leads the control group.
 type watcher struct {
@@ -79,8 +93,9 @@
 	overloadedAt    map[string]time.Time
 	reliefCheckedAt map[string]time.Time
 
-	// busy holds the services with an action in progress. No action starts for a service
-	// before retryAt; retryBackoff is the current backoff.
+	// busy holds the services with an action in progress, actions how many were started. No
+	// action starts for a service before retryAt; retryBackoff is the current backoff.
+	actions      map[string]uint64
 	busy         map[string]bool
 	retryAt      map[string]time.Time
 	retryBackoff map[string]time.Duration
@@ -91,6 +106,16 @@
 	checking   map[string]bool
 	checkAt    map[string]time.Time
 	leftPaused map[string]uint64
+	// knownAttempts holds, by service, the last attempt that this daemon saw unfinished.
+	knownAttempts map[string]knownAttempt
+	// silentAt holds, by endpoint id, when another control daemon last reported that the
+	// endpoint does not announce itself any more, silenceReported the last announcement after
+	// which this daemon reported that. answeredAt holds when a silent endpoint last answered a
+	// probe since leadsSince, when this daemon began to lead.
+	silentAt        map[string]time.Time
+	silenceReported map[string]time.Time
+	answeredAt      map[string]time.Time
+	leadsSince      time.Time
 }
 
 func newWatcher(n *Node) *watcher {
@@ -105,12 +130,14 @@
 		stalledAt:        make(map[string]time.Time),
 		roleIgnoredUntil: make(map[string]time.Time),
 		overloadedAt:     make(map[string]time.Time), reliefCheckedAt: make(map[string]time.Time),
-		busy:         make(map[string]bool),
+		actions: make(map[string]uint64), busy: make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
 		checking:     make(map[string]bool),
 		checkAt:      make(map[string]time.Time),
-		leftPaused:   make(map[string]uint64),
+		leftPaused:   make(map[string]uint64), knownAttempts: make(map[string]knownAttempt),
+		silentAt: make(map[string]time.Time), silenceReported: make(map[string]time.Time),
+		answeredAt: make(map[string]time.Time),
 	}
 }
 
@@ -132,6 +159,9 @@
 	case fleetpb.Suspicion_SUSPICION_STALLED:
 		w.stalledAt[r.EndpointId] = time.Now()
 		return
+	case fleetpb.Suspicion_SUSPICION_SILENT:
+		w.silentAt[r.EndpointId] = time.Now()
+		return
 	case fleetpb.Suspicion_SUSPICION_OVERLOADED:
 		w.overloadedAt[r.EndpointId] = time.Now()
 		return
@@ -161,10 +191,12 @@
 		switch {
 		case isLeader && !wasLeader:
 			leadCtx, endLead = context.WithCancel(ctx)
+			w.noteLead()
 		case !isLeader && wasLeader:
 			endLead()
 		}
 		if !isLeader {
+			w.reportSilent(ctx)
 			continue
 		}
 		for _, svc := range w.services() {
@@ -174,6 +206,14 @@
 	}
 }
 
+// noteLead records that this daemon leads the control group from now on.
+func (w *watcher) noteLead() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leadsSince = time.Now()
+	clear(w.answeredAt)
+}
+
 // serviceState is a service with its endpoints as this member knows them.
 type serviceState struct {
 	service string
@@ -206,7 +246,7 @@
 				svc.primary = e
 			case e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE:
 				svc.others = append(svc.others, e)
-			case !w.node.machine.IsCovered(e.Id):
+			case !w.isCovered(e):
 				svc.ended = append(svc.ended, e)
 			}
 		}
@@ -237,6 +277,7 @@
 		return false
 	}
 	w.busy[service] = true
+	w.actions[service]++
 	return true
 }
 
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -74,6 +74,10 @@
 }
 
 func TestWaitEndsOnChangeAndWhenNotCurrent(t *testing.T) {
+	synctest.Test(t, testWaitEndsOnChangeAndWhenNotCurrent)
+}
+
+func testWaitEndsOnChangeAndWhenNotCurrent(t *testing.T) {
 	h, state, daemon := newHub()
 	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 	held := h.Follow(t.Context(), entryPoll(0, 0, 0)).Version
--- a/internal/fleet/fleetstate/fleetstate_test.go
+++ b/internal/fleet/fleetstate/fleetstate_test.go
@@ -122,7 +122,7 @@
 		apply(t, m, announce(good))
 		apply(t, m, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{EndpointIds: []string{odd.Id}}}})
 		assert.Check(t, !apply(t, m, announce(odd)).Taken, "%v", odd)
-		assert.Check(t, m.IsCovered(odd.Id), "%v", odd)
+		assert.Check(t, m.IsCovered(odd.Id, 0), "%v", odd)
 		data, err := proto.Marshal(&fleetpb.AgreedState{Endpoints: []*fleetpb.Endpoint{odd, good, odd}, Covered: []string{odd.Id}})
 		assert.NilError(t, err)
 		restored := New(nil)
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -30,6 +30,8 @@
 // Replica is an endpoint that may be promoted.
 type Replica struct {
 	stmt.Endpoint
+	// BornMs is the start of the endpoint's process in Unix milliseconds.
+	BornMs int64
 	// Leaving means that the endpoint announced that it will shut down.
 	Leaving bool
 	// Ended means that the endpoint and its log are gone, and that it may have been the
@@ -64,11 +66,11 @@
 	Term uint64
 	// OpenCalls are the calls of earlier attempts that may still be carried out, by token.
 	OpenCalls []Call
+	// Unfinished means that an earlier attempt may have left replicas paused.
+	Unfinished bool
 	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
 	// down.
 	StepDownOrdered bool
-	// Inherited is the end of the log with which the primary began to lead.
-	Inherited logpos.Pos
 	// Floor is a position that the log of the new primary must reach.
 	Floor logpos.Pos
 	// LeadTerm is the term in which the caller leads the control group, for logs.
@@ -79,10 +81,11 @@
 type Result struct {
 	// Primary is the id of the new primary; empty after an error.
 	Primary string
-	// Term is the new primary's term, Inherited the end of its log when it first reported
-	// that it leads, and Highest the highest position that an endpoint reported before.
-	Term               uint64
-	Inherited, Highest logpos.Pos
+	// Term is the new primary's term, Promoted a position that its log had reached when it
+	// was promoted, Inherited the end of its log when it first reported that it leads, and
+	// Highest the highest position that an endpoint reported before.
+	Term                         uint64
+	Promoted, Inherited, Highest logpos.Pos
 	// PausesLeft means that an endpoint may be paused, or may be ordered to step down by a
 	// late order.
 	PausesLeft bool
@@ -98,11 +101,20 @@
 type Recorder interface {
 	// RecordStepDown records that the primary will be ordered to step down.
 	RecordStepDown(ctx context.Context, service string, token uint64) error
-	// RecordCall records a call to the platform. known are the ids of all endpoints that
-	// the attempt has paused or accounted for, dead those among them that it left out because
-	// they are covered. It returns *UnknownEndpointError if the service has another one, or
-	// if one is not covered any more.
-	RecordCall(ctx context.Context, service string, call Call, known, dead []string) error
+	// RecordCall records a call to the platform. It returns *UnknownEndpointError if the
+	// service has an endpoint that is not accounted for, if one was started again, or if one
+	// that was left out is not covered any more.
+	RecordCall(ctx context.Context, service string, call Call, accounted []Accounted) error
+}
+
+// Accounted is a replica that an attempt has paused or left out.
+type Accounted struct {
+	ID string
+	// BornMs is the start of the endpoint's process that the plan knows, in Unix
+	// milliseconds.
+	BornMs int64
+	// Dead means that the replica was left out because it does not run and is covered.
+	Dead bool
 }
 
 // Runner carries out promotions. It is safe for concurrent use.
@@ -123,6 +135,10 @@
 
 	conns    []stmt.Conn
 	replicas []ReplicaState
+	// primaryConn is the connection to the plan's primary on which it stepped down, or nil.
+	// finalPosition is the end of its log then.
+	primaryConn   stmt.Conn
+	finalPosition logpos.Pos
 	// pauseTerm is the lowest term of the pauses that the attempt counts on; 0 if it counts
 	// on none.
 	pauseTerm uint64
@@ -172,8 +188,7 @@
 		return &BelowFloorError{Endpoint: candidate.ID, Position: candidate.position(), Floor: a.plan.Floor}
 	}
 	call := Call{Token: a.plan.Token, EndpointID: candidate.ID}
-	known, dead := a.accountedEndpoints()
-	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, known, dead)
+	err = a.Recorder.RecordCall(ctx, a.plan.Service, call, a.accounted())
 	if err == nil {
 		err = a.confirmReplicas(ctx, candidate)
 	}
@@ -181,7 +196,7 @@
 		a.result.CallRefused = true
 		return err
 	}
-	a.result.Highest = a.highestPosition(candidate)
+	a.result.Promoted, a.result.Highest = candidate.position(), a.highestPosition(candidate)
 	a.log.Info("promotion called", "endpoint", candidate.ID, "position", candidate.Status.Received.String(),
 		"highest", a.result.Highest.String(), "pauseTerm", a.pauseTerm)
 	if err := a.callPromoter(ctx, candidate.ID); err != nil {
@@ -190,17 +205,13 @@
 	return a.awaitTakeover(ctx, candidate.ID)
 }
 
-// accountedEndpoints returns the ids of all endpoints that the attempt accounts for, and of
-// those among them that it left out.
-func (a *attempt) accountedEndpoints() (known, dead []string) {
-	known = []string{a.plan.Primary.ID}
-	for _, s := range a.replicas {
-		known = append(known, s.ID)
-		if s.Dead {
-			dead = append(dead, s.ID)
-		}
+// accounted returns the replicas that the attempt accounts for.
+func (a *attempt) accounted() []Accounted {
+	var list []Accounted
+	for i, r := range a.plan.Replicas {
+		list = append(list, Accounted{ID: r.ID, BornMs: r.BornMs, Dead: a.replicas[i].Dead})
 	}
-	return known, dead
+	return list
 }
 
 func (a *attempt) highestPosition(candidate ReplicaState) logpos.Pos {
@@ -218,7 +229,7 @@
 func (a *attempt) candidate(ctx context.Context) (ReplicaState, error) {
 	successor, ok := Successor(a.replicas, a.plan.OpenCalls, a.nextTerm(), a.plan.Preferred)
 	switch {
-	case a.plan.PrimaryServes && !ok && !AnyPaused(a.replicas, a.nextTerm()):
+	case a.plan.PrimaryServes && !ok && len(a.plan.OpenCalls) == 0 && !AnyPaused(a.replicas, a.nextTerm()):
 		return ReplicaState{}, &NoCandidateError{Service: a.plan.Service}
 	case !AllAnswer(a.replicas):
 		return a.candidateAfterStepDown(ctx)
@@ -341,26 +352,27 @@
 
 // stepDown makes the plan's primary step down and returns its final status, which holds
 // every acknowledged commit. It also accepts a replica that was ordered to step down before
-// and has not been started again, as no other endpoint can have been promoted since if no
-// call for one is open. Errors:
-// *NotPrimaryError, those of stmt and of Recorder.
+// and has not been started again. In both cases no other endpoint can have been promoted, as
+// no call for one is open. Errors: *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
+	if a.hasOpenCallForReplica() {
+		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
+	}
 	conn, status, err := a.connectPrimary(ctx)
 	if err != nil {
 		return stmt.Status{}, err
 	}
-	defer conn.Close()
-	isComplete := status.Role == stmt.Primary || !a.plan.PrimaryRestarted
+	a.primaryConn = conn
+	isComplete := a.isStepDownOrdered && !a.plan.PrimaryRestarted
 	if status.Role == stmt.Primary {
+		isComplete = true
 		status, err = a.orderStepDown(ctx, conn, status.Term+1)
-		if err != nil {
-			return stmt.Status{}, err
-		}
 	}
-	if !isComplete || !a.isStepDownOrdered || a.hasOpenCallForReplica() || !HasAll(status, a.replicas) {
-		return stmt.Status{}, &NotPrimaryError{Endpoint: a.plan.Primary.ID}
+	if err == nil && !(isComplete && HasAll(status, a.replicas)) {
+		err = &NotPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
-	return status, nil
+	a.finalPosition = status.Received
+	return status, err
 }
 
 // orderStepDown records the order and sends it.
@@ -389,7 +401,7 @@
 }
 
 func (a *attempt) close() {
-	for _, conn := range a.conns {
+	for _, conn := range append(a.conns, a.primaryConn) {
 		if conn != nil {
 			conn.Close()
 		}
