Tests of odd entries: services of Levels, and a known primary before the first odd beat

Change: the tests name the service and its databases, and wait until each control daemon knows the primary. The checks are unchanged.

--- a/internal/fleet/fleetd/odd_test.go
+++ b/internal/fleet/fleetd/odd_test.go
@@ -88,9 +88,9 @@
 	for control := range 3 {
 		ok := standin.WaitFor(5*time.Second, func() bool {
 			status, _ := f.operatorRequest(control, "GET", standin.ReadPath, "")
-			return status == http.StatusOK
+			return status == http.StatusOK && f.knowsPrimary(control)
 		})
-		assert.Assert(t, ok, "control %d has no configuration", control)
+		assert.Assert(t, ok, "control %d has no configuration, or does not know the primary", control)
 	}
 	for _, odd := range f.oddBeats() {
 		for control := range 3 {
@@ -104,7 +104,7 @@
 	for _, reason := range []string{"format", "content"} {
 		assert.Assert(t, strings.Contains(text, `announcements_refused_total{reason="`+reason+`"}`), text)
 	}
-	f.publish(standin.Levels(6, 800, 1500, 40))
+	f.publish(standin.Levels(6, 800, 1500, 40, "svc"))
 	for entry := range 2 {
 		ok := standin.WaitFor(5*time.Second, func() bool {
 			return f.serves(entry, "current", "STORE item v") && f.serves(entry, "bounded", "FETCH item")
@@ -125,7 +125,7 @@
 // IPv6 literal, a port where nobody listens, and a server that speaks another protocol.
 func TestUnreachableEntryLeavesOthersInUse(t *testing.T) {
 	f := newFleet(t, 3, 2)
-	f.publish(standin.Levels(5, 800, 1500, 40))
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
 	for i, address := range []string{"[2001:db8::1]:9", "[::1]:9", "127.0.3.1:9", fmt.Sprintf("127.0.1.1:%d", f.port+1)} {
 		body := strings.Replace(beatSample, "127.0.3.1:9", address, 1)
 		ok := standin.WaitFor(5*time.Second, func() bool {
@@ -137,8 +137,8 @@
 	for entry := range 2 {
 		f.querySucceedsAt(entry, "current", "STORE item v")
 		for range 20 {
-			for _, database := range []string{"current", "session", "bounded"} {
-				assert.Assert(t, f.serves(entry, database, "FETCH item"), "entry %d, %s", entry, database)
+			for _, level := range []string{"current", "session", "bounded"} {
+				assert.Assert(t, f.serves(entry, level, "FETCH item"), "entry %d, %s", entry, level)
 			}
 			assert.Assert(t, f.serves(entry, "current", "STORE item w"), "entry %d", entry)
 		}
@@ -146,21 +146,21 @@
 }
 
 // querySucceedsAt repeats a statement until it succeeds.
-func (f *fleet) querySucceedsAt(entry int, database, text string) {
+func (f *fleet) querySucceedsAt(entry int, level, text string) {
 	f.t.Helper()
-	ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, database, text) })
-	assert.Assert(f.t, ok, "entry %d, %s", entry, database)
+	ok := standin.WaitFor(5*time.Second, func() bool { return f.serves(entry, level, text) })
+	assert.Assert(f.t, ok, "entry %d, %s", entry, level)
 }
 
-// serves reports whether an entry has a route for a database and runs a statement there.
-func (f *fleet) serves(entry int, database, text string) bool {
+// serves reports whether an entry serves the service svc at a read level.
+func (f *fleet) serves(entry int, level, text string) bool {
 	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.2.%d:%d", entry+1, f.port), time.Second)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	_, _ = fmt.Fprintf(conn, "CONNECT %s me\r\nQUERY q%d %s\r\n", database, time.Now().UnixNano(), text)
+	_, _ = fmt.Fprintf(conn, "CONNECT %s me\r\nQUERY q%d %s\r\n", standin.Database("svc", level), time.Now().UnixNano(), text)
 	r := bufio.NewReader(conn)
 	hello, _ := r.ReadString('\n')
 	answer, _ := r.ReadString('\n')
@@ -171,7 +171,7 @@
 // with which a daemon does not start again, or which hide or block the endpoints in use.
 func TestOddRecordsInTheLogAreReadBack(t *testing.T) {
 	f := newFleet(t, 3, 2)
-	f.publish(standin.Levels(5, 800, 1500, 40))
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
 	f.querySucceedsAt(0, "current", "STORE item v")
 	primary := f.group.Nodes()[0]
 	odd := &fleetpb.Endpoint{Id: "odd", Service: "svc", Address: "127.0.3.1:0", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: 1, Sequence: 1}
@@ -190,7 +190,7 @@
 	for i := range 3 {
 		f.start(f.stop(fmt.Sprintf("control-%d", i)))
 	}
-	f.publish(standin.Levels(6, 900, 1500, 40))
+	f.publish(standin.Levels(6, 900, 1500, 40, "svc"))
 	for entry := range 2 {
 		f.querySucceedsAt(entry, "current", "STORE item w")
 	}
@@ -200,6 +200,15 @@
 	}
 }
 
+// knowsPrimary reports whether a control daemon knows the endpoint that leads, and so answers
+// with its position.
+func (f *fleet) knowsPrimary(control int) bool {
+	address := f.daemons[fmt.Sprintf("control-%d", control)].settings.Internal
+	client := fleetrpc.NewClient(fleetrpc.NewHTTPClient(), address)
+	_, err := client.Position(f.t.Context(), &fleetpb.PositionRequest{EndpointId: f.group.Primary().ID})
+	return err == nil
+}
+
 // propose has the control group append a command to its log, through whichever daemon leads.
 func (f *fleet) propose(command []byte) bool {
 	for i := range 3 {
