promotion: model of several holders with late calls and orders

Change: an exploration of two to four attempts by different holders, each of which may be frozen between any two of its steps and go on after others have begun. Calls and orders are carried out late or not at all; endpoints start again with their log or empty, are deaf, end, are covered, join; the primary is cut off from control only. Attempts choose with the functions of choose.go. Each rule of decision 0088 is a switch, and so is the protocol before it.

--- /dev/null
+++ b/internal/fleet/promotion/holders_model_test.go
@@ -0,0 +1,1189 @@
+package promotion
+
+import (
+	"fmt"
+	"slices"
+
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
+)
+
+// The model below has several holders that replace the primary of one service, one after the
+// other. A holder may be frozen between any two steps and go on after others have begun. Calls
+// and orders may be carried out late. The databases and the platform behave as measured, see
+// docs/incidents/lost-after-leader-change.md. Attempts choose with the package's functions.
+
+const (
+	modelEndpoints = 4
+	modelCommits   = 3
+	modelAttempts  = 4
+	modelOrders    = 2
+	noEndpoint     = int8(-1)
+)
+
+var endpointNames = [modelEndpoints]string{"0", "1", "2", "3"}
+
+func indexOf(id string) int8 { return int8(slices.Index(endpointNames[:], id)) }
+
+// modelRules are deviations from decision 0088. The zero value has all rules.
+type modelRules struct {
+	// old is the protocol before decision 0088: pauses end with RESUME after a failure, nothing
+	// is recorded, dead replicas are left out, the last answer of the platform decides.
+	old bool
+	// 1: an attempt that fails ends its pauses.
+	resumes bool
+	// 2: replicas are paused although another one does not answer.
+	pausesSome bool
+	// 3: nobody makes another attempt after a failed one.
+	forgetsAttempt bool
+	// 3: nobody looks for pauses when the last attempt is closed.
+	forgetsClosed bool
+	// 4: a superseded holder calls; an endpoint that is not accounted for, or a replica that is
+	// not covered any more, does not matter.
+	callsUnrecorded, ignoresUnknown, keepsCovered bool
+	// 5: open calls do not matter, or not for the term of a pause; the record of a claim drops
+	// all of them; a call that was carried out is not open, even if another one was carried out
+	// in its place.
+	ignoresOpenCalls, pausesWithNextTerm, dropsAllCalls, dropsOwnCall bool
+	// 5: older calls are closed by a primary that leads only; its position is taken for a floor.
+	closesServingOnly, raisesFloorByPrimary bool
+	// 6: any replica that is recorded as the primary is taken to have stepped down; open calls do
+	// not matter then, or not that for the primary; its log may be new.
+	trustsRole, trustsDespiteCalls, leavesCalledPrimary, trustsNewLog bool
+	// 7: a replica that does not run is left out; the floor does not matter; replicas that run
+	// are covered, too; a replica is covered after it has started again.
+	leavesOutDead, ignoresFloor, coversRunning, coversLaterLife bool
+	// 8: a replica that lost its log counts as any other, or if it was started since the attempt
+	// began.
+	trustsLostLog, ignoresReborn bool
+	// 9: a call that is not answered is repeated with its token, and the last answer decides.
+	repeatsCalls, forgetsUnanswered bool
+	// The last known term of a primary does not count for the term of a pause.
+	seesAnswersOnly bool
+}
+
+// Kinds of faults.
+const (
+	faultCut = 1 << iota
+	faultDeaf
+	faultEnd
+	faultRestart
+	faultWipe
+	faultJoin
+	faultOrder
+	faultCall
+	allFaults = 1<<iota - 1
+)
+
+// States in which an exploration starts, other than the usual one.
+const (
+	// startTwoCalls: endpoint 1 leads by the first of two calls; the holder of the second waits.
+	startTwoCalls = iota + 1
+	// startPrimaryCalled: the primary stepped down, and a call for it is open.
+	startPrimaryCalled
+)
+
+// modelConfig says what may happen.
+type modelConfig struct {
+	endpoints, commits, attempts int
+	planned, unplanned           bool
+	// faults are the kinds of faults, budget their number.
+	faults, budget int
+	// The cases that decision 0088 does not cover: see its list.
+	restartsWhileCounted, joinsWhileCounted, joinsUnannounced, lowersPauses, wipesLatest bool
+	// start is the state in which an exploration starts.
+	start int
+	// closesCalls lets an attempt call the primary to close older calls.
+	closesCalls bool
+	// coversLate lets time pass between the look at a replica that does not run and the record
+	// that it is covered.
+	coversLate bool
+}
+
+type modelEndpoint struct {
+	term, pause uint8
+	// log holds the numbers of the commits received; 0 ends it.
+	log                              [modelCommits]uint8
+	primary, down, deaf, cut, absent bool
+	// empty means that the endpoint lost its log and receives nothing before it is covered.
+	empty bool
+	// life counts the starts.
+	life uint8
+}
+
+func (e *modelEndpoint) runs() bool    { return !e.down && !e.absent }
+func (e *modelEndpoint) answers() bool { return e.runs() && !e.cut }
+
+// Kinds of late orders.
+const (
+	noOrder = iota
+	latePause
+	lateResume
+	lateStepDown
+)
+
+type modelOrder struct {
+	kind uint8
+	to   int8
+	term uint8
+}
+
+// Steps of an attempt. In those from stepPause to stepLook, it has connections to the replicas.
+const (
+	stepNone = iota
+	stepStatus
+	stepPause
+	stepChoose
+	stepRecordStepDown
+	stepStepDown
+	stepChooseAfterStepDown
+	stepRecordCall
+	stepLook
+	stepCall
+	stepRepeatCall
+	stepAwait
+	stepRecordClaim
+	stepResume
+	stepEnded
+)
+
+type modelSeen struct {
+	reached, primary, lost bool
+	term, pause, position  uint8
+}
+
+type modelAttempt struct {
+	step    uint8
+	planned bool
+	// next is the next endpoint that gets an order.
+	next, term uint8
+	chosen     int8
+	// known, dead, mine and broken are sets of endpoints: known when the attempt began, left
+	// out, paused by the attempt, and ended since it connected to them.
+	known, dead, mine, broken uint8
+	// reborn is the set of endpoints that were started since the attempt began.
+	reborn uint8
+	// calls and the fields after it are the agreed state when the attempt began.
+	calls                             [modelAttempts]int8
+	floor, number, covered, restarted uint8
+	primary                           int8
+	stepDown                          bool
+	// unanswered means that a call was not answered, closes that the attempt calls the primary
+	// to close older calls.
+	unanswered, closes bool
+	// final is the position of the candidate, or of the primary after it stepped down.
+	final uint8
+	seen  [modelEndpoints]modelSeen
+}
+
+// holdersState is one state. Attempt k has token k+1.
+type holdersState struct {
+	e          [modelEndpoints]modelEndpoint
+	commitTerm [modelCommits + 1]uint8
+	// acked is the set of acknowledged commits; lost means that a primary began without one.
+	acked  uint8
+	lost   bool
+	term   uint8
+	faults uint8
+	a      [modelAttempts]modelAttempt
+
+	// The platform: the highest token seen, and by token the calls and orders that may be
+	// carried out.
+	platformToken uint8
+	inFlight      [modelAttempts]uint8
+	inFlightTo    [modelAttempts]int8
+	orders        [modelOrders]modelOrder
+
+	// The agreed state. calls has the endpoint of each open call by token.
+	last                           uint8
+	unfinished, stepDown, hasEnded bool
+	calls                          [modelAttempts]int8
+	floor, number                  uint8
+	record                         int8
+	recordTerm                     uint8
+	covered, restarted, known      uint8
+
+	// toCover is an endpoint that was found not to run, 0 for none, or its number and 1.
+	toCover, toCoverLife, toCoverPosition uint8
+	toCoverRuns                           bool
+}
+
+type modelEvent struct {
+	what string
+	a, b int
+}
+
+func (e modelEvent) String() string { return fmt.Sprintf("%s (%d, %d)", e.what, e.a, e.b) }
+
+type modelStep struct {
+	event modelEvent
+	state holdersState
+}
+
+type model struct {
+	rules modelRules
+	modelConfig
+	// wanted are events of the loss that is looked for.
+	wanted []string
+	out    []modelStep
+}
+
+func (m *model) first() holdersState {
+	// Commit 1 is everywhere.
+	s := holdersState{term: 1, recordTerm: 1, acked: 1 << 1, commitTerm: [modelCommits + 1]uint8{1: 1}}
+	for i := range s.e {
+		s.e[i].term = 1
+		if s.e[i].absent = i >= m.endpoints; !s.e[i].absent {
+			s.e[i].log[0] = 1
+		}
+		if i < m.endpoints {
+			s.known |= 1 << i
+		}
+	}
+	s.e[0].primary = true
+	for k := range s.calls {
+		s.calls[k], s.inFlightTo[k] = noEndpoint, noEndpoint
+	}
+	switch m.start {
+	case startTwoCalls:
+		s.last, s.unfinished, s.calls[0], s.calls[1] = 2, true, 1, 1
+		s.inFlight[1], s.inFlightTo[1] = 1, 1
+		s.a[0], s.a[1] = modelAttempt{step: stepEnded}, modelAttempt{step: stepAwait, chosen: 1}
+		s.promote(1, 1)
+	case startPrimaryCalled:
+		s.last, s.unfinished, s.calls[0], s.stepDown = 1, true, 0, true
+		s.inFlight[0], s.inFlightTo[0] = 1, 0
+		s.a[0], s.e[0].primary = modelAttempt{step: stepEnded}, false
+	}
+	return s
+}
+
+func (m *model) add(what string, a, b int, s holdersState) {
+	m.out = append(m.out, modelStep{modelEvent{what, a, b}, s})
+}
+
+// next returns every state that one event can lead to. The slice is valid until the next call.
+func (m *model) next(s holdersState) []modelStep {
+	m.out = m.out[:0]
+	m.replicate(s)
+	for i := range s.e {
+		m.disturb(s, i)
+	}
+	m.applyCover(s)
+	m.carryOutLate(s)
+	for k := range m.attempts {
+		m.attempt(s, k)
+	}
+	return m.out
+}
+
+// mayFail counts a fault of the given kind and returns false if it may not happen.
+func (m *model) mayFail(s *holdersState, kind int) bool {
+	if m.faults&kind == 0 || int(s.faults) >= m.budget {
+		return false
+	}
+	s.faults++
+	return true
+}
+
+// The databases.
+
+func logLen(log [modelCommits]uint8) int {
+	n := 0
+	for n < modelCommits && log[n] != 0 {
+		n++
+	}
+	return n
+}
+
+// position returns the end of endpoint i's log: the term, then 3 bits for the index.
+func (s *holdersState) position(i int) uint8 {
+	n := logLen(s.e[i].log)
+	if n == 0 {
+		return 0
+	}
+	return s.commitTerm[s.e[i].log[n-1]]<<3 | uint8(n)
+}
+
+func decodePosition(p uint8) logpos.Pos {
+	if p == 0 {
+		return logpos.Pos{}
+	}
+	return logpos.Pos{Term: uint64(p >> 3), Index: uint64(p & 7)}
+}
+
+func (s *holdersState) primary() int {
+	return slices.IndexFunc(s.e[:], func(e modelEndpoint) bool { return e.primary })
+}
+
+// follow makes endpoint i a replica of the primary if it hears it and no pause holds.
+func (s *holdersState) follow(i int) {
+	p := s.primary()
+	if p < 0 || p == i {
+		return
+	}
+	e := &s.e[i]
+	if !e.runs() || e.deaf || s.e[p].down || e.pause > s.e[p].term || e.term >= s.e[p].term {
+		return
+	}
+	e.pause, e.term = 0, s.e[p].term
+	n := 0
+	for n < modelCommits && e.log[n] == s.e[p].log[n] {
+		n++
+	}
+	clear(e.log[n:])
+}
+
+// promote is what the platform does for a call. It returns false for a refusal.
+func (s *holdersState) promote(to int, token uint8) bool {
+	if token < s.platformToken || !s.e[to].runs() {
+		return false
+	}
+	s.platformToken = token
+	if s.e[to].primary {
+		return true
+	}
+	for i := range s.e {
+		s.e[i].primary = false
+	}
+	s.term++
+	e := &s.e[to]
+	e.primary, e.term, e.pause = true, s.term, 0
+	for i := range s.e {
+		s.follow(i)
+	}
+	for c := uint8(1); c <= modelCommits; c++ {
+		s.lost = s.lost || s.acked&(1<<c) != 0 && !slices.Contains(e.log[:], c)
+	}
+	return true
+}
+
+func (s *holdersState) execute(o modelOrder) {
+	e := &s.e[o.to]
+	switch {
+	case !e.runs():
+	case o.kind == latePause && !e.primary && o.term > e.term:
+		e.pause = o.term
+	case o.kind == lateResume:
+		e.pause = 0
+		s.follow(int(o.to))
+	case o.kind == lateStepDown && e.primary && o.term > e.term:
+		e.primary = false
+	}
+}
+
+// addLate keeps an order for later. It returns false if there are too many.
+func (s *holdersState) addLate(o modelOrder) bool {
+	i := slices.Index(s.orders[:], modelOrder{})
+	if i < 0 {
+		return false
+	}
+	s.orders[i] = o
+	key := func(o modelOrder) int { return int(o.kind)<<16 | int(o.to)<<8 | int(o.term) }
+	slices.SortFunc(s.orders[:], func(a, b modelOrder) int { return key(b) - key(a) })
+	return true
+}
+
+// replicate has the commits and their way to the replicas.
+func (m *model) replicate(s holdersState) {
+	p := s.primary()
+	if p < 0 || s.e[p].down {
+		return
+	}
+	c := 1 + slices.Index(s.commitTerm[1:], 0)
+	if n := logLen(s.e[p].log); c > 0 && c <= m.commits+1 && n < modelCommits {
+		t := s
+		t.commitTerm[c] = t.e[p].term
+		t.e[p].log[n] = uint8(c)
+		m.add("primary commits", p, c, t)
+	}
+	for i := range s.e {
+		e := &s.e[i]
+		if i == p || !e.runs() || e.deaf {
+			continue
+		}
+		t := s
+		t.follow(i)
+		n := logLen(e.log)
+		switch {
+		case t != s:
+			m.add("follows the primary", i, p, t)
+		case e.pause == 0 && e.term == s.e[p].term && n < modelCommits && s.e[p].log[n] != 0:
+			c := s.e[p].log[n]
+			t.e[i].log[n] = c
+			if t.commitTerm[c] == t.e[p].term {
+				t.acked |= 1 << c
+			}
+			m.add("receives and acknowledges", i, int(c), t)
+		}
+	}
+}
+
+// isCountedOn reports whether a promotion may still take effect whose holder has looked at the
+// replicas for the last time.
+func (s *holdersState) isCountedOn() bool {
+	for k := range s.a {
+		isCalled := s.inFlight[k] > 0 && uint8(k+1) >= s.platformToken
+		if isCalled || s.a[k].step == stepCall || s.a[k].step == stepRepeatCall {
+			return true
+		}
+	}
+	return false
+}
+
+// mayJoin reports whether an endpoint may begin to run: not after an attempt has looked at the
+// known endpoints for the last time.
+func (m *model) mayJoin(s *holdersState) bool {
+	isLooking := slices.ContainsFunc(s.a[:], func(a modelAttempt) bool { return a.step == stepLook })
+	return m.joinsWhileCounted || !isLooking && !s.isCountedOn()
+}
+
+// isOnlyCopy reports whether endpoint i alone holds an acknowledged commit.
+func (s *holdersState) isOnlyCopy(i int) bool {
+	for _, c := range s.e[i].log {
+		isCopied := slices.ContainsFunc(endpointNames[:], func(id string) bool {
+			j := int(indexOf(id))
+			return j != i && slices.Contains(s.e[j].log[:], c)
+		})
+		if c != 0 && s.acked&(1<<c) != 0 && !isCopied {
+			return true
+		}
+	}
+	return false
+}
+
+// disturb has the faults of endpoint i and their ends.
+func (m *model) disturb(s holdersState, i int) {
+	e := &s.e[i]
+	p := s.primary()
+	change := func(kind int, what string, f func(t *holdersState, e *modelEndpoint)) {
+		t := s
+		if kind == 0 || m.mayFail(&t, kind) {
+			f(&t, &t.e[i])
+			m.add(what, i, 0, t)
+		}
+	}
+	if e.absent {
+		if m.mayJoin(&s) || m.joinsUnannounced {
+			change(faultJoin, "joins", func(t *holdersState, e *modelEndpoint) {
+				*e = modelEndpoint{}
+				if !m.joinsUnannounced {
+					t.known |= 1 << i
+				}
+				t.follow(i)
+			})
+		}
+		return
+	}
+	m.cover(s, i)
+	if e.deaf && !e.empty {
+		change(0, "is no longer deaf", func(t *holdersState, e *modelEndpoint) { e.deaf = false; t.follow(i) })
+	}
+	if e.cut {
+		change(0, "is reached by control again", func(_ *holdersState, e *modelEndpoint) { e.cut = false })
+	}
+	if e.down {
+		if e.primary || m.mayJoin(&s) {
+			change(0, "is back with its log", func(t *holdersState, _ *modelEndpoint) { t.restart(i) })
+		}
+		return
+	}
+	change(faultEnd, "ends", func(t *holdersState, e *modelEndpoint) {
+		e.down, e.deaf, e.pause = true, false, 0
+		t.breakConns(i)
+	})
+	if !e.deaf {
+		change(faultDeaf, "is deaf", func(_ *holdersState, e *modelEndpoint) { e.deaf = true })
+	}
+	if i == p && !e.cut {
+		change(faultCut, "is cut off from control", func(_ *holdersState, e *modelEndpoint) { e.cut = true })
+	}
+	if i == p || s.isCountedOn() && !m.restartsWhileCounted {
+		return
+	}
+	if e.pause != 0 {
+		change(faultRestart, "starts again with its log", func(t *holdersState, _ *modelEndpoint) { t.restart(i) })
+	}
+	if !s.isOnlyCopy(i) {
+		change(faultWipe, "starts again empty", func(t *holdersState, e *modelEndpoint) {
+			e.log, e.term = [modelCommits]uint8{}, 0
+			e.deaf, e.empty = !m.wipesLatest, !m.wipesLatest
+			t.restart(i)
+		})
+	}
+}
+
+// restart starts endpoint i anew with its log. It announces itself at once.
+func (s *holdersState) restart(i int) {
+	e := &s.e[i]
+	e.down, e.pause = false, 0
+	e.life++
+	s.covered &^= 1 << i
+	s.restarted |= 1 << i
+	s.breakConns(i)
+	for k := range s.a {
+		if a := &s.a[k]; a.step >= stepStatus && a.step <= stepRecordCall && a.known&(1<<i) != 0 {
+			a.reborn |= 1 << i
+		}
+	}
+	s.follow(i)
+}
+
+// breakConns ends the connections of the attempts to endpoint i.
+func (s *holdersState) breakConns(i int) {
+	for k := range s.a {
+		if a := &s.a[k]; a.step >= stepPause && a.step <= stepLook && a.known&(1<<i) != 0 {
+			a.broken |= 1 << i
+		}
+	}
+}
+
+// cover has the look at an endpoint that does not run or has started again: another one holds
+// what the primary holds now.
+func (m *model) cover(s holdersState, i int) {
+	p := s.primary()
+	isNeeded := s.e[i].down && s.covered&(1<<i) == 0 || s.restarted&(1<<i) != 0
+	if !isNeeded || s.toCover != 0 || p < 0 || p != int(s.record) || !s.e[p].answers() {
+		return
+	}
+	for r := range s.e {
+		isHolder := r != p && s.known&(1<<r) != 0 && s.e[r].answers() && s.position(r) >= s.position(p)
+		if !isHolder {
+			continue
+		}
+		s.toCover, s.toCoverLife, s.toCoverPosition, s.toCoverRuns = uint8(i+1), s.e[i].life, s.position(p), !s.e[i].down
+		if m.coversLate && m.attempts > 0 {
+			m.add("is held by another endpoint", i, r, s)
+			return
+		}
+		m.applyCover(s)
+		return
+	}
+}
+
+// applyCover is Cover of the agreed state.
+func (m *model) applyCover(s holdersState) {
+	if s.toCover == 0 {
+		return
+	}
+	i, life, runs := int(s.toCover-1), s.toCoverLife, s.toCoverRuns
+	s.floor = max(s.floor, s.toCoverPosition)
+	s.toCover, s.toCoverLife, s.toCoverPosition, s.toCoverRuns = 0, 0, 0, false
+	if s.e[i].life == life || m.rules.coversLaterLife {
+		s.restarted &^= 1 << i
+		s.e[i].empty = false
+		if !runs || m.rules.coversRunning {
+			s.covered |= 1 << i
+		}
+	}
+	m.add("is covered", i, 0, s)
+}
+
+// carryOutLate has the calls and orders that are carried out.
+func (m *model) carryOutLate(s holdersState) {
+	for k := range s.inFlight {
+		if s.inFlight[k] == 0 {
+			continue
+		}
+		t := s
+		to := int(t.inFlightTo[k])
+		if t.inFlight[k]--; t.inFlight[k] == 0 {
+			t.inFlightTo[k] = noEndpoint
+		}
+		what := "call is refused late"
+		if t.promote(to, uint8(k+1)) {
+			what = eventPromoted
+		}
+		m.add(what, k+1, to, t)
+	}
+	for i, o := range s.orders {
+		if o.kind == noOrder || i > 0 && s.orders[i-1] == o {
+			continue
+		}
+		if o.kind == latePause && o.term < s.e[o.to].pause && !m.lowersPauses {
+			continue
+		}
+		t := s
+		copy(t.orders[i:], t.orders[i+1:])
+		t.orders[modelOrders-1] = modelOrder{}
+		t.execute(o)
+		m.add([]string{"", "late PAUSE", "late RESUME", "late STEPDOWN"}[o.kind], int(o.to), int(o.term), t)
+	}
+}
+
+const eventPromoted = "call is carried out"
+
+// The attempts.
+
+// look requests the status of endpoint i and reports whether it answers.
+func (s *holdersState) look(a *modelAttempt, i int) bool {
+	e := &s.e[i]
+	lost := a.seen[i].lost
+	a.seen[i] = modelSeen{}
+	if !e.answers() || a.broken&(1<<i) != 0 {
+		return false
+	}
+	a.seen[i] = modelSeen{
+		reached: true, primary: e.primary, lost: lost, term: e.term, pause: e.pause, position: s.position(i),
+	}
+	return true
+}
+
+// replicas returns what attempt a knows, as the package's functions take it.
+func (a *modelAttempt) replicas() []ReplicaState {
+	list := make([]ReplicaState, 0, modelEndpoints)
+	for i, v := range a.seen {
+		if a.known&(1<<i) == 0 || i == int(a.primary) {
+			continue
+		}
+		r := ReplicaState{
+			ID: endpointNames[i], Reached: v.reached, Dead: a.dead&(1<<i) != 0, LostLog: v.lost,
+			Status: stmt.Status{Term: uint64(v.term), PausedTerm: uint64(v.pause), Received: decodePosition(v.position)},
+		}
+		if v.primary {
+			r.Status.Role = stmt.Primary
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// open returns the open calls that count, as fleetstate.OpenCalls does.
+func (a *modelAttempt) open() []Call {
+	var list []Call
+	for k, to := range a.calls {
+		if to >= 0 && (len(list) > 0 || to != a.primary || a.stepDown) {
+			list = append(list, Call{Token: uint64(k + 1), EndpointID: endpointNames[to]})
+		}
+	}
+	return list
+}
+
+func (m *model) nextTerm(s *holdersState, replicas []ReplicaState) uint64 {
+	if m.rules.old {
+		var term uint64
+		for _, r := range replicas {
+			term = max(term, r.Status.PausedTerm, r.Status.Term)
+		}
+		return term + 1
+	}
+	if m.rules.seesAnswersOnly {
+		return NextTerm(replicas, 0)
+	}
+	return NextTerm(replicas, uint64(s.recordTerm))
+}
+
+func (m *model) pauseTerm(s *holdersState, a *modelAttempt, id string) uint8 {
+	next := m.nextTerm(s, a.replicas())
+	if m.rules.pausesWithNextTerm {
+		return uint8(next)
+	}
+	return uint8(PauseTerm(next, a.open(), id))
+}
+
+func (m *model) to(s holdersState, k int, step uint8, what string) {
+	s.a[k].step = step
+	m.add(what, k+1, int(s.a[k].chosen), s)
+}
+
+func (s holdersState) end(k int) holdersState {
+	s.a[k] = modelAttempt{step: stepEnded}
+	return s
+}
+
+// fail ends attempt k without a promotion.
+func (m *model) fail(s holdersState, k int, why string) {
+	a := &s.a[k]
+	if (m.rules.resumes || m.rules.old) && a.mine != 0 && !a.unanswered {
+		a.next = 0
+		m.to(s, k, stepResume, why)
+		return
+	}
+	m.add(why, k+1, 0, s.end(k))
+}
+
+func (m *model) attempt(s holdersState, k int) {
+	switch a := &s.a[k]; a.step {
+	case stepNone:
+		m.begin(s, k)
+	case stepStatus:
+		m.requestStatus(s, k)
+	case stepPause:
+		m.pause(s, k)
+	case stepChoose:
+		m.choose(s, k)
+	case stepRecordStepDown:
+		m.recordStepDown(s, k)
+	case stepStepDown:
+		m.orderStepDown(s, k)
+	case stepChooseAfterStepDown:
+		m.chooseAfterStepDown(s, k)
+	case stepRecordCall:
+		m.recordCall(s, k)
+	case stepLook:
+		m.lookAgain(s, k)
+	case stepCall, stepRepeatCall:
+		m.call(s, k)
+	case stepAwait:
+		m.await(s, k)
+	case stepRecordClaim:
+		m.setPrimary(&s, int(a.chosen), 0, a.number)
+		m.add("claim recorded", k+1, int(a.chosen), s.end(k))
+	case stepResume:
+		m.resume(s, k)
+	}
+}
+
+func (m *model) begin(s holdersState, k int) {
+	if int(s.last) != k {
+		return
+	}
+	s.last, s.unfinished, s.hasEnded = uint8(k+1), true, false
+	a := modelAttempt{
+		step: stepStatus, chosen: noEndpoint, known: s.known, calls: s.calls, floor: s.floor, number: s.number,
+		covered: s.covered, restarted: s.restarted, primary: s.record, stepDown: s.stepDown,
+	}
+	if m.rules.ignoresOpenCalls {
+		for i := range a.calls {
+			a.calls[i] = noEndpoint
+		}
+	}
+	p := s.primary()
+	if m.planned && p == int(s.record) && s.e[p].answers() {
+		a.planned = true
+		s.a[k] = a
+		m.add("attempt begins, planned", k+1, 0, s)
+	}
+	if m.unplanned {
+		a.planned = false
+		s.a[k] = a
+		m.add("attempt begins", k+1, 0, s)
+	}
+}
+
+func (m *model) requestStatus(s holdersState, k int) {
+	a := &s.a[k]
+	for i := range s.e {
+		if a.known&(1<<i) == 0 || i == int(a.primary) {
+			continue
+		}
+		if s.look(a, i) {
+			isBehind := a.floor == 0 || a.seen[i].position < a.floor
+			a.seen[i].lost = a.restarted&(1<<i) != 0 && isBehind && !m.rules.trustsLostLog
+		} else if s.e[i].down && (a.covered&(1<<i) != 0 || m.rules.leavesOutDead || m.rules.old) {
+			a.dead |= 1 << i
+		}
+	}
+	replicas := a.replicas()
+	if other, ok := CurrentPrimary(replicas); ok {
+		a.chosen = indexOf(other.ID)
+		m.to(s, k, stepRecordClaim, "sees another primary")
+		return
+	}
+	if !m.rules.pausesSome && !m.rules.old && !AllAnswer(replicas) {
+		m.toStepDown(s, k, "not all answer")
+		return
+	}
+	candidate, ok := ReplicaState{}, false
+	if a.planned {
+		candidate, ok = Successor(replicas, a.open(), m.nextTerm(&s, replicas), "")
+	}
+	a.planned = ok
+	if ok {
+		a.chosen = indexOf(candidate.ID)
+	} else {
+		candidate, _ = MostUpToDate(replicas, a.open())
+	}
+	a.term = m.pauseTerm(&s, a, candidate.ID)
+	m.to(s, k, stepPause, "status requested")
+}
+
+// pause pauses the next replica.
+func (m *model) pause(s holdersState, k int) {
+	a := &s.a[k]
+	i := int(a.next)
+	unpaused := a.unpaused()
+	isOver := func(i int) bool {
+		isOther := a.known&(1<<i) == 0 || i == int(a.primary) || a.planned && i == int(a.chosen) || endpointNames[i] == unpaused
+		return isOther || !a.seen[i].reached || !m.rules.old && a.seen[i].pause >= a.term
+	}
+	for i < modelEndpoints && isOver(i) {
+		i++
+	}
+	if i == modelEndpoints {
+		a.step, a.next = stepChoose, 0
+		m.choose(s, k)
+		return
+	}
+	a.next = uint8(i + 1)
+	o := modelOrder{latePause, int8(i), a.term}
+	if !s.e[i].answers() || a.broken&(1<<i) != 0 {
+		a.seen[i] = modelSeen{}
+		m.add("PAUSE does not reach", k+1, i, s)
+		return
+	}
+	t := s
+	if m.mayFail(&t, faultOrder) && t.addLate(o) {
+		t.a[k].seen[i] = modelSeen{}
+		m.add("PAUSE not answered", k+1, i, t)
+	}
+	s.execute(o)
+	s.look(a, i)
+	if m.rules.resumes || m.rules.old {
+		a.mine |= 1 << i
+	}
+	m.add("PAUSE answered", k+1, i, s)
+}
+
+// areAllPaused is AllPaused, except that in the old protocol an answer to PAUSE counts.
+func (m *model) areAllPaused(a *modelAttempt) bool {
+	except := ""
+	if a.planned {
+		except = endpointNames[a.chosen]
+	}
+	if !m.rules.old {
+		return AllPaused(a.replicas(), uint64(a.term), except)
+	}
+	return !slices.ContainsFunc(a.replicas(), func(r ReplicaState) bool {
+		return r.ID != except && (a.mine|a.dead)&(1<<indexOf(r.ID)) == 0
+	})
+}
+
+func (m *model) choose(s holdersState, k int) {
+	a := &s.a[k]
+	if a.closes {
+		m.close(s, k)
+		return
+	}
+	if a.planned && !s.look(a, int(a.chosen)) {
+		m.fail(s, k, "candidate does not answer")
+		return
+	}
+	replicas := a.replicas()
+	latest, ok := MostUpToDate(replicas, a.open())
+	switch {
+	case !m.areAllPaused(a):
+		m.toStepDown(s, k, "not all paused")
+		return
+	case !ok:
+		m.fail(s, k, "no candidate")
+		return
+	case a.planned && a.seen[a.chosen].position < uint8(latest.position().Term<<3|latest.position().Index):
+		// It may catch up later.
+		m.to(s, k, stepChoose, "candidate is behind")
+		if m.rules.old {
+			m.fail(s, k, "candidate stays behind")
+			return
+		}
+		a.planned, a.next = false, 0
+		m.to(s, k, stepPause, "candidate stays behind, pauses all")
+		return
+	case !a.planned:
+		a.chosen = indexOf(latest.ID)
+		if term := m.pauseTerm(&s, a, latest.ID); term > a.term && !m.rules.old {
+			a.term, a.next = term, 0
+			m.to(s, k, stepPause, "pauses again")
+			return
+		}
+	}
+	a.final = a.seen[a.chosen].position
+	m.checkFloor(s, k, "chooses")
+}
+
+func (m *model) checkFloor(s holdersState, k int, what string) {
+	a := &s.a[k]
+	if !m.rules.ignoresFloor && !m.rules.old && a.final < a.floor {
+		m.fail(s, k, "candidate is below the floor")
+		return
+	}
+	m.to(s, k, stepRecordCall, what)
+}
+
+// hasCallForReplica reports whether a call for another endpoint than the primary is open.
+func (a *modelAttempt) hasCallForReplica() bool {
+	return slices.ContainsFunc(a.calls[:], func(to int8) bool { return to >= 0 && to != a.primary })
+}
+
+// unpaused returns the id of the endpoint that need not be paused when older calls are closed.
+func (a *modelAttempt) unpaused() string {
+	if called := CalledReplicas(a.open(), endpointNames[a.primary]); a.closes && len(called) == 1 {
+		return called[0]
+	}
+	return ""
+}
+
+// close chooses the primary, so that its call closes those for another endpoint. That one may
+// lead meanwhile, but it can acknowledge commits only with the primary.
+func (m *model) close(s holdersState, k int) {
+	a := &s.a[k]
+	if !AllPaused(a.replicas(), uint64(a.term), a.unpaused()) {
+		m.fail(s, k, "not all paused")
+		return
+	}
+	for i := range s.e {
+		if a.seen[i].reached {
+			s.look(a, i)
+		}
+	}
+	p := &s.e[a.primary]
+	a.final = s.position(int(a.primary))
+	isComplete := p.primary || a.stepDown && a.restarted&(1<<a.primary) == 0 && !m.rules.closesServingOnly
+	if !p.answers() || a.broken&(1<<a.primary) != 0 || !isComplete ||
+		!HasAll(stmt.Status{Received: decodePosition(a.final)}, a.replicas()) {
+		m.fail(s, k, "primary may not hold everything")
+		return
+	}
+	m.to(s, k, stepRecordCall, "all paused, calls the primary")
+}
+
+func (m *model) toStepDown(s holdersState, k int, what string) {
+	a := &s.a[k]
+	a.planned, a.chosen, a.next = false, noEndpoint, 0
+	p := &s.e[a.primary]
+	switch {
+	case !p.answers():
+		m.fail(s, k, what+", primary does not answer")
+	case a.hasCallForReplica() && !a.closes && m.closesCalls:
+		a.closes, a.chosen = true, a.primary
+		a.term = m.pauseTerm(&s, a, endpointNames[a.primary])
+		m.to(s, k, stepPause, what+", closes older calls")
+	case a.hasCallForReplica() && !m.rules.trustsDespiteCalls && !m.rules.ignoresOpenCalls && !m.rules.old:
+		m.fail(s, k, what+", a call is open")
+	case p.primary:
+		a.term = p.term + 1
+		m.to(s, k, stepRecordStepDown, what)
+	case m.rules.old || a.restarted&(1<<a.primary) != 0 && !m.rules.trustsNewLog:
+		m.fail(s, k, what+", not the primary")
+	default:
+		a.final = s.position(int(a.primary))
+		m.to(s, k, stepChooseAfterStepDown, what+", primary is a replica")
+	}
+}
+
+func (m *model) recordStepDown(s holdersState, k int) {
+	if !m.rules.callsUnrecorded && !m.rules.old && (s.last != uint8(k+1) || s.hasEnded) {
+		m.fail(s, k, "step-down not recorded")
+		return
+	}
+	s.stepDown, s.a[k].stepDown = true, true
+	m.to(s, k, stepStepDown, "step-down recorded")
+}
+
+func (m *model) orderStepDown(s holdersState, k int) {
+	a := &s.a[k]
+	p := int(a.primary)
+	if !s.e[p].answers() {
+		m.fail(s, k, "STEPDOWN does not reach")
+		return
+	}
+	o := modelOrder{lateStepDown, a.primary, a.term}
+	t := s
+	if s.e[p].primary && m.mayFail(&t, faultOrder) && t.addLate(o) {
+		m.fail(t, k, "STEPDOWN not answered")
+	}
+	s.execute(o)
+	if a.final = s.position(p); s.e[p].primary {
+		m.fail(s, k, "STEPDOWN has no effect")
+		return
+	}
+	m.to(s, k, stepChooseAfterStepDown, "STEPDOWN answered")
+}
+
+// holdsAll reports whether the log of the recorded primary, a replica by now, has every
+// acknowledged commit.
+func (m *model) holdsAll(a *modelAttempt) bool {
+	return m.rules.old || (a.stepDown || m.rules.trustsRole) && (!a.hasCallForReplica() || m.rules.trustsDespiteCalls) &&
+		HasAll(stmt.Status{Received: decodePosition(a.final)}, a.replicas())
+}
+
+func (m *model) chooseAfterStepDown(s holdersState, k int) {
+	a := &s.a[k]
+	if !m.holdsAll(a) {
+		m.fail(s, k, "primary may not hold everything")
+		return
+	}
+	for i := range s.e {
+		if m.rules.old && a.mine&(1<<i) != 0 && s.e[i].answers() {
+			s.execute(modelOrder{lateResume, int8(i), 0})
+		}
+		if a.seen[i].reached {
+			s.look(a, i)
+		}
+	}
+	a.term, a.mine, a.chosen = 0, 0, a.primary
+	isCalled := slices.Contains(a.calls[:], a.primary) && !m.rules.leavesCalledPrimary
+	if latest, ok := MostUpToDate(a.replicas(), a.open()); ok && !isCalled && !latest.position().Less(decodePosition(a.final)) {
+		a.chosen = indexOf(latest.ID)
+	}
+	m.checkFloor(s, k, "chooses after the step-down")
+}
+
+func (m *model) recordCall(s holdersState, k int) {
+	a := &s.a[k]
+	switch {
+	case m.rules.old:
+		m.to(s, k, stepCall, "calls")
+		return
+	case !m.rules.callsUnrecorded && (s.last != uint8(k+1) || s.hasEnded):
+		m.fail(s, k, "call not recorded")
+		return
+	}
+	s.calls[k] = a.chosen
+	isUnknown := s.known&^a.known != 0 && !m.rules.ignoresUnknown
+	isBack := a.dead&^s.covered != 0 && !m.rules.keepsCovered && !m.rules.leavesOutDead
+	if isUnknown || isBack || a.reborn&^a.dead != 0 && !m.rules.ignoresReborn {
+		m.refuse(s, k, "call recorded, but not made: unknown endpoint")
+		return
+	}
+	m.to(s, k, stepLook, "call recorded")
+}
+
+// lookAgain requests the status of the paused replicas and of the candidate.
+func (m *model) lookAgain(s holdersState, k int) {
+	a := &s.a[k]
+	unpaused := a.unpaused()
+	for i := range s.e {
+		isReplica := a.known&(1<<i) != 0 && i != int(a.primary)
+		isConnected := s.e[i].answers() && a.broken&(1<<i) == 0
+		isSame := true
+		switch {
+		case i == int(a.chosen):
+			isSame = isConnected && (!isReplica || !s.e[i].primary) && s.position(i) >= a.final || !isReplica && m.rules.trustsNewLog
+		case !isReplica || a.term == 0:
+		case a.dead&(1<<i) != 0:
+			isSame = !s.e[i].runs()
+		case endpointNames[i] == unpaused:
+		default:
+			isSame = isConnected && s.e[i].pause >= a.term
+		}
+		if !isSame {
+			m.refuse(s, k, "replicas have changed")
+			return
+		}
+	}
+	// The primary's log may hold commits that no replica will ever have: it is no floor.
+	if a.chosen == a.primary && !m.rules.raisesFloorByPrimary {
+		a.final = 0
+	}
+	// What the attempt knows does not matter any more.
+	s.a[k] = modelAttempt{step: stepCall, chosen: a.chosen, number: a.number, mine: a.mine, final: a.final}
+	m.add("replicas are as before", k+1, int(a.chosen), s)
+}
+
+func (m *model) call(s holdersState, k int) {
+	a := &s.a[k]
+	mayRepeat := m.rules.repeatsCalls || m.rules.forgetsUnanswered || m.rules.old
+	if t := s; m.mayFail(&t, faultCall) {
+		m.refuse(t, k, "call answered 429")
+	}
+	if uint8(k+1) < s.platformToken || !s.e[a.chosen].runs() {
+		m.refuse(s, k, "call answered 409")
+		return
+	}
+	if s.e[a.chosen].primary {
+		// The answer says that nothing changes: the token is seen.
+		t := s
+		t.platformToken = uint8(k + 1)
+		m.to(t, k, stepAwait, "call accepted, nothing changes")
+		s.inFlight[k], s.inFlightTo[k] = s.inFlight[k]+1, a.chosen
+	} else {
+		s.inFlight[k], s.inFlightTo[k] = s.inFlight[k]+1, a.chosen
+		m.to(s, k, stepAwait, "call accepted")
+	}
+	if a.step == stepCall || mayRepeat {
+		t := s
+		if t.a[k].step = stepCall; m.mayFail(&t, faultCall) {
+			m.add("call not answered", k+1, int(a.chosen), t.end(k))
+			if t.a[k].unanswered = !m.rules.forgetsUnanswered && !m.rules.old; mayRepeat && s.inFlight[k] == 1 {
+				m.to(t, k, stepRepeatCall, "call not answered, repeated")
+			}
+		}
+	}
+}
+
+// refuse ends attempt k whose call was refused or not made, with CloseAttempt of the agreed
+// state, which is refused itself if a newer attempt has begun.
+func (m *model) refuse(s holdersState, k int, what string) {
+	if s.last == uint8(k+1) && !s.a[k].unanswered {
+		s.calls[k], s.hasEnded = noEndpoint, true
+	}
+	m.fail(s, k, what)
+}
+
+func (m *model) await(s holdersState, k int) {
+	a := &s.a[k]
+	c := int(a.chosen)
+	if t := s; m.mayFail(&t, faultCall) {
+		m.fail(t, k, "promoted endpoint does not answer")
+	}
+	if s.e[c].primary && s.e[c].answers() {
+		m.setPrimary(&s, c, uint8(k+1), a.number)
+		m.add("promoted endpoint recorded", k+1, c, s.end(k))
+	}
+}
+
+// setPrimary is SetPrimary of the agreed state.
+func (m *model) setPrimary(s *holdersState, i int, token, ifNumber uint8) {
+	if s.number != ifNumber {
+		return
+	}
+	carriedOut, isAmbiguous := token, false
+	for k, to := range s.calls {
+		if to != int8(i) {
+			continue
+		}
+		if carriedOut == 0 {
+			carriedOut = uint8(k + 1)
+		}
+		isAmbiguous = isAmbiguous || uint8(k+1) < carriedOut
+	}
+	isOpen := false
+	for k := range s.calls {
+		isOver := uint8(k+1) < carriedOut || uint8(k+1) == carriedOut && (!isAmbiguous || m.rules.dropsOwnCall)
+		if isOver || token == 0 && m.rules.dropsAllCalls {
+			s.calls[k] = noEndpoint
+		}
+		isOpen = isOpen || s.calls[k] >= 0 && s.calls[k] != int8(i)
+	}
+	if token == s.last && !s.hasPauses() {
+		s.unfinished = isOpen
+	}
+	if s.record != int8(i) || token == s.last {
+		s.stepDown, s.hasEnded = false, true
+	}
+	if token != 0 {
+		s.floor = max(s.floor, s.a[token-1].final)
+	}
+	s.recordTerm = max(s.recordTerm, s.e[i].term)
+	if s.record != int8(i) {
+		s.record = int8(i)
+		s.number++
+	}
+}
+
+func (s *holdersState) hasPauses() bool {
+	return slices.ContainsFunc(s.e[:], func(e modelEndpoint) bool { return e.runs() && e.pause != 0 })
+}
+
+// resume ends the next pause that attempt k made.
+func (m *model) resume(s holdersState, k int) {
+	a := &s.a[k]
+	i := int(a.next)
+	for i < modelEndpoints && a.mine&(1<<i) == 0 {
+		i++
+	}
+	if i == modelEndpoints {
+		m.add("attempt ends", k+1, 0, s.end(k))
+		return
+	}
+	a.next = uint8(i + 1)
+	if s.e[i].answers() {
+		o := modelOrder{lateResume, int8(i), 0}
+		t := s
+		if m.mayFail(&t, faultOrder) && t.addLate(o) {
+			m.add("RESUME not answered", k+1, i, t)
+		}
+		s.execute(o)
+	}
+	m.add("RESUME", k+1, i, s)
+}
