--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -248,6 +248,16 @@
 // calls from then on. The other replicas are paused first, so that this endpoint, if it is
 // promoted before the call, acknowledges only what the primary receives. Errors: *UnsafeError.
 func (a *attempt) fencingCandidate(ctx context.Context) (ReplicaState, error) {
+	conn, status, err := a.connectPrimary(ctx)
+	a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
+	if err != nil {
+		return ReplicaState{}, a.unsafeError()
+	}
+	a.primaryConn = conn
+	hasSteppedDown := a.isStepDownOrdered && !a.plan.PrimaryRestarted
+	if status.Role != stmt.Primary && !hasSteppedDown {
+		return ReplicaState{}, a.unsafeError()
+	}
 	if called := CalledReplicas(a.plan.OpenCalls, a.plan.Primary.ID); len(called) == 1 {
 		a.unpaused = called[0]
 	}
@@ -255,17 +265,12 @@
 		return ReplicaState{}, a.unsafeError()
 	}
 	a.pollReplicas()
-	conn, status, err := a.connectPrimary(ctx)
-	a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
-	if err != nil {
-		return ReplicaState{}, a.unsafeError()
-	}
-	a.primaryConn, a.primaryStatus = conn, status
-	hasSteppedDown := a.isStepDownOrdered && !a.plan.PrimaryRestarted
-	if status.Role != stmt.Primary && !hasSteppedDown || !HasAll(status, a.replicas) {
+	a.primaryStatus, err = conn.Status(time.Now().Add(commandTimeout))
+	if err != nil || a.primaryStatus.Role != status.Role || !HasAll(a.primaryStatus, a.replicas) {
+		a.logAnswer(a.plan.Primary.ID, orderStatus, a.primaryStatus, err)
 		return ReplicaState{}, a.unsafeError()
 	}
-	return a.primaryState(status), nil
+	return a.primaryState(a.primaryStatus), nil
 }
 
 // pauseOthers pauses all replicas but the successor while the primary serves, and waits until
