fleetctl: an ended replica no longer makes every call fail

Cause: the plan named ended replicas without the start of their process, so the record of each call found them started again. Change: the plan names it. Result: fleetd.TestEndedReplicaLeavesTheServiceItsPrimary fails without the change (nothing was promoted in 5 s) and passes with it.

--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -104,7 +104,7 @@
 		return list
 	}
 	for _, e := range svc.ended {
-		list = append(list, promotion.Replica{Endpoint: stmtEndpoint(e), Leaving: true, Ended: true})
+		list = append(list, promotion.Replica{Endpoint: stmtEndpoint(e), BornMs: e.BornMs, Leaving: true, Ended: true})
 	}
 	return list
 }
--- a/internal/fleet/fleetd/promotion_test.go
+++ b/internal/fleet/fleetd/promotion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,6 +51,34 @@
 	assert.Equal(t, len(f.group.Primary().Lost()), 0)
 }
 
+// The primary leaves while one replica has ended and the other one receives nothing, so it
+// steps down and, as no other endpoint has its log, leads again.
+func TestEndedReplicaLeavesTheServiceItsPrimary(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Configuration(5, 800))
+	f.querySucceeds(0, "STORE item v0")
+	nodes := f.group.Nodes()
+	nodes[1].Set(standin.Faults{Deaf: true})
+	f.querySucceeds(0, "STORE item v1")
+	status, _ := f.operatorRequest(0, "POST", standin.LeavePath(nodes[2].ID), "")
+	assert.Equal(t, status, http.StatusOK)
+	nodes[2].Set(standin.Faults{Down: true})
+	f.mu.Lock()
+	f.leaving["svc-0"] = true
+	f.mu.Unlock()
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.logged("promotion done") }))
+	nodes[1].Set(standin.Faults{})
+	f.querySucceeds(0, "STORE item v2")
+	assert.Equal(t, len(f.group.Primary().Lost()), 0)
+}
+
+// logged reports whether a daemon has logged text.
+func (f *fleet) logged(text string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.logLines, func(line string) bool { return strings.Contains(line, text) })
+}
+
 // TestCoveredReplicaIsNotWaitedFor has a replica end while the primary and another replica
 // keep running. It must not block a later promotion.
 func TestCoveredReplicaIsNotWaitedFor(t *testing.T) {
