promotion: a primary that stepped down and came back with its log is promoted again

The primary had stepped down on order and started again with its log, while another endpoint had ended and was not covered. Cause: a primary that started again after its step-down was never trusted, since it may have come back empty. Change: the control group also records at which position the primary stepped down; a log that reaches it is complete.

--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -77,7 +77,8 @@
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
 		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: replicas, Token: token,
 		Term: svc.record.Term, Unfinished: svc.attempt.WasUnfinished, StepDownOrdered: svc.attempt.StepDownOrdered,
-		Floor: fleetstate.Position(floor), LeadTerm: w.node.control.Status().Term,
+		SteppedDownAt: fleetstate.Position(svc.attempt.SteppedDownAt),
+		Floor:         fleetstate.Position(floor), LeadTerm: w.node.control.Status().Term,
 	}
 	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
@@ -155,6 +156,13 @@
 	}})
 }
 
+// RecordSteppedDown implements promotion.Recorder.
+func (r recorder) RecordSteppedDown(ctx context.Context, service string, token uint64, final logpos.Pos) error {
+	return r.propose(ctx, service, token, &fleetpb.Command{Kind: &fleetpb.Command_RecordStepDown{
+		RecordStepDown: &fleetpb.RecordStepDown{Service: service, Token: token, SteppedDownAt: positionProto(final)},
+	}})
+}
+
 // RecordCall implements promotion.Recorder. This daemon leads the control group, so once the
 // record is applied it knows every announcement that was recorded before.
 func (r recorder) RecordCall(ctx context.Context, service string, call promotion.Call, accounted []promotion.Accounted) error {
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -75,7 +75,7 @@
 	if attempt.Token != r.Token || attempt.Ended {
 		return false
 	}
-	attempt.StepDownOrdered = true
+	attempt.StepDownOrdered, attempt.SteppedDownAt = true, r.SteppedDownAt
 	m.attempts[r.Service] = attempt
 	return true
 }
@@ -142,7 +142,7 @@
 	attempt := m.copyAttempt(s.Service)
 	attempt.Calls = remainingCalls(attempt.Calls, s)
 	if isChanged || s.Token == attempt.Token {
-		attempt.StepDownOrdered, attempt.Ended = false, true
+		attempt.StepDownOrdered, attempt.SteppedDownAt, attempt.Ended = false, nil, true
 	}
 	if s.Token == attempt.Token && !s.PausesLeft {
 		attempt.Unfinished = len(OpenCalls(attempt, s.EndpointId)) > 0
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -71,6 +71,8 @@
 	// StepDownOrdered means that an earlier attempt may have ordered the primary to step
 	// down.
 	StepDownOrdered bool
+	// SteppedDownAt is the end of the primary's log when it had stepped down; zero if unknown.
+	SteppedDownAt logpos.Pos
 	// Floor is a position that the log of the new primary must reach.
 	Floor logpos.Pos
 	// LeadTerm is the term in which the caller leads the control group, for logs.
@@ -102,6 +104,8 @@
 type Recorder interface {
 	// RecordStepDown records that the primary will be ordered to step down.
 	RecordStepDown(ctx context.Context, service string, token uint64) error
+	// RecordSteppedDown records the end of the primary's log when it had stepped down.
+	RecordSteppedDown(ctx context.Context, service string, token uint64, final logpos.Pos) error
 	// RecordCall records a call to the platform. It returns *UnknownEndpointError if the
 	// service has an endpoint that is not accounted for, if one was started again, or if one
 	// that was left out is not covered any more.
@@ -254,8 +258,7 @@
 		return ReplicaState{}, a.unsafeError()
 	}
 	a.primaryConn = conn
-	hasSteppedDown := a.isStepDownOrdered && !a.plan.PrimaryRestarted
-	if status.Role != stmt.Primary && !hasSteppedDown {
+	if status.Role != stmt.Primary && !a.hasSteppedDown(status) {
 		return ReplicaState{}, a.unsafeError()
 	}
 	if called := CalledReplicas(a.plan.OpenCalls, a.plan.Primary.ID); len(called) == 1 {
@@ -400,7 +403,7 @@
 
 // stepDown makes the plan's primary step down and returns its final status, which holds
 // every acknowledged commit. It also accepts a replica that was ordered to step down before
-// and has not been started again. In both cases no other endpoint can have been promoted, as
+// and has its log. In both cases no other endpoint can have been promoted, as
 // no call for one is open. Errors: *NotPrimaryError, those of stmt and of Recorder.
 func (a *attempt) stepDown(ctx context.Context) (stmt.Status, error) {
 	conn, status, err := a.connectPrimary(ctx)
@@ -408,7 +411,7 @@
 		return stmt.Status{}, err
 	}
 	a.primaryConn = conn
-	isComplete := a.isStepDownOrdered && !a.plan.PrimaryRestarted
+	isComplete := a.hasSteppedDown(status)
 	if status.Role == stmt.Primary {
 		isComplete = true
 		status, err = a.orderStepDown(ctx, conn, status.Term+1)
@@ -420,6 +423,14 @@
 	return status, err
 }
 
+// hasSteppedDown reports whether the primary, a replica with the given status, was ordered to
+// step down and has its log: it has not been started again since, or it reaches the position
+// at which it stepped down.
+func (a *attempt) hasSteppedDown(status stmt.Status) bool {
+	hasLog := !a.plan.SteppedDownAt.IsZero() && !status.Received.Less(a.plan.SteppedDownAt)
+	return a.isStepDownOrdered && (hasLog || !a.plan.PrimaryRestarted)
+}
+
 // orderStepDown records the order and sends it.
 func (a *attempt) orderStepDown(ctx context.Context, conn stmt.Conn, term uint64) (stmt.Status, error) {
 	if err := a.Recorder.RecordStepDown(ctx, a.plan.Service, a.plan.Token); err != nil {
@@ -431,7 +442,14 @@
 	if err == nil && status.Role == stmt.Primary {
 		err = &StillPrimaryError{Endpoint: a.plan.Primary.ID}
 	}
-	return status, err
+	if err != nil {
+		return status, err
+	}
+	if err := a.Recorder.RecordSteppedDown(ctx, a.plan.Service, a.plan.Token, status.Received); err != nil {
+		// Only needed if the primary starts again before a promotion.
+		a.log.Info("position after the step-down not recorded", "error", err.Error())
+	}
+	return status, nil
 }
 
 func (a *attempt) unsafeError() error {
