--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -61,9 +61,7 @@
 
 // position returns the end of the received log. Positions compare by term, then by
 // index.
-func (s ReplicaState) position() logpos.Pos {
-	return logpos.Pos{Term: s.Status.Received.Term, Index: s.Status.Received.Index}
-}
+func (s ReplicaState) position() logpos.Pos { return s.Status.Received }
 
 // isPausedFor reports whether the endpoint receives nothing from a primary of a term below
 // term, as far as its last status shows.
