promotion: tests wait for a step-down in one place

Cause: two tests had the same five lines. Change: fixture.untilNoPrimary; checks and bounds unchanged. Result: go test ./internal/fleet/promotion -run 'StepDown|Superseded|Paused' passes.

--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -140,6 +140,16 @@
 	return err == nil && reply.Err == nil
 }
 
+// untilNoPrimary returns a context that ends once the primary has stepped down.
+func (f *fixture) untilNoPrimary() context.Context {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	go func() {
+		standin.WaitFor(5*time.Second, func() bool { return f.group.Primary() == nil })
+		cancel()
+	}()
+	return ctx
+}
+
 // assertNothingLost checks that the primary's log contains every acknowledged commit.
 func (f *fixture) assertNothingLost() {
 	f.t.Helper()
@@ -417,11 +427,7 @@
 	f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
 	assert.Assert(t, f.write(0, "a"))
 	f.group.Nodes()[2].Set(standin.Faults{Silent: true})
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		standin.WaitFor(5*time.Second, func() bool { return f.group.Primary() == nil })
-		cancel()
-	}()
+	ctx := f.untilNoPrimary()
 	_, err := f.runner.Run(ctx, f.plan(1, true))
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Equal(t, len(f.promoter.calls), 0)
--- a/internal/fleet/promotion/superseded_test.go
+++ b/internal/fleet/promotion/superseded_test.go
@@ -178,11 +178,7 @@
 		f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
 		assert.Assert(t, f.write(0, "a"))
 		f.group.Nodes()[2].Set(standin.Faults{Silent: true})
-		ctx, cancel := context.WithCancel(t.Context())
-		go func() {
-			standin.WaitFor(5*time.Second, func() bool { return f.group.Primary() == nil })
-			cancel()
-		}()
+		ctx := f.untilNoPrimary()
 		_, err := f.runner.Run(ctx, f.plan(1, true))
 		assert.ErrorIs(t, err, context.Canceled)
 		if isEmpty {
