--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// workTime is the time from the run of a client's statement to its answer.
+const workTime = 40 * time.Millisecond
+
 // group is a service: one primary and its replicas, as PROTOCOL.md describes them. One lock
 // makes each step atomic.
 type group struct {
@@ -135,6 +138,9 @@
 			return
 		}
 		answer, closes := s.answer(line)
+		if strings.HasPrefix(line, "QUERY ") && !strings.HasPrefix(line, "QUERY - ") {
+			time.Sleep(workTime)
+		}
 		if _, err := c.Write([]byte(answer)); err != nil || closes {
 			return
 		}
--- /dev/null
+++ b/review/standin/scenarios.go
@@ -0,0 +1,147 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// drain lets the primary leave. With trouble, the platform is down from just before that, so that
+// no other database can be promoted. The rule is broken if a request reaches the database later
+// than drainMs after its draining was acknowledged.
+func drain(f *fleet, trouble bool) (bool, error) {
+	f.setPlatformDown(trouble)
+	old := f.group.nodes[0]
+	stopped := make(chan struct{})
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	unanswered := 0
+	for i := range 10 {
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(60 * time.Millisecond):
+				}
+				c, err := f.open((i+n)%entries, "main")
+				if err != nil {
+					continue
+				}
+				text := fmt.Sprintf("STORE k%d v%d", i, n)
+				if n%2 == 1 {
+					text = fmt.Sprintf("FETCH k%d", i)
+				}
+				a, err := c.query(fmt.Sprintf("q%d-%d", i, n), text)
+				if err != nil || a.code == "INDOUBT" {
+					mu.Lock()
+					unanswered++
+					mu.Unlock()
+				}
+				c.close()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	f.group.mu.Lock()
+	old.draining = true
+	f.group.mu.Unlock()
+	acked := time.Now()
+	for {
+		f.group.mu.Lock()
+		at := old.drainAcked
+		f.group.mu.Unlock()
+		if !at.IsZero() {
+			acked = at
+			break
+		}
+		if time.Since(acked) > 10*time.Second {
+			return false, fmt.Errorf("the draining was not acknowledged")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	// It goes on serving for drainMs and a little longer, then it ends.
+	time.Sleep(time.Until(acked.Add((drainMs + 4000) * time.Millisecond)))
+	f.rec.note("%s deregisters and ends", old.id)
+	f.call(http.MethodPost, 0, "/hemlockmast/instances/"+old.id+"/deregister", fmt.Sprintf(`{"born":%d}`, old.born))
+	old.end()
+	time.Sleep(500 * time.Millisecond)
+	f.setPlatformDown(false)
+	time.Sleep(2 * time.Second)
+	close(stopped)
+	clients.Wait()
+	late, ran := 0, 0
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	for _, r := range f.group.runs {
+		if r.id == "-" {
+			continue
+		}
+		ran++
+		if r.node == old.id && r.afterDrainMs > drainMs {
+			late++
+		}
+	}
+	f.rec.note("%d statements ran; %d of them at %s later than %d ms after its draining was acknowledged; %d got no clear answer",
+		ran, late, old.id, drainMs, unanswered)
+	if ran < 100 {
+		return false, fmt.Errorf("too few statements ran")
+	}
+	return late > 0, nil
+}
+
+// lineFeed stores values. With trouble, some contain a line feed. Lines end with CR LF and the last
+// field extends to the end of the line, so such a value is one field of one message. The rule is
+// broken if a database runs a statement with an id that no client sent, or with changed text.
+func lineFeed(f *fleet, trouble bool) (bool, error) {
+	sent := map[string]string{}
+	for i := range 3 {
+		c, err := f.open(i%entries, "main")
+		if err != nil {
+			return false, err
+		}
+		first := fmt.Sprintf("note%d first line", i)
+		texts := []string{"STORE " + first, "STORE other plain", "FETCH note0"}
+		if trouble {
+			texts[0] = "STORE " + first + "\nsecond line"
+			if i == 1 {
+				texts[0] = "STORE " + first + "\nQUERY inner-1 STORE other changed"
+			}
+		}
+		for n, text := range texts {
+			id := fmt.Sprintf("lf%d-%d", i, n)
+			sent[id] = text
+			if _, err := c.query(id, text); err != nil {
+				break
+			}
+		}
+		c.close()
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	broken, ran := false, 0
+	for _, r := range f.group.runs {
+		if r.id == "-" || strings.HasPrefix(r.id, "warm") {
+			continue
+		}
+		ran++
+		text, ok := sent[r.id]
+		switch {
+		case !ok:
+			broken = true
+			f.rec.note("UNASKED: %s ran %q, which no client sent as a request", r.id, r.text)
+		case text != r.text:
+			broken = true
+			f.rec.note("UNASKED: %s ran with changed text: sent %q, ran %q", r.id, text, r.text)
+		}
+	}
+	if ran < 6 && !trouble || ran == 0 {
+		return false, fmt.Errorf("too few statements ran: %d", ran)
+	}
+	return broken, nil
+}
