--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -22,7 +22,9 @@
 
 const (
 	controls, entries = 3, 2
-	service           = "lampnet-core"
+	// spares is how many control machines may be added.
+	spares  = 1
+	service = "lampnet-core"
 	// heartbeat, drainMs, graceMs and the route's time-out are those of a small deployment.
 	heartbeat = 1200 * time.Millisecond
 	drainMs   = 7000
@@ -55,12 +57,19 @@
 	rec    *record
 	folder string
 	port   int
-	procs  []*exec.Cmd
+	procs  map[string]*exec.Cmd
+	// promoter is the address of the platform.
+	promoter string
+	// inList holds the numbers of the control machines in the operator's list.
+	inList []int
 	group  *group
 	client *http.Client
 	done   chan struct{}
 
-	// mu guards the fields below.
+	// config is the configuration, with a verb for its version.
+	config string
+
+	// mu guards the fields below, and inList once all daemons run.
 	mu sync.Mutex
 	// platformDown makes the platform close each connection without an answer.
 	platformDown bool
@@ -78,7 +87,7 @@
 	for range 50 {
 		base := 20000 + rand.IntN(10000)
 		free := true
-		for kind, count := range map[int]int{1: controls, 2: entries} {
+		for kind, count := range map[int]int{1: controls + spares, 2: entries} {
 			for i := range count {
 				for p := range n {
 					l, err := net.Listen("tcp", net.JoinHostPort(host(kind, i), strconv.Itoa(base+p)))
@@ -102,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, folder: folder, port: port, client: &http.Client{Timeout: time.Second}, done: make(chan struct{})}
+	f := &fleet{rec: rec, folder: folder, port: port, client: &http.Client{Timeout: time.Second}, done: make(chan struct{}), procs: make(map[string]*exec.Cmd)}
 	if f.group, err = newGroup(service, 3, rec); err != nil {
 		return f, err
 	}
@@ -111,19 +120,12 @@
 		return f, err
 	}
 	go func() { _ = http.Serve(platform, http.HandlerFunc(f.servePlatform)) }()
-	var seeds []string
+	f.promoter = platform.Addr().String()
 	for i := range controls {
-		seeds = append(seeds, f.at(1, i, 2))
+		f.inList = append(f.inList, i)
 	}
 	for i := range controls {
-		name := fmt.Sprintf("core-%d", i)
-		err := f.start(name, map[string]any{
-			"name": name, "failure_domain": fmt.Sprintf("z%d", i), "role": "control",
-			"operators": f.at(1, i, 2), "internal": f.at(1, i, 0), "control_port": f.port, "seeds": seeds,
-			"data_folder": filepath.Join(folder, name+".data"), "may_found": true, "promoter": platform.Addr().String(),
-			"grace_ms": graceMs, "heartbeat_ms": heartbeat.Milliseconds(),
-		})
-		if err != nil {
+		if err := f.startControl(i, true); err != nil {
 			return f, err
 		}
 	}
@@ -132,7 +134,7 @@
 		err := f.start(name, map[string]any{
 			"name": name, "failure_domain": fmt.Sprintf("z%d", i), "role": "entry",
 			"callers": f.at(2, i, 3), "ready": f.at(2, i, 4), "internal": f.at(2, i, 1), "carrier": f.at(2, i, 0),
-			"control_port": f.port, "seeds": seeds, "grace_ms": graceMs, "heartbeat_ms": heartbeat.Milliseconds(),
+			"control_port": f.port, "seeds": f.seeds(), "grace_ms": graceMs, "heartbeat_ms": heartbeat.Milliseconds(),
 		})
 		if err != nil {
 			return f, err
@@ -144,6 +146,39 @@
 	return f, f.awaitService()
 }
 
+// seeds returns the addresses of the first three control machines in the operator's list.
+func (f *fleet) seeds() []string {
+	var list []string
+	for _, i := range f.inList[:3] {
+		list = append(list, f.at(1, i, 2))
+	}
+	return list
+}
+
+func controlName(i int) string { return fmt.Sprintf("core-%d", i) }
+
+// startControl starts a control daemon. bootstrap is set when the whole system starts.
+func (f *fleet) startControl(i int, bootstrap bool) error {
+	name := controlName(i)
+	f.rec.note("%s starts, bootstrap %t", name, bootstrap)
+	return f.start(name, map[string]any{
+		"name": name, "failure_domain": fmt.Sprintf("z%d", i%controls), "role": "control",
+		"operators": f.at(1, i, 2), "internal": f.at(1, i, 0), "control_port": f.port, "seeds": f.seeds(),
+		"data_folder": f.dataFolder(i), "may_found": bootstrap, "promoter": f.promoter,
+		"grace_ms": graceMs, "heartbeat_ms": heartbeat.Milliseconds(),
+	})
+}
+
+func (f *fleet) dataFolder(i int) string { return filepath.Join(f.folder, controlName(i)+".data") }
+
+// end sends a signal to a daemon and waits for its end.
+func (f *fleet) end(name string, s syscall.Signal) {
+	f.rec.note("%s gets %s", name, s)
+	_ = f.procs[name].Process.Signal(s)
+	_ = f.procs[name].Wait()
+	f.rec.note("%s has ended", name)
+}
+
 // start starts a daemon with the command of the deploy file.
 func (f *fleet) start(name string, settings map[string]any) error {
 	if folder, ok := settings["data_folder"].(string); ok {
@@ -159,7 +194,7 @@
 	if err := os.WriteFile(path, data, 0o644); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(f.folder, name+".log"))
+	log, err := os.OpenFile(filepath.Join(f.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
 	}
@@ -169,7 +204,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	f.procs = append(f.procs, cmd)
+	f.procs[name] = cmd
 	return nil
 }
 
@@ -243,15 +278,15 @@
 		d.sequence++
 		body := fmt.Sprintf(`{"Backend":%q,"Address":%q,"Zone":"z0","Version":"v1","Slots":3,"State":%q,"ColdRemainingMs":0,"DbRole":%q,"Sequence":%d,"born":%d}`,
 			service, d.address, state, role, d.sequence, d.born)
-		for i := range controls {
-			if status, _ := f.call(http.MethodPost, (n+i)%controls, "/hemlockmast/instances/"+d.id+"/heartbeat", body); status/100 != 2 {
+		for _, i := range f.list(n) {
+			if status, _ := f.call(http.MethodPost, i, "/hemlockmast/instances/"+d.id+"/heartbeat", body); status/100 != 2 {
 				continue
 			}
 			last, lastState = time.Now(), state+role
 			f.group.mu.Lock()
 			if state == "draining" && d.drainAcked.IsZero() {
 				d.drainAcked = time.Now()
-				f.rec.note("%s is draining: acknowledged by core-%d", d.id, (n+i)%controls)
+				f.rec.note("%s is draining: acknowledged by core-%d", d.id, i)
 			}
 			f.group.mu.Unlock()
 			break
@@ -259,6 +294,14 @@
 	}
 }
 
+// list returns the operator's list of control machines, from its nth on.
+func (f *fleet) list(n int) []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := n % len(f.inList)
+	return append(append([]int(nil), f.inList[k:]...), f.inList[:k]...)
+}
+
 // call calls a control daemon.
 func (f *fleet) call(method string, i int, path, body string) (int, string) {
 	request, err := http.NewRequest(method, "http://"+f.at(1, i, 2)+path, bytes.NewReader([]byte(body)))
@@ -282,11 +325,11 @@
 		routes = append(routes, fmt.Sprintf(`{"Name":"r-%s","Database":%q,"PathPrefix":"/","Type":%q,"TimeoutMs":%d,"TargetLatencyMs":200,"Priority":1,"Backend":%q,"MaxAttempts":2,"MaxStalenessMs":1500}`,
 			database, database, kind, timeoutMs, service))
 	}
-	config := fmt.Sprintf(`{"Version":3,"Routes":[%s],"Services":[{"Name":%q,"HealthCheckPath":"/health","MaxConnections":46,"Protocol":"h1","Tls":false,"SyncReplicas":1}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000,"TxIdleMs":3000}}`,
+	f.config = fmt.Sprintf(`{"Version":%%d,"Routes":[%s],"Services":[{"Name":%q,"HealthCheckPath":"/health","MaxConnections":46,"Protocol":"h1","Tls":false,"SyncReplicas":1}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000,"TxIdleMs":3000}}`,
 		strings.Join(routes, ","), service)
 	end := time.Now().Add(30 * time.Second)
 	for i := 0; ; i++ {
-		status, _ := f.call(http.MethodPost, i%controls, "/hemlockmast/config/replace", config)
+		status, _ := f.call(http.MethodPost, i%controls, "/hemlockmast/config/replace", fmt.Sprintf(f.config, 3))
 		if status == http.StatusOK {
 			f.rec.note("configuration 3 is acknowledged")
 			break
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO RECORD")
 		os.Exit(2)
 	}
-	scenarios := map[string]func(*fleet, bool) (bool, error){"drain": drain, "linefeed": lineFeed}
+	scenarios := map[string]func(*fleet, bool) (bool, error){"drain": drain, "linefeed": lineFeed, "replace": replace}
 	play := scenarios[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown scenario")
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -3,11 +3,16 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -147,3 +152,99 @@
 	}
 	return broken, nil
 }
+
+const (
+	catchUp  = 4 * time.Second
+	recovery = 12 * time.Second
+)
+
+// replace replaces a control machine as planned: the new one starts with an empty disk, has more
+// than catchUp, and then the old one gets SIGTERM. With trouble, another control machine then loses
+// its disk; nothing else is lost. The rule is broken if the newest acknowledged configuration can't
+// be read back within recovery, and 20 s more, after that machine is back.
+func replace(f *fleet, trouble bool) (bool, error) {
+	voters := f.voters()
+	f.rec.note("voters by their metrics: %v", voters)
+	if len(voters) < 3 {
+		return false, fmt.Errorf("the control group has %d voters", len(voters))
+	}
+	old, other := voters[0], voters[1]
+	added := controls
+	if err := f.startControl(added, false); err != nil {
+		return false, err
+	}
+	time.Sleep(catchUp + 2*time.Second)
+	f.mu.Lock()
+	list := []int{added}
+	for _, i := range f.inList {
+		if i != old {
+			list = append(list, i)
+		}
+	}
+	f.inList = list
+	f.mu.Unlock()
+	f.end(controlName(old), syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	if !f.publish(7, 10*time.Second) {
+		return false, fmt.Errorf("the change after the replacement was not acknowledged")
+	}
+	if trouble {
+		f.end(controlName(other), syscall.SIGKILL)
+		if err := os.RemoveAll(f.dataFolder(other)); err != nil {
+			return false, err
+		}
+		f.rec.note("the disk of %s is lost", controlName(other))
+		time.Sleep(time.Second)
+		if err := f.startControl(other, false); err != nil {
+			return false, err
+		}
+	}
+	back := time.Now()
+	for time.Since(back) < recovery+20*time.Second {
+		for _, i := range f.list(0) {
+			status, body := f.call(http.MethodGet, i, "/hemlockmast/config/get", "")
+			var config struct{ Version uint64 }
+			if status == http.StatusOK && json.NewDecoder(bytes.NewReader([]byte(body))).Decode(&config) == nil {
+				f.rec.note("core-%d answers a read with version %d, %.1f s after the machine is back", i, config.Version, time.Since(back).Seconds())
+				return config.Version != 7, nil
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	f.rec.note("no control daemon answered a read of the configuration for %.0f s; all of them run", time.Since(back).Seconds())
+	f.rec.note("a further change is acknowledged: %t", f.publish(9, 5*time.Second))
+	return true, nil
+}
+
+// publish sends a version until it is acknowledged.
+func (f *fleet) publish(version int, timeout time.Duration) bool {
+	for end, n := time.Now().Add(timeout), 0; time.Now().Before(end); n++ {
+		i := f.list(n)[0]
+		status, _ := f.call(http.MethodPost, i, "/hemlockmast/config/replace", fmt.Sprintf(f.config, version))
+		f.rec.note("configuration %d sent to core-%d: status %d", version, i, status)
+		if status == http.StatusOK {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// voters returns the control machines that say in their metrics that they vote.
+func (f *fleet) voters() []int {
+	var list []int
+	for _, i := range f.list(0) {
+		response, err := f.client.Get("http://" + f.at(1, i, 0) + "/metrics")
+		if err != nil {
+			continue
+		}
+		text, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.HasPrefix(line, "hemlockmast_control_votes") && strings.HasSuffix(line, " 1") {
+				list = append(list, i)
+			}
+		}
+	}
+	return list
+}
