--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,45 @@
+//go:build review2
+
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+func main() {
+	cases := map[string]func(f *fleet, trouble bool) (broken bool, err error){
+		"first-start": playFirstStart,
+		"leaving":     playLeaving,
+		"stop":        playStop,
+	}
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
+		os.Exit(2)
+	}
+	f, err := newFleet(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	broken, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
+	var not *impossible
+	switch {
+	case errors.As(err, &not):
+		f.note("the case could not run: %s", err)
+	case err != nil:
+		f.note("the case failed: %s", err)
+	case broken:
+		f.note("the rule was broken")
+	default:
+		f.note("the rule held")
+	}
+	f.close(25)
+	switch {
+	case err != nil:
+		os.Exit(2)
+	case broken:
+		os.Exit(1)
+	}
+}
