--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 		"first-start": playFirstStart,
 		"leaving":     playLeaving,
 		"stop":        playStop,
+		"newcomer":    playNewcomer,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
