--- a/review/standin-2/firststart.go
+++ b/review/standin-2/firststart.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,7 +15,8 @@
 
 const (
 	// lossAfter is the time from the first start of all machines until one loses power and its
-	// disk, and backAfter the time from then until it starts again.
+	// disk, unless LOSS_AFTER_MS says otherwise, and backAfter the time from then until it starts
+	// again.
 	lossAfter = 600 * time.Millisecond
 	backAfter = time.Second
 	// firstStartTime is how long the operator repeats the first configuration.
@@ -33,7 +35,11 @@
 		}
 	}
 	if trouble {
-		time.Sleep(lossAfter)
+		after := lossAfter
+		if ms, err := strconv.Atoi(os.Getenv("LOSS_AFTER_MS")); err == nil {
+			after = time.Duration(ms) * time.Millisecond
+		}
+		time.Sleep(after)
 		f.signal(core[0], syscall.SIGKILL)
 		if err := os.RemoveAll(filepath.Join(f.folder, core[0].name)); err != nil {
 			return false, err
