--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -155,7 +155,7 @@
 		close(exited)
 	}()
 	f.mu.Lock()
-	f.running = append(f.running, d)
+	f.running = append(f.running, &daemon{name: d.name, cmd: cmd, exited: exited})
 	f.mu.Unlock()
 	f.note("%s starts as process", d.name)
 	return nil
@@ -172,6 +172,8 @@
 
 // close ends all processes and removes the folder. The ends of the daemons' logs go to the record.
 func (f *fleet) close(logLines int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, d := range f.running {
 		_ = d.cmd.Process.Signal(syscall.SIGCONT)
 		_ = d.cmd.Process.Kill()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,8 +6,28 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxLength bounds the run of a case.
+const maxLength = 115 * time.Second
+
+// endEarly ends the case, with all its processes, when it gets a signal or takes too long.
+func (f *fleet) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		f.note("the case was ended by %s", s)
+	case <-time.After(maxLength):
+		f.note("the case took too long")
+	}
+	f.close(0)
+	os.Exit(2)
+}
+
 func main() {
 	cases := map[string]func(f *fleet, trouble bool) (broken bool, err error){
 		"first-start": playFirstStart,
@@ -24,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go f.endEarly()
 	broken, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
 	var not *impossible
 	switch {
--- a/review/standin-2/newcomer.go
+++ b/review/standin-2/newcomer.go
@@ -90,7 +90,9 @@
 	}
 	time.Sleep(time.Second)
 
+	var startedAt time.Duration
 	start := func(i int) {
+		startedAt = time.Since(f.started)
 		nodes[i].Change(func(faults *standin.Faults) { faults.Down = false })
 		announcers = append(announcers, f.announce(nodes[i], domainOf(i)))
 		f.note("%s has started, at %s", nodes[i].ID, nodes[i].Position())
@@ -128,7 +130,7 @@
 	if !taken {
 		return false, &impossible{cause: "no endpoint took over"}
 	}
-	return w.check(group), nil
+	return w.check(group, startedAt), nil
 }
 
 // writing records what the callers were told.
@@ -189,8 +191,13 @@
 	}
 }
 
-// check reports whether a commit whose success was told is not in the log of the primary.
-func (w *writing) check(group *standin.Group) bool {
+// recordedFor is the time after the start of the second new endpoint for which the record has all
+// successes.
+const recordedFor = 400 * time.Millisecond
+
+// check reports whether a commit whose success was told is not in the log of the primary. The
+// second new endpoint started at startedAt.
+func (w *writing) check(group *standin.Group, startedAt time.Duration) bool {
 	held := make(map[string]bool)
 	for _, c := range group.Commits() {
 		for item := range c.Data {
@@ -199,11 +206,16 @@
 	}
 	lost := 0
 	for _, a := range w.acked {
-		if held[a.item] {
+		verdict := "in the log of the primary"
+		if !held[a.item] {
+			lost++
+			verdict = "NOT in the log of the primary: LOST"
+		}
+		if held[a.item] && (a.ackedAt < startedAt || a.ackedAt > startedAt+recordedFor) {
 			continue
 		}
-		lost++
-		w.fleet.note("LOST: %s, STORE %s, through edge-%d, sent %.3f s, success told %.3f s with %s", a.id, a.item, a.entry+1, a.sentAt.Seconds(), a.ackedAt.Seconds(), a.signature)
+		w.fleet.note("%s STORE %s, through edge-%d, sent at %.3f s, ran %d times, success told at %.3f s with %s: %s",
+			a.id, a.item, a.entry+1, a.sentAt.Seconds(), group.Ran(a.id), a.ackedAt.Seconds(), a.signature, verdict)
 	}
 	w.fleet.note("answers to writes: %v; of %d successes, %d are not in the log of the primary", w.codes, len(w.acked), lost)
 	return lost > 0
--- a/review/standin-2/stop.go
+++ b/review/standin-2/stop.go
@@ -184,6 +184,7 @@
 		switch {
 		case err == nil && word == "COMPLETE":
 			c.served.Add(1)
+			c.noteServed(i, id+" "+text, id, sentAt, rest)
 		case err == nil:
 			c.refused.Add(1)
 			c.fleet.note("edge-%d: %s is answered %s %s", i+1, id, word, rest)
@@ -193,6 +194,16 @@
 	}
 }
 
+// noteServed records a request that was answered with success long after the SIGTERM of its entry.
+func (c *stopCase) noteServed(i int, what, id string, sentAt time.Time, signature string) {
+	termAt := c.termAt.Load()
+	if termAt == nil || i >= stopped || sentAt.Sub(*termAt) <= lateAfter {
+		return
+	}
+	c.fleet.note("edge-%d: %s, sent %.3f s after SIGTERM, ran %d times; answered COMPLETE %s after %d ms",
+		i+1, what, sentAt.Sub(*termAt).Seconds(), c.group.Ran(id), signature, time.Since(sentAt).Milliseconds())
+}
+
 // cut records a request whose connection ended without an answer.
 func (c *stopCase) cut(i int, what, id string, sentAt time.Time, cause error) {
 	ran := c.group.Ran(id)
