--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -93,16 +93,18 @@
 	// leaderSeen is the last time at which this member had joined and knew the leader.
 	leaderSeen atomic.Pointer[time.Time]
 
-	// mu guards peerDomains: the failure domains of other control daemons by address, as
-	// they reported them.
-	mu          sync.Mutex
-	peerDomains map[string]string
+	// mu guards peerDomains, the failure domains of other control daemons by address, as they
+	// reported them, and followedPeers, the addresses of those that answer this one's polls.
+	mu            sync.Mutex
+	peerDomains   map[string]string
+	followedPeers map[string]bool
 }
 
 // Open reads the data folder and returns a node that does nothing until Run is called.
 // Errors: those of control.Open.
 func Open(ctx context.Context, cfg Config) (*Node, error) {
-	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick), peerDomains: make(map[string]string)}
+	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick)}
+	n.peerDomains, n.followedPeers = make(map[string]string), make(map[string]bool)
 	n.machine = fleetstate.New(func() { n.hub.Refresh() })
 	n.machine.OnIgnored = func(err error) { n.log.Info("recorded endpoint ignored", "error", err.Error()) }
 	n.hub = fleethub.New(control.RandomID(), n.machine, n, time.Now)
@@ -456,7 +458,11 @@
 	if e == nil {
 		return nil, twirp.NotFoundError("endpoint is not known")
 	}
-	pos, err := s.node.positions.Position(ctx, stmtEndpoint(e))
+	read := s.node.positions.Position
+	if r.Replica {
+		read = s.node.positions.Received
+	}
+	pos, err := read(ctx, stmtEndpoint(e))
 	s.node.cfg.Metrics.PositionQueried(err)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -64,14 +64,12 @@
 func (n *Node) followPeer(ctx context.Context, address string) {
 	request := &fleetpb.FollowRequest{Daemon: n.cfg.Name, FailureDomain: n.cfg.FailureDomain}
 	client := fleetrpc.NewClient(n.http, address)
-	isFollowed := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+peerTimeoutMargin)
 		answer, err := client.Follow(callCtx, request)
 		cancel()
 		if err != nil {
-			if isFollowed {
-				isFollowed = false
+			if n.setFollowed(address, false) {
 				n.log.Info("other control daemon lost", "control", address, "error", err.Error())
 				n.watcher.forgetAnswers()
 			}
@@ -80,7 +78,7 @@
 			wait.For(ctx, peerRetryDelay)
 			continue
 		}
-		isFollowed = true
+		n.setFollowed(address, true)
 		request.Source, request.Version = answer.Source, answer.Version
 		request.WaitMs = uint32(fleethub.MaxPeerWait.Milliseconds())
 		if answer.EntriesDigest != request.EntriesDigest {
@@ -102,9 +100,39 @@
 			wait.For(ctx, peerRetryDelay)
 		}
 	}
+	n.setFollowed(address, false)
 	n.hub.SetRemoteEntries(address, nil)
 }
 
+// setFollowed records whether another control daemon answers this one's polls, and returns
+// whether it did before.
+func (n *Node) setFollowed(address string, isFollowed bool) (wasFollowed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wasFollowed = n.followedPeers[address]
+	if isFollowed {
+		n.followedPeers[address] = true
+	} else {
+		delete(n.followedPeers, address)
+	}
+	return wasFollowed
+}
+
+// unheardPeers returns the number of other control daemons that do not answer this one's polls.
+// Which entries follow them is not known.
+func (n *Node) unheardPeers() int {
+	unheard := 0
+	peers := n.ControlDaemons()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range peers {
+		if d.Address != n.cfg.Address && !n.followedPeers[d.Address] {
+			unheard++
+		}
+	}
+	return unheard
+}
+
 // lossWatch logs when the control group stops and starts again to bear a further loss.
 type lossWatch struct{ isExposed bool }
 
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -24,7 +24,9 @@
 	}
 	started := time.Now()
 	defer w.closings.end(svc.service, token)
-	result, err := w.runner.Run(ctx, w.plan(svc, r, token))
+	plan := w.plan(svc, r, token)
+	plan.MayStepDown = r.primaryServes && r.reason != reasonOverloaded && w.isOverdue(svc, started)
+	result, err := w.runner.Run(ctx, plan)
 	w.node.cfg.Metrics.Promoted(r.reason, time.Since(started), err)
 	var other *promotion.OtherPrimaryError
 	if errors.As(err, &other) {
@@ -49,6 +51,19 @@
 	})
 }
 
+// isOverdue reports whether a service's present primary has been due for a planned replacement for
+// maxConfirmPatience. The first call starts that time.
+func (w *watcher) isOverdue(svc serviceState, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	due := w.plannedSince[svc.service]
+	if due.number != svc.record.Number {
+		due = dueReplacement{number: svc.record.Number, since: now}
+		w.plannedSince[svc.service] = due
+	}
+	return now.Sub(due.since) > maxConfirmPatience
+}
+
 // beginAttempt allocates a token and updates what svc holds of the replicated state. ok is false
 // if the control group does not answer, or if the service has another primary by now.
 func (w *watcher) beginAttempt(ctx context.Context, svc *serviceState) (token uint64, ok bool) {
@@ -177,16 +192,27 @@
 	if err != nil {
 		return err
 	}
-	return r.FindUnknown(service, accounted)
+	return r.findUnknown(service, accounted)
 }
 
 // AwaitClosed implements promotion.Recorder.
 func (r recorder) AwaitClosed(ctx context.Context, service string, token uint64) promotion.Closing {
-	return r.node.watcher.closings.await(ctx, service, token, r.node.hub.EntryIDs())
+	state := r.node.watcher.closings.await(ctx, service, token, r.node.hub.EntryIDs())
+	state.Unheard = r.node.unheardPeers()
+	return state
+}
+
+// RecordSuccessor implements promotion.Recorder.
+func (r recorder) RecordSuccessor(ctx context.Context, service string, token uint64, endpointID string) error {
+	r.node.watcher.closings.begin(service, token)
+	return r.propose(ctx, service, token, &fleetpb.Command{Kind: &fleetpb.Command_RecordSuccessor{
+		RecordSuccessor: &fleetpb.RecordSuccessor{Service: service, Token: token, EndpointId: endpointID},
+	}})
 }
 
-// FindUnknown implements promotion.Recorder.
-func (r recorder) FindUnknown(service string, accounted []promotion.Accounted) error {
+// findUnknown returns *promotion.UnknownEndpointError if the service has an endpoint that is not
+// accounted for, if one was started again, or if one that was left out is not covered any more.
+func (r recorder) findUnknown(service string, accounted []promotion.Accounted) error {
 	byID := make(map[string]promotion.Accounted)
 	for _, a := range accounted {
 		byID[a.ID] = a
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -57,6 +57,9 @@
 	// maxOrderDelay is how late an order to an endpoint may be carried out. A later one could
 	// only leave a replica paused, which costs reads there.
 	maxOrderDelay = 15 * time.Second
+	// maxConfirmPatience is how long a planned replacement is tried again while entries do not
+	// confirm. Those that have ended are no longer counted by then.
+	maxConfirmPatience = 4 * time.Second
 	// heartbeatMargin is how late a replica's announcement may be before the replica is
 	// probed.
 	heartbeatMargin = 200 * time.Millisecond
@@ -68,6 +71,13 @@
 	since time.Time
 }
 
+// dueReplacement is when the planned replacement of the primary in the record with the given
+// number was first tried.
+type dueReplacement struct {
+	number uint64
+	since  time.Time
+}
+
 // watcher detects failed, leaving, stalled and overloaded primaries and replaces them
 // while its member leads the control group.
 type watcher struct {
@@ -105,6 +115,9 @@
 	retryAt      map[string]time.Time
 	retryBackoff map[string]time.Duration
 
+	// plannedSince holds, by service, since when its primary is to be replaced as planned.
+	plannedSince map[string]dueReplacement
+
 	// checking holds the services that are being checked, checkAt when the next check may
 	// start. leftPaused holds, by service, the token of an attempt that was found to have left
 	// a replica paused or a call open.
@@ -138,6 +151,7 @@
 		actions: make(map[string]uint64), busy: make(map[string]bool),
 		retryAt:      make(map[string]time.Time),
 		retryBackoff: make(map[string]time.Duration),
+		plannedSince: make(map[string]dueReplacement),
 		checking:     make(map[string]bool),
 		checkAt:      make(map[string]time.Time),
 		leftPaused:   make(map[string]uint64), knownAttempts: make(map[string]knownAttempt),
--- a/internal/fleet/fleetd/promotion_test.go
+++ b/internal/fleet/fleetd/promotion_test.go
@@ -261,34 +261,75 @@
 	nodes := f.group.Nodes()
 	nodes[1].Set(standin.Faults{Deaf: true})
 	nodes[2].Set(standin.Faults{Deaf: true})
-	var mu sync.Mutex
-	var acknowledged []string
-	ctx, stop := context.WithCancel(t.Context())
-	var writers sync.WaitGroup
-	for w := range 6 {
-		writers.Go(func() {
-			for n := 0; ctx.Err() == nil; n++ {
-				time.Sleep(10 * time.Millisecond)
-				item := fmt.Sprintf("item-%d-%d", w, n)
-				if strings.HasPrefix(f.query(w%2, "STORE "+item+" v"), "COMPLETE") {
-					mu.Lock()
-					acknowledged = append(acknowledged, item)
-					mu.Unlock()
-				}
-			}
-		})
-	}
+	w := f.startWriters()
 	assert.Assert(t, standin.WaitFor(6*time.Second, func() bool { return f.logged(`"promotion called"`) }))
 	nodes[2].Set(standin.Faults{})
 	nodes[2].Restart("svc-9")
 	assert.Assert(t, standin.WaitFor(6*time.Second, func() bool { p := f.group.Primary(); return p != nil && p != nodes[0] }))
 	nodes[1].Set(standin.Faults{})
 	time.Sleep(time.Second)
-	stop()
-	writers.Wait()
-	t.Logf("%d commits acknowledged to callers, %d lost by endpoints", len(acknowledged), len(f.group.Primary().Lost()))
-	for _, item := range acknowledged {
-		line := f.query(0, "FETCH "+item)
-		assert.Assert(t, strings.HasPrefix(line, "ROW v"), "%s: %s", item, line)
+	w.assertNothingLost()
+}
+
+// Callers lost commits that only an endpoint had received which started during a planned
+// replacement, as the successor received nothing meanwhile.
+func TestNewcomerDuringAPlannedReplacementCostsNoAcknowledgedCommit(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.promoteDelay.Store(int64(700 * time.Millisecond))
+	f.publish(standin.Configuration(5, 800))
+	f.querySucceeds(0, "STORE item v0")
+	nodes := f.group.Nodes()
+	w := f.startWriters()
+	f.mu.Lock()
+	f.leaving["svc-0"] = true
+	f.mu.Unlock()
+	assert.Assert(t, standin.WaitFor(6*time.Second, func() bool { return f.logged(`"promotion called"`) }))
+	nodes[2].Restart("svc-9")
+	time.Sleep(10 * time.Millisecond)
+	nodes[1].Set(standin.Faults{Deaf: true})
+	assert.Assert(t, standin.WaitFor(6*time.Second, func() bool { return f.group.Primary() == nodes[1] }))
+	nodes[1].Set(standin.Faults{})
+	time.Sleep(time.Second)
+	w.assertNothingLost()
+}
+
+// writers write through both entries, each item once.
+type writers struct {
+	f    *fleet
+	stop context.CancelFunc
+	wait sync.WaitGroup
+	// mu guards acknowledged, the items whose success was told.
+	mu           sync.Mutex
+	acknowledged []string
+}
+
+func (f *fleet) startWriters() *writers {
+	ctx, stop := context.WithCancel(f.t.Context())
+	w := &writers{f: f, stop: stop}
+	for i := range 6 {
+		w.wait.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				time.Sleep(10 * time.Millisecond)
+				item := fmt.Sprintf("item-%d-%d", i, n)
+				if strings.HasPrefix(f.query(i%2, "STORE "+item+" v"), "COMPLETE") {
+					w.mu.Lock()
+					w.acknowledged = append(w.acknowledged, item)
+					w.mu.Unlock()
+				}
+			}
+		})
+	}
+	return w
+}
+
+// assertNothingLost ends the writers and reads every item whose success was told.
+func (w *writers) assertNothingLost() {
+	w.f.t.Helper()
+	w.stop()
+	w.wait.Wait()
+	w.f.t.Logf("%d commits acknowledged to callers, %d lost by endpoints", len(w.acknowledged), len(w.f.group.Primary().Lost()))
+	for _, item := range w.acknowledged {
+		line := w.f.query(0, "FETCH "+item)
+		assert.Assert(w.f.t, strings.HasPrefix(line, "ROW v"), "%s: %s", item, line)
 	}
 }
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -498,13 +498,23 @@
 // Position requests the log position of a primary from the followed control daemon.
 // Errors: *NoDaemonFollowedError, those of twirp.
 func (f *Follower) Position(ctx context.Context, endpointID string) (logpos.Pos, error) {
+	return f.position(ctx, &fleetpb.PositionRequest{EndpointId: endpointID})
+}
+
+// Received requests the end of what a replica has received from the followed control daemon.
+// Errors: *NoDaemonFollowedError, those of twirp.
+func (f *Follower) Received(ctx context.Context, endpointID string) (logpos.Pos, error) {
+	return f.position(ctx, &fleetpb.PositionRequest{EndpointId: endpointID, Replica: true})
+}
+
+func (f *Follower) position(ctx context.Context, r *fleetpb.PositionRequest) (logpos.Pos, error) {
 	f.mu.Lock()
 	address := f.followed
 	f.mu.Unlock()
 	if address == "" {
 		return logpos.Pos{}, &NoDaemonFollowedError{}
 	}
-	answer, err := NewClient(f.HTTP, address).Position(ctx, &fleetpb.PositionRequest{EndpointId: endpointID})
+	answer, err := NewClient(f.HTTP, address).Position(ctx, r)
 	if err != nil {
 		return logpos.Pos{}, err
 	}
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -93,17 +93,35 @@
 	}
 	m.attempts[r.Service] = attempt
 	if r.CloseAcknowledgements {
-		m.setClosed(r.Service, r.Token)
+		m.setClosed(r.Service, r.Token, "")
 	}
 	return true
 }
 
+// recordSuccessor records which endpoint is to replace the primary as planned, unless the attempt
+// has ended or a newer one has begun. An open call for another endpoint could promote one that
+// lacks what the successor holds; the acknowledgements then stay as they are.
+func (m *Machine) recordSuccessor(r *fleetpb.RecordSuccessor) bool {
+	attempt := m.copyAttempt(r.Service)
+	if attempt.Token != r.Token || attempt.Ended {
+		return false
+	}
+	for _, c := range OpenCalls(attempt, m.copyPrimary(r.Service).EndpointId) {
+		if c.EndpointId != r.EndpointId {
+			return false
+		}
+	}
+	m.setClosed(r.Service, r.Token, r.EndpointId)
+	return true
+}
+
 // setClosed sets the token of the attempt that closed the acknowledgements of a service's
-// primary; with 0 they are open.
-func (m *Machine) setClosed(service string, token uint64) {
+// primary; with 0 they are open. If successor is not empty, they are closed only for commits that
+// this endpoint does not hold.
+func (m *Machine) setClosed(service string, token uint64, successor string) {
 	p := m.copyPrimary(service)
-	if p.ClosedToken != token {
-		p.ClosedToken = token
+	if p.ClosedToken != token || p.SuccessorId != successor {
+		p.ClosedToken, p.SuccessorId = token, successor
 		p.Revision++
 		m.primaries[service] = p
 	}
@@ -113,7 +131,7 @@
 // replace it.
 func (m *Machine) openIfNoCall(service string) {
 	if len(OpenCalls(m.copyAttempt(service), m.copyPrimary(service).EndpointId)) == 0 {
-		m.setClosed(service, 0)
+		m.setClosed(service, 0, "")
 	}
 }
 
@@ -156,7 +174,7 @@
 	p.Term = max(p.Term, s.Term)
 	m.primaries[s.Service] = p
 	if isChanged {
-		m.setClosed(s.Service, 0)
+		m.setClosed(s.Service, 0, "")
 	} else {
 		m.openIfNoCall(s.Service)
 	}
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -249,3 +249,37 @@
 		})
 	}
 }
+
+// A success that an entry passes on because the successor holds the commit is lost if an open call
+// promotes another endpoint.
+func TestSuccessorIsRecordedUnlessAnotherEndpointIsCalled(t *testing.T) {
+	recordSuccessor := func(m *Machine, token uint64, id string) bool {
+		r := &fleetpb.RecordSuccessor{Service: "s", Token: token, EndpointId: id}
+		return m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_RecordSuccessor{RecordSuccessor: r}}).Taken
+	}
+	changes := 0
+	m := New(func() { changes++ })
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "p"})
+	first := m.begin(t)
+	before, revision := changes, m.Primary("s").Revision
+	assert.Assert(t, recordSuccessor(m, first, "a"))
+	assert.Equal(t, m.Primary("s").SuccessorId, "a")
+	assert.Equal(t, m.Primary("s").ClosedToken, first, "entries of earlier versions pass on nothing")
+	assert.Assert(t, changes > before && m.Primary("s").Revision > revision, "followers are told")
+	m.close(t, &fleetpb.CloseAttempt{Token: first})
+	assert.Equal(t, m.Primary("s").SuccessorId, "")
+	assert.Equal(t, m.Primary("s").ClosedToken, uint64(0))
+	assert.Assert(t, !recordSuccessor(m, first, "a"), "the attempt has ended")
+
+	second := m.begin(t)
+	assert.Assert(t, recordSuccessor(m, second, "a"))
+	assert.Assert(t, m.recordCallFor(t, second, "a"))
+	m.close(t, &fleetpb.CloseAttempt{Token: second})
+	assert.Equal(t, m.Primary("s").SuccessorId, "a", "the call is open")
+	third := m.begin(t)
+	assert.Assert(t, !recordSuccessor(m, second, "a"), "superseded")
+	assert.Assert(t, !recordSuccessor(m, third, "b"))
+	assert.Assert(t, recordSuccessor(m, third, "a"))
+	m.set(t, &fleetpb.SetPrimary{EndpointId: "a", Token: second})
+	assert.Equal(t, m.Primary("s").SuccessorId, "")
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -131,6 +131,8 @@
 		result.Taken = m.recordStepDown(kind.RecordStepDown)
 	case *fleetpb.Command_RecordCall:
 		result.Taken = m.recordCall(kind.RecordCall)
+	case *fleetpb.Command_RecordSuccessor:
+		result.Taken = m.recordSuccessor(kind.RecordSuccessor)
 	case *fleetpb.Command_CloseAttempt:
 		result.Taken = m.closeAttempt(kind.CloseAttempt)
 	}
--- a/internal/fleet/positions/positions.go
+++ b/internal/fleet/positions/positions.go
@@ -1,6 +1,6 @@
-// Package positions reads the log positions of primaries on behalf of many entries. It
-// uses one connection to each primary and runs one query at a time on it. A query answers
-// all calls that arrived before it was sent, so the load on a primary, which has few
+// Package positions reads the log positions of endpoints on behalf of many entries. It
+// uses one connection to each endpoint and runs one query at a time on it. A query answers
+// all calls that arrived before it was sent, so the load on an endpoint, which has few
 // connections, does not grow with the number of entries.
 package positions
 
@@ -28,23 +28,27 @@
 	Rollback() string
 }
 
-// Reader reads the log positions of primaries. It is safe for concurrent use.
+// Reader reads the log positions of primaries and replicas. It is safe for concurrent use.
 type Reader struct {
 	dialer stmt.Dialer
 	texts  Texts
 
-	// mu guards batchers, which are kept by endpoint id; nothing else is locked under it.
-	mu       sync.Mutex
-	batchers map[string]*batcher
+	// mu guards batchers, those of primaries, and replicas; both are kept by endpoint id. Nothing
+	// else is locked under it.
+	mu                 sync.Mutex
+	batchers, replicas map[string]*batcher
 }
 
+// readFunc reads an endpoint's position on a connection.
+type readFunc func(conn stmt.Conn, endpoint stmt.Endpoint, deadline time.Time) (logpos.Pos, error)
+
 // New returns a Reader without connections.
 func New(dialer stmt.Dialer, texts Texts) *Reader {
-	return &Reader{dialer: dialer, texts: texts, batchers: make(map[string]*batcher)}
+	return &Reader{dialer: dialer, texts: texts, batchers: make(map[string]*batcher), replicas: make(map[string]*batcher)}
 }
 
-// QueryRefusedError reports that an endpoint refused a query because it is not the primary
-// or is at capacity.
+// QueryRefusedError reports that an endpoint refused a query because it has another role than
+// expected or is at capacity.
 type QueryRefusedError struct {
 	Endpoint string
 	Cause    *stmt.Error
@@ -70,7 +74,7 @@
 	idleTimer *time.Timer
 }
 
-// query is one request to a primary for its position and answers all calls that joined it.
+// query is one request to an endpoint for its position and answers all calls that joined it.
 // done is closed once pos and err are set.
 type query struct {
 	done chan struct{}
@@ -82,7 +86,18 @@
 // as primary before the call. Errors: *QueryRefusedError, *stmt.BrokenError,
 // *stmt.RefusedError, and ctx.Err().
 func (r *Reader) Position(ctx context.Context, endpoint stmt.Endpoint) (logpos.Pos, error) {
-	q := r.batcherOf(endpoint.ID).join(func(b *batcher, q *query) { r.runQuery(b, endpoint, q) })
+	return r.query(ctx, r.batchers, endpoint, r.readPosition)
+}
+
+// Received returns a position up to which the endpoint, a replica, held the log at some time
+// after the call. Errors: those of Position; an endpoint that leads refuses.
+func (r *Reader) Received(ctx context.Context, endpoint stmt.Endpoint) (logpos.Pos, error) {
+	return r.query(ctx, r.replicas, endpoint, readReceived)
+}
+
+// query joins the next query to an endpoint among batchers and waits for its result.
+func (r *Reader) query(ctx context.Context, batchers map[string]*batcher, endpoint stmt.Endpoint, read readFunc) (logpos.Pos, error) {
+	q := r.batcherOf(batchers, endpoint.ID).join(func(b *batcher, q *query) { r.runQuery(b, endpoint, q, read) })
 	select {
 	case <-q.done:
 		return q.pos, q.err
@@ -91,13 +106,13 @@
 	}
 }
 
-func (r *Reader) batcherOf(id string) *batcher {
+func (r *Reader) batcherOf(batchers map[string]*batcher, id string) *batcher {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.batchers[id]
+	b := batchers[id]
 	if b == nil {
 		b = &batcher{}
-		r.batchers[id] = b
+		batchers[id] = b
 	}
 	return b
 }
@@ -159,7 +174,7 @@
 }
 
 // runQuery runs one query and sets its result. Nothing else uses the connection meanwhile.
-func (r *Reader) runQuery(b *batcher, endpoint stmt.Endpoint, q *query) {
+func (r *Reader) runQuery(b *batcher, endpoint stmt.Endpoint, q *query, read readFunc) {
 	deadline := time.Now().Add(queryTimeout)
 	if b.conn == nil {
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -169,12 +184,24 @@
 			return
 		}
 	}
-	q.pos, q.err = r.readPosition(b.conn, endpoint, deadline)
+	q.pos, q.err = read(b.conn, endpoint, deadline)
 	if q.err != nil {
 		b.closeConn()
 	}
 }
 
+// readReceived reads what a replica has received from its status.
+func readReceived(conn stmt.Conn, endpoint stmt.Endpoint, deadline time.Time) (logpos.Pos, error) {
+	status, err := conn.Status(deadline)
+	if err != nil {
+		return logpos.Pos{}, err
+	}
+	if status.Role == stmt.Primary {
+		return logpos.Pos{}, &QueryRefusedError{Endpoint: endpoint.ID, Cause: &stmt.Error{Code: stmt.CodeBusy, Detail: "is not a replica"}}
+	}
+	return status.Received, nil
+}
+
 // readPosition reads the position by opening a read-write transaction, which only a
 // primary accepts, and rolls it back.
 func (r *Reader) readPosition(conn stmt.Conn, endpoint stmt.Endpoint, deadline time.Time) (logpos.Pos, error) {
--- a/internal/fleet/positions/positions_test.go
+++ b/internal/fleet/positions/positions_test.go
@@ -63,6 +63,23 @@
 	return reply.Pos
 }
 
+// A success must not be passed on because of a position of an endpoint that leads by now.
+func TestReceivedIsToldByReplicasOnly(t *testing.T) {
+	group, _, r := start(t)
+	pos := write(t, group, "w1")
+	received, err := r.Received(t.Context(), endpoint(group, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, received, pos)
+	group.Nodes()[1].Set(standin.Faults{Deaf: true})
+	write(t, group, "w2")
+	received, err = r.Received(t.Context(), endpoint(group, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, received, pos)
+	var refused *positions.QueryRefusedError
+	_, err = r.Received(t.Context(), endpoint(group, 0))
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+}
+
 // TestPositionCoversWhatWasAcknowledgedBefore reads positions while writes go on: no
 // position may be lower than that of the last write acknowledged before the call.
 func TestPositionCoversWhatWasAcknowledgedBefore(t *testing.T) {
--- a/internal/fleet/promotion/call.go
+++ b/internal/fleet/promotion/call.go
@@ -99,7 +99,6 @@
 func (a *attempt) awaitTakeover(ctx context.Context, id string) error {
 	deadline := time.Now().Add(takeoverTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		a.closeForNewcomer(ctx, id)
 		status, ok := a.statusOf(ctx, id)
 		if ok && status.Role == stmt.Primary {
 			a.noteTakeover(id, status)
--- a/internal/fleet/promotion/candidate.go
+++ b/internal/fleet/promotion/candidate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/stmt"
 )
 
@@ -22,7 +23,7 @@
 	case !AllAnswer(a.replicas):
 		return a.candidateWithoutPauses(ctx)
 	case a.plan.PrimaryServes && ok:
-		return a.pauseOthers(ctx, successor.ID)
+		return a.replaceServing(ctx, successor)
 	}
 	return a.pauseAll(ctx)
 }
@@ -57,13 +58,14 @@
 }
 
 // pauseOthers pauses all replicas but the successor while the primary serves, and waits until
-// the successor holds what the others hold. If it does not in time, all replicas are paused:
-// the primary could acknowledge nothing, as the successor does not receive.
-func (a *attempt) pauseOthers(ctx context.Context, successor string) (ReplicaState, error) {
+// the successor holds what the others hold and what callers were told. If it does not in time,
+// all replicas are paused: the primary could acknowledge nothing, as the successor does not
+// receive.
+func (a *attempt) pauseOthers(ctx context.Context, successor string, acknowledged logpos.Pos) (ReplicaState, error) {
 	if !a.pauseReplicas(successor, successor) {
 		return a.candidateWithoutPauses(ctx)
 	}
-	candidate, err := a.awaitCaughtUp(ctx, successor)
+	candidate, err := a.awaitCaughtUp(ctx, successor, acknowledged)
 	var behind *NotCaughtUpError
 	if errors.As(err, &behind) && ctx.Err() == nil {
 		a.log.Info("all replicas are paused", "reason", err.Error())
@@ -105,12 +107,12 @@
 }
 
 // awaitCaughtUp waits until the candidate has received everything that the paused
-// replicas hold. Errors: *NotCaughtUpError.
-func (a *attempt) awaitCaughtUp(ctx context.Context, id string) (ReplicaState, error) {
+// replicas hold, and everything up to acknowledged. Errors: *NotCaughtUpError.
+func (a *attempt) awaitCaughtUp(ctx context.Context, id string, acknowledged logpos.Pos) (ReplicaState, error) {
 	i := slices.IndexFunc(a.replicas, func(s ReplicaState) bool { return s.ID == id })
 	deadline := time.Now().Add(catchUpTimeout)
 	for {
-		if IsCaughtUp(a.replicas[i], a.replicas) {
+		if IsCaughtUp(a.replicas[i], a.replicas) && a.replicas[i].isHolding(acknowledged) {
 			return a.replicas[i], nil
 		}
 		if time.Now().After(deadline) || ctx.Err() != nil {
--- a/internal/fleet/promotion/choose.go
+++ b/internal/fleet/promotion/choose.go
@@ -6,9 +6,10 @@
 //   - An acknowledged commit is in the log of the primary and of at least one
 //     synchronous replica. A paused replica receives nothing from a primary whose term is
 //     lower than that of the pause.
-//   - If every replica but one is paused and that one holds what the others hold,
-//     its log contains every acknowledged commit, and no later commit is acknowledged
-//     before it is in this log. It can be promoted while the old primary still serves.
+//   - If the entries, through which every success reaches its caller, pass on only commits
+//     that one replica holds, and this replica holds what they had passed on before, it can
+//     be promoted while the old primary still serves. The other replicas are paused, so that
+//     the primary acknowledges what this one receives.
 //   - If the old primary stepped down, no further commit is acknowledged, and its log
 //     contains every acknowledged commit. A replica that has received all of it can be
 //     promoted, or else the old primary itself.
--- a/internal/fleet/promotion/close.go
+++ b/internal/fleet/promotion/close.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"time"
+
+	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 )
 
 // awaitClosed waits until entries pass on no success of a commit at the present primary any
@@ -11,11 +14,7 @@
 // endpoint that the attempt does not know may have received the others. Errors:
 // *MissingCommitError.
 func (a *attempt) awaitClosed(ctx context.Context, candidate ReplicaState) error {
-	started := time.Now()
-	closing := a.Recorder.AwaitClosed(ctx, a.plan.Service, a.plan.Token)
-	a.Metrics.AcknowledgementsClosed(closing.Silent == 0)
-	a.log.Info("entries closed acknowledgements", "entries", closing.Entries, "silent", closing.Silent,
-		"acknowledged", closing.Acknowledged.String(), "position", candidate.position().String(), "took", time.Since(started).String())
+	closing := a.awaitEntries(ctx, candidate)
 	if !candidate.position().Less(closing.Acknowledged) {
 		return nil
 	}
@@ -28,22 +27,60 @@
 	return err
 }
 
-// closeForNewcomer closes the acknowledgements of the primary if an endpoint has joined since
-// the call of a planned replacement: commits that only this endpoint receives would be lost.
-func (a *attempt) closeForNewcomer(ctx context.Context, id string) {
-	if a.closes || !a.plan.PrimaryServes || id == a.plan.Primary.ID {
-		return
+// awaitEntries waits until the entries have confirmed what the attempt recorded.
+func (a *attempt) awaitEntries(ctx context.Context, candidate ReplicaState) Closing {
+	started := time.Now()
+	closing := a.Recorder.AwaitClosed(ctx, a.plan.Service, a.plan.Token)
+	a.Metrics.AcknowledgementsClosed(closing.isComplete())
+	a.log.Info("entries closed acknowledgements", "entries", closing.Entries, "silent", closing.Silent, "unheard", closing.Unheard,
+		"acknowledged", closing.Acknowledged.String(), "position", candidate.position().String(), "took", time.Since(started).String())
+	return closing
+}
+
+// replaceServing chooses the successor of a primary that serves until it is replaced. Before any
+// replica is paused, the entries confirm that they pass on the success of a commit only once the
+// successor holds it. The successor then receives what they had passed on before. From then on
+// it holds every acknowledged commit, whichever endpoints receive from the primary. Errors:
+// those of Recorder, *NotConfirmedError, and those of the ways taken instead.
+func (a *attempt) replaceServing(ctx context.Context, successor ReplicaState) (ReplicaState, error) {
+	if len(CalledReplicas(a.plan.OpenCalls, successor.ID)) > 0 {
+		// An open call could promote an endpoint that lacks what the successor holds.
+		return a.pauseAll(ctx)
 	}
-	err := a.Recorder.FindUnknown(a.plan.Service, a.accounted())
-	if err == nil {
-		return
+	if err := a.Recorder.RecordSuccessor(ctx, a.plan.Service, a.plan.Token, successor.ID); err != nil {
+		return ReplicaState{}, err
 	}
-	a.closes = true
-	a.log.Info("acknowledgements are closed during a planned replacement", "reason", err.Error())
-	var unknown *UnknownEndpointError
-	err = a.Recorder.RecordCall(ctx, a.plan.Service, Call{Token: a.plan.Token, EndpointID: id}, a.accounted(), true)
-	if err != nil && !errors.As(err, &unknown) {
-		// The newcomer's commits may be lost if the successor does not receive them.
-		a.log.Info("acknowledgements were not closed", "error", err.Error())
+	closing := a.awaitEntries(ctx, successor)
+	if !closing.isComplete() {
+		return a.replaceUnconfirmed(ctx, closing)
 	}
+	return a.pauseOthers(ctx, successor.ID, closing.Acknowledged)
 }
+
+// replaceUnconfirmed goes on where entries have not confirmed: they may pass on commits that the
+// successor lacks. A primary that has stepped down acknowledges none. One that does not answer
+// is not replaced as planned.
+func (a *attempt) replaceUnconfirmed(ctx context.Context, closing Closing) (ReplicaState, error) {
+	if !a.isPrimaryRunning(ctx) {
+		a.log.Info("the replacement is not planned any more", "reason", "primary does not answer")
+		return a.pauseAll(ctx)
+	}
+	if !a.plan.MayStepDown {
+		return ReplicaState{}, &NotConfirmedError{Service: a.plan.Service, Silent: closing.Silent, Unheard: closing.Unheard}
+	}
+	a.log.Info("primary steps down before its planned replacement", "silent", closing.Silent, "unheard", closing.Unheard)
+	return a.candidateWithoutPauses(ctx)
+}
+
+// isPrimaryRunning reports whether the plan's primary answers, if only with a refusal.
+func (a *attempt) isPrimaryRunning(ctx context.Context) bool {
+	conn, _, err := a.connectPrimary(ctx)
+	if err == nil {
+		conn.Close()
+	}
+	var refused *stmt.RefusedError
+	return err == nil || errors.As(err, &refused) && !ProvesDead(err)
+}
+
+// isHolding reports whether the endpoint's log reaches a position.
+func (s ReplicaState) isHolding(pos logpos.Pos) bool { return !s.position().Less(pos) }
--- a/internal/fleet/promotion/close_test.go
+++ b/internal/fleet/promotion/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -40,21 +41,69 @@
 	}
 }
 
-// In a planned replacement the primary serves on, unless an endpoint joins after the call.
-func TestNewcomerClosesAcknowledgementsOfAPlannedReplacement(t *testing.T) {
-	for _, joins := range []bool{false, true} {
+// Callers lost commits that only a newcomer had received during a planned replacement: before the
+// call, entries must know which endpoint has to hold what they pass on. Acknowledgements stay open
+// beside that.
+func TestSuccessorIsRequiredBeforeAPlannedCall(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	isChecked := false
+	f.promoter.beforeEffect = func() {
+		f.recorder.mu.Lock()
+		defer f.recorder.mu.Unlock()
+		assert.Check(t, !f.recorder.isClosed)
+		assert.Check(t, strings.HasPrefix(f.promoter.calls[0], f.recorder.successor+"/"), "%v", f.promoter.calls)
+		isChecked = true
+	}
+	_, err := f.runner.Run(t.Context(), f.plan(1, true))
+	assert.NilError(t, err)
+	assert.Assert(t, isChecked)
+	assert.Equal(t, f.recorder.successor, f.group.Primary().ID)
+}
+
+// A commit reached a caller before entries knew the successor, which has not received it.
+func TestSuccessorThatLacksAnAcknowledgedCommitIsNotPromoted(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	f.recorder.acknowledged = logpos.Pos{Term: 1, Index: 2}
+	_, err := f.runner.Run(t.Context(), f.plan(1, true))
+	var missing *promotion.MissingCommitError
+	assert.Assert(t, errors.As(err, &missing), "%v", err)
+	assert.Equal(t, len(f.promoter.calls), 0)
+}
+
+// While entries may pass on what the successor lacks, a primary that serves is not replaced, and
+// no replica is paused. Once that has taken too long, it steps down before the call. A primary
+// that does not answer is replaced as one that crashed.
+func TestPlannedReplacementWithoutConfirmation(t *testing.T) {
+	for name, silent := range map[string]struct{ entries, daemons int }{"silent entry": {1, 0}, "control daemon not heard": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			assert.Assert(t, f.write(0, "a"))
+			f.recorder.silent, f.recorder.unheard = silent.entries, silent.daemons
+			result, err := f.runner.Run(t.Context(), f.plan(1, true))
+			var unconfirmed *promotion.NotConfirmedError
+			assert.Assert(t, errors.As(err, &unconfirmed), "%v", err)
+			assert.Equal(t, len(f.promoter.calls), 0)
+			assert.Assert(t, !result.PausesLeft)
+			assert.Assert(t, f.write(0, "b"))
+
+			plan := f.plan(2, true)
+			plan.MayStepDown = true
+			f.promoter.beforeEffect = func() { assert.Check(t, f.group.Primary() == nil) }
+			_, err = f.runner.Run(t.Context(), plan)
+			assert.NilError(t, err)
+			assert.Assert(t, f.recorder.stepDownOrdered)
+			assert.Equal(t, len(f.group.Primary().Lost()), 0)
+		})
+	}
+	t.Run("primary does not answer", func(t *testing.T) {
 		f := newFixture(t)
 		assert.Assert(t, f.write(0, "a"))
-		f.promoter.beforeEffect = func() {
-			f.recorder.mu.Lock()
-			defer f.recorder.mu.Unlock()
-			assert.Check(t, !f.recorder.isClosed)
-			if joins {
-				f.recorder.unknown = &promotion.UnknownEndpointError{Endpoint: "svc-3"}
-			}
-		}
+		f.group.Nodes()[0].Set(standin.Faults{Down: true})
+		f.recorder.silent = 1
 		_, err := f.runner.Run(t.Context(), f.plan(1, true))
 		assert.NilError(t, err)
-		assert.Equal(t, f.recorder.isClosed, joins)
-	}
+		assert.Assert(t, f.recorder.isClosed)
+	})
 }
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -104,6 +104,19 @@
 	return fmt.Sprintf("the log of endpoint %s ends at %s, before %s, which was acknowledged", e.Endpoint, e.Position, e.Acknowledged)
 }
 
+// NotConfirmedError reports that a primary that serves was not replaced because entries may pass
+// on commits that its successor lacks: Silent ones did not confirm in time, and those that follow
+// Unheard control daemons are not known.
+type NotConfirmedError struct {
+	Service         string
+	Silent, Unheard int
+}
+
+func (e *NotConfirmedError) Error() string {
+	return fmt.Sprintf("service %s: %d entries have not confirmed that its successor is waited for, %d control daemons are not heard",
+		e.Service, e.Silent, e.Unheard)
+}
+
 // ThrottledError reports that the platform refused a call because of too many calls.
 type ThrottledError struct{}
 
--- a/internal/fleet/promotion/holders_explore_test.go
+++ b/internal/fleet/promotion/holders_explore_test.go
@@ -451,24 +451,64 @@
 	}
 }
 
-// What decisions 0088 and 0090 do not cover loses a commit in the model, too.
+// In a planned replacement the primary serves on while endpoints that control does not know, or
+// not as they are, receive commits. None is lost while entries pass on only what the successor
+// holds; without a part of that rule, one is.
+func TestHoldersModelRequiresTheSuccessor(t *testing.T) {
+	t.Parallel()
+	planned := func(faults, budget int) modelConfig {
+		return twoHolders(faults, budget).with(oneAttempt).with(entriesAnswer).with(func(c *modelConfig) { c.unplanned = false })
+	}
+	restart := planned(faultRestart, 1).with(func(c *modelConfig) { c.restartsWhileCounted = true })
+	join := planned(faultJoin, 1).with(func(c *modelConfig) { c.joinsWhileCounted = true })
+	unannounced := planned(faultJoin, 1).with(func(c *modelConfig) { c.joinsUnannounced = true })
+	silent := func(c *modelConfig) { c.entriesAnswer = false }
+	emptied := planned(faultWipe, 1).with(func(c *modelConfig) { c.commits, c.attempts, c.wipesLatest = 2, 2, true })
+	done := explorations{}
+	for _, c := range []struct {
+		name  string
+		rules modelRules
+		modelConfig
+	}{
+		{"paused replica starts again before the effect", modelRules{passesUnheld: true}, restart},
+		{"endpoint joins before the effect", modelRules{passesUnheld: true}, join},
+		{"endpoint has not announced itself", modelRules{passesUnheld: true}, unannounced},
+		{"the same, acknowledged before", modelRules{ignoresPassedOn: true}, unannounced},
+		{"the same, entries are silent", modelRules{ignoresSilence: true}, unannounced.with(silent)},
+		{"endpoint joins, entries are silent", modelRules{ignoresSilence: true}, join.with(silent)},
+		{"endpoint started empty and lacks the last commit, entries are silent", modelRules{ignoresSilence: true}, emptied.with(silent)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := (&model{rules: c.rules, modelConfig: c.modelConfig}).explore(maxModelStates, nil)
+			t.Logf("without the rule: %s", r)
+			assert.Assert(t, len(r.trace) > 0)
+			done.assertNothingLost(t, c.modelConfig)
+		})
+	}
+}
+
+// What decisions 0088 and 0090 do not cover loses a commit in the model, too: entries pass on
+// successes that control does not know, or, in a replacement that is not planned, that do not
+// answer.
 func TestHoldersModelShowsWhatIsNotCovered(t *testing.T) {
 	t.Parallel()
 	plannedOnly := func(c *modelConfig) { c.attempts, c.unplanned = 1, false }
+	entriesUnknown := func(c *modelConfig) { c.entriesUnknown = true }
 	for _, c := range []struct {
 		name string
 		modelConfig
 	}{
-		{"paused replica starts again before the effect of a planned call", twoHolders(faultRestart, 1).with(plannedOnly).with(func(c *modelConfig) {
+		{"unknown entry, paused replica starts again before the effect of a planned call", twoHolders(faultRestart, 1).with(plannedOnly).with(entriesUnknown).with(func(c *modelConfig) {
 			c.restartsWhileCounted = true
 		})},
-		{"endpoint joins before the effect of a planned call", twoHolders(faultJoin, 1).with(plannedOnly).with(func(c *modelConfig) { c.joinsWhileCounted = true })},
-		{"endpoint has not announced itself before a planned call", twoHolders(faultJoin, 1).with(plannedOnly).with(func(c *modelConfig) { c.joinsUnannounced = true })},
+		{"unknown entry, endpoint joins before the effect of a planned call", twoHolders(faultJoin, 1).with(plannedOnly).with(entriesUnknown).with(func(c *modelConfig) { c.joinsWhileCounted = true })},
+		{"unknown entry, endpoint has not announced itself before a planned call", twoHolders(faultJoin, 1).with(plannedOnly).with(entriesUnknown).with(func(c *modelConfig) { c.joinsUnannounced = true })},
+		{"silent entry, endpoint joins before the effect", twoHolders(faultJoin, 1).with(unplannedOnly).with(func(c *modelConfig) { c.joinsWhileCounted = true })},
 		{"late PAUSE lowers a pause", twoHolders(faultOrder, 2).with(func(c *modelConfig) {
 			c.start, c.planned, c.attempts, c.lowersPauses = startPrimaryCalled, false, 3, true
 		})},
-		{"endpoint started empty and lacks the last commit", twoHolders(faultWipe, 1).with(func(c *modelConfig) {
-			c.commits, c.unplanned, c.wipesLatest = 2, false, true
+		{"endpoint started empty and lacks the last commit", twoHolders(faultWipe|faultDeaf, 2).with(oneAttempt).with(unplannedOnly).with(func(c *modelConfig) {
+			c.commits, c.wipesLatest = 2, true
 		})},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/promotion/holders_model_test.go
+++ b/internal/fleet/promotion/holders_model_test.go
@@ -63,6 +63,10 @@
 	// 11: acknowledgements are not closed before a call, or what was acknowledged before that is
 	// not compared with the candidate's log.
 	leavesOpen, ignoresAcknowledged bool
+	// 15: in a planned replacement, entries pass on what the successor does not hold; the call does
+	// not wait for what they had passed on before; entries that do not confirm do not matter; open
+	// calls for other endpoints do not.
+	passesUnheld, ignoresPassedOn, ignoresSilence, requiresDespiteCalls bool
 	// The last known term of a primary does not count for the term of a pause.
 	seesAnswersOnly bool
 }
@@ -99,8 +103,9 @@
 	// acknowledgements do.
 	restartsWhileCounted, joinsWhileCounted, joinsUnannounced, lowersPauses, wipesLatest bool
 	// entriesAnswer means that every entry hears of closed acknowledgements. Otherwise those
-	// through which commits are acknowledged do not.
-	entriesAnswer bool
+	// through which commits are acknowledged do not, and control knows that they are silent, or
+	// does not know them at all.
+	entriesAnswer, entriesUnknown bool
 	// start is the state in which an exploration starts.
 	start int
 	// closesCalls lets an attempt call the primary to close older calls.
@@ -140,10 +145,11 @@
 	term uint8
 }
 
-// Steps of an attempt. In those from stepPause to stepLook, it has connections to the replicas.
+// Steps of an attempt. In those from stepRequire to stepLook, it has connections to the replicas.
 const (
 	stepNone = iota
 	stepStatus
+	stepRequire
 	stepPause
 	stepChoose
 	stepRecordStepDown
@@ -186,7 +192,9 @@
 	unanswered, closes bool
 	// final is the position of the candidate, or of the primary after it stepped down.
 	final uint8
-	seen  [modelEndpoints]modelSeen
+	// passedOn is the set of commits whose successes had been passed on when entries confirmed.
+	passedOn uint8
+	seen     [modelEndpoints]modelSeen
 }
 
 // holdersState is one state. Attempt k has token k+1.
@@ -213,8 +221,10 @@
 	calls                          [modelAttempts]int8
 	floor, number                  uint8
 	record                         int8
-	// closed means that no success of a commit at the recorded primary reaches a caller.
+	// closed means that no success of a commit at the recorded primary reaches a caller, or, if
+	// required is an endpoint, only that of a commit which this endpoint holds.
 	closed                    bool
+	required                  int8
 	recordTerm                uint8
 	covered, restarted, known uint8
 
@@ -245,7 +255,7 @@
 
 func (m *model) first() holdersState {
 	// Commit 1 is everywhere.
-	s := holdersState{term: 1, recordTerm: 1, acked: 1 << 1, commitTerm: [modelCommits + 1]uint8{1: 1}}
+	s := holdersState{term: 1, recordTerm: 1, required: noEndpoint, acked: 1 << 1, commitTerm: [modelCommits + 1]uint8{1: 1}}
 	for i := range s.e {
 		s.e[i].term = 1
 		if s.e[i].absent = i >= m.endpoints; !s.e[i].absent {
@@ -426,8 +436,7 @@
 		case e.pause == 0 && e.term == s.e[p].term && n < modelCommits && s.e[p].log[n] != 0:
 			c := s.e[p].log[n]
 			t.e[i].log[n] = c
-			isPassedOn := !t.closed || p != int(t.record)
-			if t.commitTerm[c] == t.e[p].term && isPassedOn {
+			if t.commitTerm[c] == t.e[p].term && m.isPassedOn(&t, p, c) {
 				t.acked |= 1 << c
 			}
 			m.add("receives and acknowledges", i, int(c), t)
@@ -435,6 +444,18 @@
 	}
 }
 
+// isPassedOn reports whether the success of a commit that primary p acknowledges reaches its caller.
+func (m *model) isPassedOn(s *holdersState, p int, c uint8) bool {
+	switch {
+	case p != int(s.record):
+		return true
+	case s.required >= 0:
+		isHeard := m.entriesAnswer && !m.rules.passesUnheld
+		return !isHeard || slices.Contains(s.e[s.required].log[:], c)
+	}
+	return !s.closed
+}
+
 // isCountedOn reports whether a promotion may still take effect whose holder has looked at the
 // replicas for the last time.
 func (s *holdersState) isCountedOn() bool {
@@ -554,7 +575,7 @@
 // breakConns ends the connections of the attempts to endpoint i.
 func (s *holdersState) breakConns(i int) {
 	for k := range s.a {
-		if a := &s.a[k]; a.step >= stepPause && a.step <= stepLook && a.known&(1<<i) != 0 {
+		if a := &s.a[k]; a.step >= stepRequire && a.step <= stepLook && a.known&(1<<i) != 0 {
 			a.broken |= 1 << i
 		}
 	}
@@ -723,6 +744,9 @@
 // fail ends attempt k without a promotion.
 func (m *model) fail(s holdersState, k int, why string) {
 	a := &s.a[k]
+	if s.last == uint8(k+1) && s.required >= 0 {
+		s.openIfNoCall()
+	}
 	if (m.rules.resumes || m.rules.old) && a.mine != 0 && !a.unanswered {
 		a.next = 0
 		m.to(s, k, stepResume, why)
@@ -737,6 +761,8 @@
 		m.begin(s, k)
 	case stepStatus:
 		m.requestStatus(s, k)
+	case stepRequire:
+		m.requireSuccessor(s, k)
 	case stepPause:
 		m.pause(s, k)
 	case stepChoose:
@@ -819,9 +845,15 @@
 	if a.planned {
 		candidate, ok = Successor(replicas, a.open(), m.nextTerm(&s, replicas), "")
 	}
-	a.planned = ok
-	if ok {
+	if ok && len(CalledReplicas(a.open(), candidate.ID)) > 0 && !m.rules.requiresDespiteCalls && !m.rules.old {
+		ok = false
+	}
+	if a.planned = ok; ok {
 		a.chosen = indexOf(candidate.ID)
+		if !m.rules.old {
+			m.to(s, k, stepRequire, "status requested, successor chosen")
+			return
+		}
 	} else {
 		candidate, _ = MostUpToDate(replicas, a.open())
 	}
@@ -829,6 +861,40 @@
 	m.to(s, k, stepPause, "status requested")
 }
 
+// requireSuccessor has the entries pass on only what the successor holds, and say what they had
+// passed on before.
+func (m *model) requireSuccessor(s holdersState, k int) {
+	a := &s.a[k]
+	if s.last != uint8(k+1) || s.hasEnded {
+		m.fail(s, k, "successor not recorded")
+		return
+	}
+	s.closed, s.required = true, a.chosen
+	if !m.entriesAnswer && !m.entriesUnknown && !m.rules.ignoresSilence {
+		m.replaceUnconfirmed(s, k)
+		return
+	}
+	if !m.rules.ignoresPassedOn {
+		a.passedOn = s.acked
+	}
+	a.term = m.pauseTerm(&s, a, endpointNames[a.chosen])
+	m.to(s, k, stepPause, "successor recorded and confirmed")
+}
+
+// replaceUnconfirmed goes on where entries are silent: the attempt is given up, or the primary
+// steps down. If it does not answer, it is replaced as one that crashed.
+func (m *model) replaceUnconfirmed(s holdersState, k int) {
+	a := &s.a[k]
+	if !s.e[a.primary].answers() {
+		latest, _ := MostUpToDate(a.replicas(), a.open())
+		a.planned, a.term = false, m.pauseTerm(&s, a, latest.ID)
+		m.to(s, k, stepPause, "entries are silent, primary does not answer")
+		return
+	}
+	m.fail(s, k, "entries are silent, given up")
+	m.toStepDown(s, k, "entries are silent")
+}
+
 // pause pauses the next replica.
 func (m *model) pause(s holdersState, k int) {
 	a := &s.a[k]
@@ -899,7 +965,8 @@
 	case !ok:
 		m.fail(s, k, "no candidate")
 		return
-	case a.planned && a.seen[a.chosen].position < uint8(latest.position().Term<<3|latest.position().Index):
+	case a.planned && (a.seen[a.chosen].position < uint8(latest.position().Term<<3|latest.position().Index) ||
+		!s.holds(int(a.chosen), a.passedOn)):
 		// It may catch up later.
 		m.to(s, k, stepChoose, "candidate is behind")
 		if m.rules.old {
@@ -1066,7 +1133,7 @@
 		m.refuse(s, k, "call recorded, but not made: unknown endpoint")
 		return
 	}
-	if m.entriesAnswer && a.term > 0 && !a.planned && !a.closes && !m.rules.leavesOpen {
+	if (m.entriesAnswer || m.entriesUnknown) && a.term > 0 && !a.planned && !a.closes && !m.rules.leavesOpen {
 		m.to(s, k, stepClose, "call recorded")
 		return
 	}
@@ -1076,10 +1143,9 @@
 // closeAcknowledgements has the entries close the acknowledgements of the primary and say what
 // they have passed on.
 func (m *model) closeAcknowledgements(s holdersState, k int) {
-	s.closed = true
-	for c := uint8(1); c <= modelCommits; c++ {
-		isHeld := slices.Contains(s.e[s.a[k].chosen].log[:], c)
-		if s.acked&(1<<c) != 0 && !isHeld && !m.rules.ignoresAcknowledged {
+	if !m.entriesUnknown {
+		s.closed, s.required = true, noEndpoint
+		if !s.holds(int(s.a[k].chosen), s.acked) && !m.rules.ignoresAcknowledged {
 			m.refuse(s, k, "candidate lacks an acknowledged commit")
 			return
 		}
@@ -1087,10 +1153,20 @@
 	m.to(s, k, stepLook, "acknowledgements closed")
 }
 
+// holds reports whether endpoint i's log has every commit of a set.
+func (s *holdersState) holds(i int, commits uint8) bool {
+	for c := uint8(1); c <= modelCommits; c++ {
+		if commits&(1<<c) != 0 && !slices.Contains(s.e[i].log[:], c) {
+			return false
+		}
+	}
+	return true
+}
+
 // openIfNoCall opens the acknowledgements of the recorded primary unless a call may replace it.
 func (s *holdersState) openIfNoCall() {
 	if !slices.ContainsFunc(s.calls[:], func(to int8) bool { return to >= 0 && to != s.record }) {
-		s.closed = false
+		s.closed, s.required = false, noEndpoint
 	}
 }
 
@@ -1213,7 +1289,7 @@
 	}
 	s.recordTerm = max(s.recordTerm, s.e[i].term)
 	if s.record != int8(i) {
-		s.record, s.closed = int8(i), false
+		s.record, s.closed, s.required = int8(i), false, noEndpoint
 		s.number++
 	}
 	s.openIfNoCall()
--- a/internal/fleet/promotion/promotion_test.go
+++ b/internal/fleet/promotion/promotion_test.go
@@ -64,7 +64,11 @@
 	// acknowledged is the highest position that they passed on.
 	isClosed     bool
 	acknowledged logpos.Pos
-	// unknown is the error of FindUnknown.
+	// successor is the endpoint that has to hold a commit before its success is passed on.
+	successor string
+	// silent entries do not confirm; unheard control daemons are not heard.
+	silent, unheard int
+	// unknown is the error of RecordCall.
 	unknown error
 }
 
@@ -92,16 +96,17 @@
 	return r.unknown
 }
 
-func (r *recorder) AwaitClosed(context.Context, string, uint64) promotion.Closing {
+func (r *recorder) RecordSuccessor(_ context.Context, _ string, _ uint64, id string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return promotion.Closing{Acknowledged: r.acknowledged, Entries: 1}
+	r.successor = id
+	return nil
 }
 
-func (r *recorder) FindUnknown(string, []promotion.Accounted) error {
+func (r *recorder) AwaitClosed(context.Context, string, uint64) promotion.Closing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unknown
+	return promotion.Closing{Acknowledged: r.acknowledged, Entries: 1, Silent: r.silent, Unheard: r.unheard}
 }
 
 type fixture struct {
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -50,6 +50,9 @@
 	Primary stmt.Endpoint
 	// PrimaryServes means that the primary is alive and serves until it is replaced.
 	PrimaryServes bool
+	// MayStepDown means that a primary that serves may be made to step down if entries do not
+	// confirm what they pass on. Otherwise the attempt is given up.
+	MayStepDown bool
 	// PrimaryGone means that the primary has ended and that its log is gone.
 	PrimaryGone bool
 	// PrimaryRestarted means that the primary was started again, perhaps without its log.
@@ -112,23 +115,30 @@
 	// successes of commits at the present primary any more; the call may be recorded again
 	// for that.
 	RecordCall(ctx context.Context, service string, call Call, accounted []Accounted, closes bool) error
-	// AwaitClosed waits for a bounded time until the entries have confirmed that they pass on
-	// no success of a commit at the present primary any more.
+	// RecordSuccessor records the endpoint that is to replace the present primary as planned:
+	// entries must not pass on the success of a commit before the log of that endpoint holds it.
+	RecordSuccessor(ctx context.Context, service string, token uint64, endpointID string) error
+	// AwaitClosed waits for a bounded time until the entries have confirmed that they observe
+	// what RecordSuccessor or RecordCall has recorded.
 	AwaitClosed(ctx context.Context, service string, token uint64) Closing
-	// FindUnknown returns the error of RecordCall for an endpoint that is not accounted for.
-	FindUnknown(service string, accounted []Accounted) error
 }
 
 // Closing is what entries have confirmed about the acknowledgements of a primary.
 type Closing struct {
 	// Acknowledged is the highest position of a commit whose success was passed on to a
-	// caller; zero if none is known.
+	// caller before the confirmation; zero if none is known.
 	Acknowledged logpos.Pos
 	// Entries is the number of entries that control knows, Silent how many of them have not
 	// confirmed.
 	Entries, Silent int
+	// Unheard is the number of control daemons that this one does not hear: it does not know
+	// which entries follow them.
+	Unheard int
 }
 
+// isComplete reports whether all entries have confirmed.
+func (c Closing) isComplete() bool { return c.Silent == 0 && c.Unheard == 0 }
+
 // Accounted is a replica that an attempt has paused or left out.
 type Accounted struct {
 	ID string
@@ -178,8 +188,8 @@
 // Run carries out the plan. The context ends when the caller must no longer promote; no call
 // is made after that. Replicas stay paused until an endpoint is promoted, whichever attempt
 // does it. Errors: *OtherPrimaryError, *NoCandidateError, *UnsafeError, *BelowFloorError,
-// *MissingCommitError, *DelayedError and those of Recorder before the platform is called; those of Promoter and
-// *TakeoverTimeoutError after that; the context's if it ended.
+// *MissingCommitError, *NotConfirmedError, *DelayedError and those of Recorder before the platform
+// is called; those of Promoter and *TakeoverTimeoutError after that; the context's if it ended.
 func (r *Runner) Run(ctx context.Context, plan Plan) (Result, error) {
 	a := &attempt{
 		Runner: r, plan: plan,
--- a/internal/proxy/acknowledged.go
+++ b/internal/proxy/acknowledged.go
@@ -22,24 +22,29 @@
 )
 
 // acknowledge records that the success of a commit at a primary is passed on to the caller; pos
-// is the position that came with it. It returns false if it must not be, because control has
-// closed the acknowledgements of that primary: the commit may then be lost. Services without
-// synchronous replicas may lose commits anyway.
-func (s *Server) acknowledge(service string, t target, pos logpos.Pos) bool {
+// is the position that came with it. It returns false if it must not be, because the commit may
+// be lost: control replaces the primary, and the next one may lack it. While control replaces a
+// primary that serves, acknowledge waits until deadline for the successor to receive the commit.
+// Services without synchronous replicas may lose commits anyway.
+func (s *Server) acknowledge(service string, t target, pos logpos.Pos, deadline time.Time) bool {
 	sv := s.cfg.View.Snapshot().Service(service)
 	if sv == nil || sv.Config.SyncReplicas == 0 {
 		return true
 	}
-	missing, isMissing, ok := s.service(service).acknowledge(t.primaryNumber, pos)
+	st := s.service(service)
+	missing, isMissing, verdict := st.acknowledge(t.primaryNumber, pos)
+	if verdict == acked.Await {
+		missing, isMissing, verdict = s.awaitSuccessor(st, t.primaryNumber, pos, deadline)
+	}
 	if isMissing {
 		s.reportMissing(service, missing)
 	}
-	if !ok {
+	if verdict != acked.Pass {
 		s.cfg.Metrics.CommitWithheld()
 		s.log.Info("success of a commit not passed on", "service", service, "endpoint", t.endpoint.Id,
 			"number", t.primaryNumber, "position", pos.String())
 	}
-	return ok
+	return verdict == acked.Pass
 }
 
 // closedError is the answer to a write while the acknowledgements of the primary are closed.
@@ -56,7 +61,7 @@
 // isClosed reports whether control has closed the acknowledgements of a service's primary, or
 // of the former one that t names.
 func (s *Server) isClosed(service string, t target) bool {
-	return s.service(service).isClosed(t.primaryNumber)
+	return s.service(service).isClosed(t.primaryNumber, time.Now())
 }
 
 // reportMissing reports that a primary lacks an acknowledged commit.
@@ -67,22 +72,27 @@
 		"acknowledged", m.Acknowledged.String(), "inherited", m.Inherited.String())
 }
 
-// applyClosed closes or opens the acknowledgements of a service's primary. It confirms to
-// control that they are closed, once for each attempt that closes them.
+// applyClosed closes or opens the acknowledgements of a service's primary, or closes those of
+// commits that its successor lacks. It confirms that to control, once for each attempt.
 func (s *Server) applyClosed(service *fleetview.Service) {
 	if service.Record == nil {
 		return
 	}
-	highest, isNew := s.service(service.Config.Name).applyClosed(service)
+	st := s.service(service.Config.Name)
+	highest, isNew := st.applyClosed(service.Record)
 	if !isNew {
 		return
 	}
+	if service.Record.SuccessorId != "" {
+		// Control connects to the successor before a commit waits for it.
+		s.startPolling(st)
+	}
 	r := &fleetpb.ConfirmClosedRequest{
 		Daemon: s.cfg.Name, Service: service.Config.Name, Token: service.Record.ClosedToken,
 		Acknowledged: &fleetpb.LogPosition{Term: highest.Term, Index: highest.Index},
 	}
 	s.log.Info("acknowledgements closed", "service", r.Service, "number", service.PrimaryNumber, "token", r.Token,
-		"acknowledged", highest.String())
+		"successor", service.Record.SuccessorId, "acknowledged", highest.String())
 	go s.confirmClosed(r)
 }
 
@@ -100,41 +110,37 @@
 	}
 }
 
-// acknowledge is acked.Commits.Acknowledge unless the acknowledgements of the primary with the
-// given number are closed; ok is then false. The check and the record are one step, so that a
-// confirmation covers every commit that is passed on.
-func (st *serviceState) acknowledge(primaryNumber uint64, pos logpos.Pos) (missing acked.Missing, isMissing, ok bool) {
+// acknowledge is acked.Commits.Acknowledge if the success of the commit may be passed on. The
+// check and the record are one step, so that a confirmation covers every commit that is passed on.
+func (st *serviceState) acknowledge(primaryNumber uint64, pos logpos.Pos) (missing acked.Missing, isMissing bool, verdict acked.Verdict) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if primaryNumber <= st.closedNumber {
-		return acked.Missing{}, false, false
+	if verdict := st.gate.Check(primaryNumber, pos); verdict != acked.Pass {
+		return acked.Missing{}, false, verdict
 	}
 	missing, isMissing = st.acked.Acknowledge(pos)
-	return missing, isMissing, true
+	return missing, isMissing, acked.Pass
 }
 
-func (st *serviceState) isClosed(primaryNumber uint64) bool {
+// isClosed reports whether no commit should be sent to a primary, as its success would probably
+// not be passed on.
+func (st *serviceState) isClosed(primaryNumber uint64, now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return primaryNumber <= st.closedNumber
+	return st.isStalled(now) || st.gate.IsClosed(primaryNumber)
 }
 
 // applyClosed applies whether the acknowledgements of the primary are closed. isNew reports
 // whether they are closed by an attempt that was not known; highest is then the position of the
 // last commit that was passed on.
-func (st *serviceState) applyClosed(service *fleetview.Service) (highest logpos.Pos, isNew bool) {
+func (st *serviceState) applyClosed(record *fleetpb.Primary) (highest logpos.Pos, isNew bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	number := service.PrimaryNumber
-	switch {
-	case service.Closed:
-		isNew = st.closedToken < service.Record.ClosedToken
-		st.closedNumber = max(st.closedNumber, number)
-		st.closedToken = max(st.closedToken, service.Record.ClosedToken)
-	case st.closedNumber == number && number > 0:
-		// The attempt ended without a new primary.
-		st.closedNumber = number - 1
+	isNew = st.gate.Apply(record)
+	if isNew || st.gate.Successor() == "" {
+		st.restartWait()
 	}
+	st.wakeWaiting()
 	return st.acked.Highest(), isNew
 }
 
--- a/internal/proxy/closed_test.go
+++ b/internal/proxy/closed_test.go
@@ -14,9 +14,13 @@
 
 // setClosed tells the entry that the acknowledgements of the present primary, node 0, are closed
 // by the attempt with the given token, or open if it is 0.
-func (f *fixture) setClosed(token, revision uint64) {
+func (f *fixture) setClosed(token, revision uint64) { f.setSuccessor(token, revision, "") }
+
+// setSuccessor is setClosed with the endpoint that is to replace the primary as planned.
+func (f *fixture) setSuccessor(token, revision uint64, successor string) {
 	f.view.Apply(&fleetpb.FollowResponse{Current: true, Entries: 1, Primaries: []*fleetpb.Primary{{
 		Service: "svc", EndpointId: f.group.Nodes()[0].ID, Number: f.primaryNumber, ClosedToken: token, Revision: revision,
+		SuccessorId: successor,
 	}}})
 }
 
@@ -114,3 +118,64 @@
 	// Confirmations are sent side by side, so that they arrive in any order. Each attempt has one.
 	assert.DeepEqual(t, f.confirmedTokens(), []uint64{7, 8})
 }
+
+// Callers lost commits of a planned replacement that its successor had not received. While the
+// primary serves on, a success is passed on once the successor holds the commit, and not before.
+func TestSuccessWaitsForTheSuccessor(t *testing.T) {
+	f := newFixture(t)
+	c := f.session("session")
+	c.ok("STORE item v0")
+	nodes := f.group.Nodes()
+	f.setSuccessor(7, 1, nodes[1].ID)
+	assert.Equal(t, f.awaitConfirmation(1).Acknowledged.Index, uint64(1))
+	c.ok("STORE item v1")
+	c.ok("BEGIN")
+	c.ok("STORE item v2")
+	c.ok("COMMIT")
+
+	// The other replica has the primary acknowledge what the successor does not receive.
+	nodes[1].Set(standin.Faults{Deaf: true})
+	answer := make(chan string)
+	other := f.session("session")
+	go func() { result, _ := other.query("STORE item v3"); answer <- result }()
+	time.Sleep(300 * time.Millisecond)
+	// A stalled successor holds further writes back; they have not run.
+	id, result, _ := c.queryID("STORE item v4")
+	assert.Assert(t, strings.Contains(result, "BUSY"), result)
+	assert.Equal(t, f.group.Ran(id), 0)
+	assert.Assert(t, strings.Contains(<-answer, "INDOUBT"))
+
+	nodes[1].Set(standin.Faults{})
+	c.ok("STORE item v5")
+}
+
+// A success that waits for the successor is answered as soon as it is known what became of the
+// commit: the next primary holds it, or lacks it, or the primary is not replaced.
+func TestWaitForTheSuccessorEnds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end  func(f *fixture)
+		want string
+	}{
+		"opened":          {func(f *fixture) { f.setSuccessor(0, 2, "") }, "COMPLETE"},
+		"closed":          {func(f *fixture) { f.setSuccessor(7, 2, "") }, "INDOUBT"},
+		"other successor": {func(f *fixture) { f.setSuccessor(8, 2, f.group.Nodes()[2].ID) }, "COMPLETE"},
+		"replaced":        {func(f *fixture) { f.promoteWithLog(1) }, "INDOUBT"},
+		"holds it":        {func(f *fixture) { f.promoteWithLog(2) }, "COMPLETE"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			c := f.session("session")
+			c.ok("STORE item v0")
+			f.setSuccessor(7, 1, f.group.Nodes()[1].ID)
+			f.awaitConfirmation(1)
+			f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+			answer := make(chan string)
+			go func() { result, _ := c.query("STORE item v1"); answer <- result }()
+			time.Sleep(100 * time.Millisecond)
+			started := time.Now()
+			tc.end(f)
+			assert.Assert(t, strings.Contains(<-answer, tc.want))
+			assert.Assert(t, time.Since(started) < 300*time.Millisecond)
+		})
+	}
+}
--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -158,7 +158,7 @@
 	p := &explanation.Primary{
 		Endpoint: x.endpoint(endpoint, x.server.peekSource(endpoint)), Number: x.service.PrimaryNumber,
 		IsLeaving: leavingFor > 0, HasLeft: x.server.hasLeft(leavingFor),
-		IsClosed:    x.server.peekService(x.route.Service).isClosed(x.service.PrimaryNumber),
+		IsClosed:    x.server.peekService(x.route.Service).isClosed(x.service.PrimaryNumber, x.now),
 		IsPromoting: x.now.Before(x.service.PromotionDeadline),
 	}
 	e.Primary = p
--- a/internal/proxy/fixture_test.go
+++ b/internal/proxy/fixture_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/positions"
 	"hemlockmast/internal/proxy"
 	"hemlockmast/internal/proxy/fleetview"
 	"hemlockmast/internal/shared/logpos"
@@ -64,6 +65,16 @@
 	return f.position()
 }
 
+func (f *fixture) Received(ctx context.Context, id string) (logpos.Pos, error) {
+	reader := positions.New(platform.Dialer{Name: "control"}, platform.Texts)
+	for _, n := range f.group.Nodes() {
+		if n.ID == id {
+			return reader.Received(ctx, stmt.Endpoint{ID: id, Service: "svc", Address: n.Address})
+		}
+	}
+	return logpos.Pos{}, context.DeadlineExceeded
+}
+
 func (f *fixture) Report(_ context.Context, r *fleetpb.ReportRequest) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -32,9 +32,6 @@
 	PrimaryNumber uint64
 	// Record is the primary record; nil while none is known. It must not be changed.
 	Record *fleetpb.Primary
-	// Closed means that no success of a commit at the primary may be passed on, because
-	// another endpoint may be promoted that lacks the commit.
-	Closed bool
 	// PromotionDeadline is when the promotion in progress should be over; zero without a
 	// promotion.
 	PromotionDeadline time.Time
@@ -318,7 +315,6 @@
 		snap.services[s.Name] = &Service{
 			Config: s, PrimaryID: primary.GetEndpointId(), PrimaryNumber: primary.GetNumber(), Record: primary,
 			PromotionDeadline: v.promotionDeadlines[s.Name],
-			Closed:            primary.GetClosedToken() != 0,
 		}
 	}
 	for _, e := range v.table.All() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -75,6 +75,8 @@
 	// Position returns the position of a primary's log. It covers every commit acknowledged
 	// before the call.
 	Position(ctx context.Context, endpointID string) (logpos.Pos, error)
+	// Received returns a position up to which a replica holds the log.
+	Received(ctx context.Context, endpointID string) (logpos.Pos, error)
 }
 
 // Config configures a Server. All fields but Carrier, CrossDomainCost and QuotaWindow are required.
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -219,7 +219,7 @@
 		return reply, !reply.Err.Code.NotRun()
 	}
 	r.ss.server.answered(t, reply.Pos, time.Since(sentAt))
-	if !server.acknowledge(r.route.Service, t, reply.Pos) {
+	if !server.acknowledge(r.route.Service, t, reply.Pos, r.deadline) {
 		return r.failed(unconfirmedError()), true
 	}
 	server.service(r.route.Service).recordPosition(t.primaryNumber, requestedAt, reply.Pos)
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -343,7 +343,7 @@
 			time.Sleep(minRetryBackoff)
 			continue
 		}
-		if reply.Err == nil && !ss.recordCommit(requestedAt, reply) {
+		if reply.Err == nil && !ss.recordCommit(requestedAt, reply, deadline) {
 			reply = stmt.Reply{Err: unconfirmedError(), State: reply.State}
 		}
 		if reply.Err != nil {
@@ -376,13 +376,13 @@
 }
 
 // recordCommit records the position of a successful commit if the transaction has written. It
-// returns false if the success must not be passed on.
-func (ss *session) recordCommit(requestedAt time.Duration, reply stmt.Reply) bool {
+// returns false if the success must not be passed on, which is known by deadline.
+func (ss *session) recordCommit(requestedAt time.Duration, reply stmt.Reply, deadline time.Time) bool {
 	tx := ss.tx
 	if !tx.hasWritten {
 		return true
 	}
-	if !ss.server.acknowledge(tx.route.Service, tx.target, reply.Pos) {
+	if !ss.server.acknowledge(tx.route.Service, tx.target, reply.Pos, deadline) {
 		return false
 	}
 	ss.server.service(tx.route.Service).recordPosition(tx.target.primaryNumber, requestedAt, reply.Pos)
--- a/internal/proxy/watermarks.go
+++ b/internal/proxy/watermarks.go
@@ -48,9 +48,17 @@
 	pending [2]*positionRequest
 	// acked holds the positions of acknowledged commits.
 	acked acked.Commits
-	// closedNumber is the highest number of a primary record whose primary's acknowledgements
-	// are closed, closedToken the token of the last attempt that closed any.
-	closedNumber, closedToken uint64
+	// gate decides which successes of commits are passed on.
+	gate acked.Gate
+	// gateChanged is closed and replaced when a verdict of gate may have changed; nil without
+	// waiting commits. waiting counts the commits whose successes wait for the successor.
+	// waitingSince is since when the successor has received nothing although a commit waits, or
+	// did until its deadline; zero if it holds all.
+	gateChanged  chan struct{}
+	waiting      int
+	waitingSince time.Time
+	// isPolling is set while pollSuccessor runs.
+	isPolling bool
 	// mode is who holds the connections to the service's endpoints.
 	mode carrier.Mode
 }
