promotion: silent entries hold up no primary that has stepped down

An attempt is now given up only if the primary may still lead. Test: the new case of TestPlannedReplacementWithoutConfirmation.

--- a/internal/fleet/promotion/close.go
+++ b/internal/fleet/promotion/close.go
@@ -58,28 +58,32 @@
 }
 
 // replaceUnconfirmed goes on where entries have not confirmed: they may pass on commits that the
-// successor lacks. A primary that has stepped down acknowledges none. One that does not answer
-// is not replaced as planned.
+// successor lacks. A primary that has stepped down acknowledges none, and nothing is won by a later
+// attempt. One that does not answer is not replaced as planned.
 func (a *attempt) replaceUnconfirmed(ctx context.Context, closing Closing) (ReplicaState, error) {
-	if !a.isPrimaryRunning(ctx) {
+	isRunning, mayLead := a.askPrimary(ctx)
+	if !isRunning {
 		a.log.Info("the replacement is not planned any more", "reason", "primary does not answer")
 		return a.pauseAll(ctx)
 	}
-	if !a.plan.MayStepDown {
+	if mayLead && !a.plan.MayStepDown {
 		return ReplicaState{}, &NotConfirmedError{Service: a.plan.Service, Silent: closing.Silent, Unheard: closing.Unheard}
 	}
 	a.log.Info("primary steps down before its planned replacement", "silent", closing.Silent, "unheard", closing.Unheard)
 	return a.candidateWithoutPauses(ctx)
 }
 
-// isPrimaryRunning reports whether the plan's primary answers, if only with a refusal.
-func (a *attempt) isPrimaryRunning(ctx context.Context) bool {
-	conn, _, err := a.connectPrimary(ctx)
+// askPrimary reports whether the plan's primary answers, if only with a refusal, and whether it may
+// still lead.
+func (a *attempt) askPrimary(ctx context.Context) (isRunning, mayLead bool) {
+	conn, status, err := a.connectPrimary(ctx)
 	if err == nil {
 		conn.Close()
+		return true, status.Role == stmt.Primary
 	}
 	var refused *stmt.RefusedError
-	return err == nil || errors.As(err, &refused) && !ProvesDead(err)
+	isRunning = errors.As(err, &refused) && !ProvesDead(err)
+	return isRunning, isRunning
 }
 
 // isHolding reports whether the endpoint's log reaches a position.
--- a/internal/fleet/promotion/close_test.go
+++ b/internal/fleet/promotion/close_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -97,6 +98,19 @@
 			assert.Equal(t, len(f.group.Primary().Lost()), 0)
 		})
 	}
+	t.Run("primary stepped down before", func(t *testing.T) {
+		f := newFixture(t)
+		assert.Assert(t, f.write(0, "a"))
+		conn, err := f.runner.Dialer.Dial(t.Context(), f.endpoint(0))
+		assert.NilError(t, err)
+		defer conn.Close()
+		_, err = conn.StepDown(time.Now().Add(time.Second), 2)
+		assert.NilError(t, err)
+		f.recorder.silent, f.recorder.stepDownOrdered = 1, true
+		_, err = f.runner.Run(t.Context(), f.plan(1, true))
+		assert.NilError(t, err)
+		assert.Equal(t, len(f.group.Primary().Lost()), 0)
+	})
 	t.Run("primary does not answer", func(t *testing.T) {
 		f := newFixture(t)
 		assert.Assert(t, f.write(0, "a"))
