proxy: an entry that stops takes only what ends before it does

Cause: being out of rotation was taken for proof that nobody comes. While most entries of a failure domain stop, the platform uses all of them; sessions were accepted and statements passed on until the process ended.

Change: from half of the grace time on, new work is passed on only if it must end in time by its route's timeout, and refused as not run otherwise; a second later all is, and the port is closed. Statements at work at the end are answered (failed, in doubt or aborted). The HTTP servers of both roles finish requests that they read, for 300 ms at most; long polls end at once.

--- a/cmd/hemlockmast-soak/main.go
+++ b/cmd/hemlockmast-soak/main.go
@@ -44,6 +44,7 @@
 			&cli.StringFlag{Name: "logs", Value: os.TempDir(), Usage: "folder for the daemons' folders"},
 			&cli.BoolFlag{Name: "promotions", Usage: "several services, and faults around their promotions"},
 			&cli.BoolFlag{Name: "large", Usage: "54 processes and six services, with the faults of --promotions"},
+			&cli.BoolFlag{Name: "stops", Usage: "planned stops only, of several daemons at once"},
 			&cli.BoolFlag{Name: "keep", Usage: "keep the daemons' folders of good runs too"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print the faults of every run"},
 		},
@@ -94,7 +95,7 @@
 	}
 	result, err := soak.Run(ctx, soak.Config{
 		Binary: daemon, Folder: folder, Seed: seed, Length: cmd.Duration("length"),
-		Promotions: cmd.Bool("promotions") || cmd.Bool("large"), Large: cmd.Bool("large"),
+		Promotions: cmd.Bool("promotions") || cmd.Bool("large"), Large: cmd.Bool("large"), Stops: cmd.Bool("stops"),
 	})
 	if err != nil {
 		return false, err
--- a/internal/fleet/fleetd/run.go
+++ b/internal/fleet/fleetd/run.go
@@ -43,6 +43,9 @@
 	// and short enough for an entry that starts in a failure domain which is cut off from
 	// the control group's majority.
 	acceptStaleAfter = 3 * time.Second
+	// shutdownTimeout bounds how long the HTTP servers finish requests in progress when the daemon
+	// ends. It is a part of exitMargin.
+	shutdownTimeout = 300 * time.Millisecond
 	// exitMargin is the part of the grace time that is kept for the exit of the process
 	// after connections are drained, or after a control daemon's place is given away.
 	exitMargin = 500 * time.Millisecond
@@ -112,11 +115,22 @@
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	// The contexts of requests end with ctx, so that long polls do not hold up the others.
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	isShutDown := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(isShutDown)
+		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(shutdownCtx) != nil {
+			_ = server.Close()
+		}
+	})
+	err = server.Serve(listener)
+	if stop() {
 		return err
 	}
+	<-isShutDown
 	return nil
 }
 
@@ -151,8 +165,10 @@
 	group.Go(func() error { return serveHTTP(serving, s.Ready, platform.ReadyHandler(server.Ready)) })
 	group.Go(func() error { server.WatchIsolation(serving); return nil })
 	group.Go(func() error { server.WatchDistance(serving); return nil })
+	accepting, refuseCallers := context.WithCancel(serving)
+	defer refuseCallers()
 	group.Go(func() error {
-		return acceptConns(serving, listener, func(conn net.Conn) { server.Serve(platform.NewCaller(conn)) }, log)
+		return acceptConns(accepting, listener, func(conn net.Conn) { server.Serve(platform.NewCaller(conn)) }, log)
 	})
 	if s.Carrier != "" {
 		lending, err := netopt.ListenConfig().Listen(ctx, "tcp", s.Carrier)
@@ -179,7 +195,7 @@
 		defer cancel()
 		follower.WithdrawCarrier()
 		loans.StopLending()
-		server.Drain(drainCtx, grace/2)
+		server.Drain(drainCtx, grace/2, refuseCallers)
 		loans.Drain(drainCtx)
 		stop()
 		return nil
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -78,25 +78,39 @@
 
 // Drain ends all sessions without interrupting a request. Ready reports false from then on.
 // Drain waits until the platform sends callers elsewhere and then ends each session when
-// it has been idle for minIdleTime. After txTimeout plus drainGrace, it ends every session
-// that waits for its caller, also inside a transaction. It returns when no session is left
-// or ctx is done.
-func (s *Server) Drain(ctx context.Context, txTimeout time.Duration) {
+// it has been idle for minIdleTime. After txTimeout, work that might not end before ctx is
+// refused. After txTimeout plus drainGrace, all new work is, and every session ends that waits for
+// its caller, also inside a transaction. refuseCallers, which refuses further connections, is
+// called once no session is left or all new work is refused. Drain returns when no session is left
+// or ctx is done; statements in progress are answered before.
+func (s *Server) Drain(ctx context.Context, txTimeout time.Duration, refuseCallers func()) {
+	endsAt, _ := ctx.Deadline()
+	plan := newStopPlan(time.Now(), endsAt, txTimeout)
+	s.stopPlan.Store(&plan)
 	s.isDraining.Store(true)
 	s.log.Info("drain started", "sessions", s.countSessions())
-	forceAt := time.Now().Add(txTimeout)
 	s.awaitOutOfRotation(ctx, time.Now().Add(min(outOfRotationTimeout, txTimeout)))
-	forceAt = forceAt.Add(drainGrace)
-	for ctx.Err() == nil && s.countSessions() > 0 {
-		force := time.Now().After(forceAt)
-		minIdle := minIdleTime
-		if force {
-			minIdle = 0
-		}
-		s.endIdleSessions(force, minIdle)
-		wait.For(ctx, drainPollInterval)
+	for ctx.Err() == nil && s.open.Load() > 0 && !s.refusesAll(plan) {
+		s.endSessions(ctx, plan)
+	}
+	refuseCallers()
+	// A connection may have been accepted just before.
+	for isFirst := true; ctx.Err() == nil && (isFirst || s.open.Load() > 0); isFirst = false {
+		s.endSessions(ctx, plan)
 	}
 	s.log.Info("drain ended", "sessions", s.countSessions())
+	s.answerUnfinished()
+}
+
+// endSessions ends the sessions that may end now, and waits for drainPollInterval.
+func (s *Server) endSessions(ctx context.Context, plan stopPlan) {
+	force := time.Now().After(plan.sessionsEndAt)
+	minIdle := minIdleTime
+	if force {
+		minIdle = 0
+	}
+	s.endIdleSessions(force, minIdle)
+	wait.For(ctx, drainPollInterval)
 }
 
 // awaitOutOfRotation waits until the platform has seen enough negative answers of Ready to
@@ -118,15 +132,20 @@
 // endIdleSessions ends the sessions that have been idle for at least minIdle. With
 // withTransactions, it also ends sessions that wait inside a transaction.
 func (s *Server) endIdleSessions(withTransactions bool, minIdle time.Duration) {
+	for _, ss := range s.listSessions() {
+		ss.end(withTransactions, minIdle)
+	}
+}
+
+// listSessions returns the open sessions.
+func (s *Server) listSessions() []*session {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	list := make([]*session, 0, len(s.sessions))
 	for ss := range s.sessions {
 		list = append(list, ss)
 	}
-	s.mu.Unlock()
-	for _, ss := range list {
-		ss.end(withTransactions, minIdle)
-	}
+	return list
 }
 
 // end asks the session to end. force and minIdle are those of idleGate.close.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,8 +115,11 @@
 	cfg Config
 	log logr.Logger
 
-	// draining is set from the start of Drain.
+	// isDraining is set from the start of Drain; stopPlan is nil before.
 	isDraining atomic.Bool
+	stopPlan   atomic.Pointer[stopPlan]
+	// open is the number of callers' connections, with those that have not opened a session yet.
+	open atomic.Int64
 
 	// demands are those of the configuration in force.
 	demands atomic.Pointer[carrier.Demands]
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -63,11 +64,18 @@
 
 	// idle lets Drain, WatchIsolation and endRevoked end the session while it is idle.
 	idle idleGate
+
+	// answerMu guards unanswered: the answer to the statement in progress if the daemon ends
+	// before it; nil if there is none, or if it was answered.
+	answerMu   sync.Mutex
+	unanswered *stmt.Reply
 }
 
 // Serve serves a caller until it disconnects or the session is ended, and closes the
 // connection. A panic ends only this session.
 func (s *Server) Serve(caller Caller) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	defer caller.Close()
 	defer fault.Recover(s.log, "session", s.cfg.Metrics.Fault)
 	ss := &session{
@@ -125,6 +133,9 @@
 			if route == nil {
 				return &stmt.Error{Code: stmt.CodeNoDatabase, Detail: "no route has this name"}
 			}
+			if ss.server.refusesNew(route) {
+				return stoppingError()
+			}
 			_, refusal := ss.identify(snapshot, route)
 			if refusal != nil {
 				ss.server.cfg.Metrics.Refused(route.Name, refusal.Code.String())
@@ -155,12 +166,10 @@
 			return
 		}
 		arrival := time.Now()
+		ss.begin(st)
 		reply := ss.handle(st, arrival)
 		ss.observe(st, reply, time.Since(arrival))
-		if err := ss.caller.SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
-			return
-		}
-		if ss.answerFailed(ss.caller.Answer(reply)) {
+		if !ss.answer(reply) {
 			ss.observeAbandoned()
 			return
 		}
@@ -229,6 +238,9 @@
 	}
 	switch st.Kind {
 	case stmt.Begin, stmt.BeginRead:
+		if ss.server.refusesNew(ss.server.cfg.View.Snapshot().Route(ss.database)) {
+			return stmt.Reply{Err: stoppingError()}
+		}
 		ss.tx = &transaction{begin: st, bootArrival: boottime.Now()}
 		return ss.ok()
 	case stmt.Commit, stmt.Rollback:
--- a/internal/proxy/single.go
+++ b/internal/proxy/single.go
@@ -41,6 +41,9 @@
 		return stmt.Reply{Err: refusal}
 	}
 	w, refusal := ss.workspaceFor(route)
+	if refusal == nil && ss.server.refusesNew(route) {
+		refusal = stoppingError()
+	}
 	if refusal == nil {
 		refusal = ss.server.takeToken(w, route, arrival)
 	}
@@ -52,7 +55,7 @@
 	request := &request{
 		ss: ss, route: route, statement: r, bootArrival: bootArrival, arrivedAt: arrival,
 		deadline:     ss.deadline(route, arrival),
-		waitDeadline: waitDeadline(route, arrival),
+		waitDeadline: ss.server.waitUntil(route, arrival),
 		tried:        make(map[string]bool),
 	}
 	var reply stmt.Reply
@@ -118,7 +121,7 @@
 func (r *request) mayRetry() bool {
 	// On an isolated daemon a retry does not help. The caller's own retry reaches another
 	// daemon.
-	return time.Now().Before(r.waitDeadline) && !r.ss.server.isIsolated()
+	return time.Now().Before(r.waitDeadline) && !r.ss.server.isIsolated() && !r.ss.server.refusesNew(r.route)
 }
 
 // failed returns the reply for an error.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -150,6 +150,9 @@
 		return &stmt.Error{Code: stmt.CodeNoDatabase, Detail: "no route has this name"}
 	}
 	w, refusal := ss.workspaceFor(tx.route)
+	if refusal == nil && ss.server.refusesNew(tx.route) {
+		refusal = stoppingError()
+	}
 	if refusal == nil {
 		refusal = ss.server.takeToken(w, tx.route, arrival)
 	}
@@ -157,7 +160,7 @@
 		return refusal
 	}
 	tx.workspace, r.workspace = w, w.GetName()
-	waitDeadline := waitDeadline(tx.route, arrival)
+	waitDeadline := ss.server.waitUntil(tx.route, arrival)
 	deadline := ss.deadline(tx.route, arrival)
 	tried := make(map[string]bool)
 	backoffs := 0
@@ -174,7 +177,7 @@
 		if overloaded != nil && (!tx.isReadOnly() || len(tried) == 0) {
 			return overloaded
 		}
-		if !time.Now().Before(waitDeadline) || ss.server.isIsolated() {
+		if !time.Now().Before(waitDeadline) || ss.server.isIsolated() || ss.server.refusesNew(tx.route) {
 			return refusal
 		}
 		if !tx.isReadOnly() && !ss.server.shouldAwaitPrimary(tx.route.Service, arrival) {
--- a/internal/testing/soak/callers.go
+++ b/internal/testing/soak/callers.go
@@ -180,8 +180,10 @@
 
 func (c *caller) query(text string) (standin.Answer, error) {
 	c.lastQuery++
-	a, err := c.session.Query(fmt.Sprintf("c%d-%d", c.number, c.lastQuery), text, queryTimeout)
+	id := fmt.Sprintf("c%d-%d", c.number, c.lastQuery)
+	a, err := c.session.Query(id, text, queryTimeout)
 	if err != nil {
+		c.checkCut(id, text, err)
 		c.history.updateCounts(func(n *Counts) { n.SessionsBroken++ })
 		c.closeSession()
 	}
--- a/internal/testing/soak/faults.go
+++ b/internal/testing/soak/faults.go
@@ -195,6 +195,9 @@
 
 // schedule returns the steps of a run, drawn with its seed.
 func schedule(cfg Config) []step {
+	if cfg.Stops {
+		return stopSteps(cfg)
+	}
 	var steps []step
 	keep := func(string) bool { return true }
 	if cfg.Promotions {
--- a/internal/testing/soak/fleet.go
+++ b/internal/testing/soak/fleet.go
@@ -89,7 +89,9 @@
 	startMillis     int64
 	// connectionLimit is the connection limit of each endpoint.
 	connectionLimit int
-	events          *os.File
+	// onlyStops means that nothing happens to daemons and endpoints but planned stops.
+	onlyStops bool
+	events    *os.File
 
 	// mu guards the fields below; processes are started and ended under it.
 	mu      sync.Mutex
@@ -131,7 +133,7 @@
 		return nil, err
 	}
 	f := &fleet{
-		size: cfg.size(), binary: cfg.Binary, folder: cfg.Folder, port: port, connectionLimit: cfg.connectionLimit(),
+		size: cfg.size(), binary: cfg.Binary, folder: cfg.Folder, port: port, connectionLimit: cfg.connectionLimit(), onlyStops: cfg.Stops,
 		platform: &standin.Platform{}, calls: newPromotionDraw(cfg, 4), startMillis: time.Now().UnixMilli(), events: events,
 		daemons: make(map[string]*process), leaving: make(map[*standin.Node]bool), claimed: make(map[*standin.Node]bool),
 	}
@@ -322,7 +324,10 @@
 
 // signal sends a signal to the newest process of the daemon, unless it has ended.
 func (f *fleet) signal(name string, s syscall.Signal) {
-	p := f.process(name)
+	f.signalProcess(f.process(name), s)
+}
+
+func (f *fleet) signalProcess(p *process, s syscall.Signal) {
 	select {
 	case <-p.exited:
 		return
--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -42,6 +42,8 @@
 	// Promotions selects faults around promotions of several services. Large has most of
 	// the processes that a shared machine bears.
 	Promotions, Large bool
+	// Stops selects planned stops only, of several daemons at once.
+	Stops bool
 }
 
 // Result is the outcome of a run.
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -21,6 +21,9 @@
 	// A superseded holder resumed replicas that its successor's promotion counted on as
 	// paused, and acknowledged commits were lost.
 	{Seed: 602, Length: 3 * time.Second, Promotions: true},
+	// Entries that stopped at once took requests until they ended, and cut them.
+	{Seed: 46, Length: 6 * time.Second, Stops: true},
+	{Seed: 47, Length: 6 * time.Second, Stops: true},
 }
 
 // TestSoak does short runs against daemons in separate processes.
