fleet: announcements carry for how long an endpoint has been leaving

Cause: an entry counted from when it had learned of the announcement itself, and no daemon told since when the endpoint leaves.

Change: daemons tell each other ages, which need no common clock (package leaving). The highest known one of a process counts, whether it comes from a control daemon or, after all of them have started again, from an entry; the time that an answer may have been on its way is added. hemlockctl explain-route shows it. A next process under the same id counts anew, which it did not.

--- a/internal/cli/explainroute/write.go
+++ b/internal/cli/explainroute/write.go
@@ -77,6 +77,9 @@
 	state := words(p.IsDown, " down") + words(p.IsLeaving, " leaving") + words(p.HasLeft, " left") +
 		words(p.IsClosed, " closed") + words(p.IsPromoting, " promoting")
 	fmt.Fprintf(w, "primary\t%s in %s, record %d, state:%s\n", p.ID, p.FailureDomain, p.Number, orWord(state, " usable"))
+	if p.IsLeaving {
+		fmt.Fprintf(w, "leaves\tfor %s\n", ms(float64(p.LeavingForMs)))
+	}
 	fmt.Fprintf(w, "load\t%s\n", load(p.Load))
 	fmt.Fprintf(w, "carriers\t%s\n", carriers(p.Carriers))
 }
--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -10,7 +10,9 @@
 	"hemlockmast/internal/controlgroup/control"
 	"hemlockmast/internal/fleet/fleethub"
 	"hemlockmast/internal/fleet/fleetrpc"
+	"hemlockmast/internal/fleet/leaving"
 	"hemlockmast/internal/fleet/registry"
+	"hemlockmast/internal/shared/boottime"
 	"hemlockmast/internal/shared/wait"
 )
 
@@ -66,6 +68,7 @@
 	client := fleetrpc.NewClient(n.http, address)
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+peerTimeoutMargin)
+		sentAt := boottime.Now()
 		answer, err := client.Follow(callCtx, request)
 		cancel()
 		if err != nil {
@@ -96,6 +99,8 @@
 			}
 			n.logChanges(n.hub.Merge(e))
 		}
+		leaving.AddTransit(answer, sentAt, boottime.Now())
+		n.hub.RaiseAges(answer.Leaving)
 		if !answer.Current {
 			wait.For(ctx, peerRetryDelay)
 		}
--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -92,12 +92,7 @@
 		f.start(f.controlSettings(i, i < 3 || controls < 3))
 	}
 	for i := range entries {
-		ip := fmt.Sprintf("127.0.2.%d", i+1)
-		f.start(&fleetpb.DaemonSettings{
-			Name: fmt.Sprintf("entry-%d", i), FailureDomain: string(rune('a' + i%3)), Role: RoleEntry,
-			Callers: fmt.Sprintf("%s:%d", ip, f.port), Ready: fmt.Sprintf("%s:%d", ip, f.port+1),
-			Internal: fmt.Sprintf("%s:%d", ip, f.port+2), ControlPort: f.port, Seeds: f.seeds(), GraceMs: 3000,
-		})
+		f.start(f.entrySettings(i))
 	}
 	announceCtx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
@@ -124,6 +119,15 @@
 	return list
 }
 
+func (f *fleet) entrySettings(i int) *fleetpb.DaemonSettings {
+	ip := fmt.Sprintf("127.0.2.%d", i+1)
+	return &fleetpb.DaemonSettings{
+		Name: fmt.Sprintf("entry-%d", i), FailureDomain: string(rune('a' + i%3)), Role: RoleEntry,
+		Callers: fmt.Sprintf("%s:%d", ip, f.port), Ready: fmt.Sprintf("%s:%d", ip, f.port+1),
+		Internal: fmt.Sprintf("%s:%d", ip, f.port+2), ControlPort: f.port, Seeds: f.seeds(), GraceMs: 3000,
+	}
+}
+
 func (f *fleet) controlSettings(i int, mayFound bool) *fleetpb.DaemonSettings {
 	ip := fmt.Sprintf("127.0.1.%d", i+1)
 	return &fleetpb.DaemonSettings{
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -13,7 +13,9 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/catalog"
+	"hemlockmast/internal/fleet/leaving"
 	"hemlockmast/internal/fleet/registry"
+	"hemlockmast/internal/shared/boottime"
 	"hemlockmast/internal/shared/packed"
 	"hemlockmast/internal/shared/wait"
 )
@@ -71,8 +73,10 @@
 	// version increases with each change of the endpoints, primaries or configuration.
 	version uint64
 	table   *registry.Table
-	// endpointVersions holds, by endpoint id, the version of the endpoint's last change.
+	// endpointVersions holds, by endpoint id, the version of the endpoint's last change, or of the
+	// last change of its age in leaving.
 	endpointVersions map[string]uint64
+	leaving          leaving.Ages
 	primaries        map[string]*versionedPrimary
 	// configs holds the newest keptConfigurations configurations, oldest first.
 	configs []*fleetpb.Configuration
@@ -181,8 +185,31 @@
 		return
 	}
 	h.advanceVersion()
+	now := boottime.Now()
 	for _, e := range changed {
 		h.endpointVersions[e.Id] = h.version
+		h.leaving.Note(e, now)
+	}
+}
+
+// RaiseAges records for how long endpoints have been leaving, as another daemon knows it. Followers
+// are told of higher ages than those known.
+func (h *Hub) RaiseAges(ages []*fleetpb.LeavingAge) {
+	if len(ages) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := boottime.Now()
+	isChanged := false
+	for _, age := range ages {
+		if h.leaving.Raise(age, now) {
+			isChanged = true
+			h.endpointVersions[age.EndpointId] = h.version + 1
+		}
+	}
+	if isChanged {
+		h.advanceVersion()
 	}
 }
 
@@ -220,9 +247,12 @@
 		maxWait = MaxPeerWait
 	}
 	deadline := h.now().Add(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
+	h.RaiseAges(r.Leaving)
+	arrival := boottime.Now()
 	var gatherStart time.Time
 	for {
 		answer, changed, entriesChanged := h.answer(r)
+		answer.HeldMs = uint32((boottime.Now() - arrival).Milliseconds())
 		hasChanges := entriesChanged || answer.Configuration != nil || len(answer.Endpoints) > 0 || len(answer.Primaries) > 0
 		remaining := deadline.Sub(h.now())
 		isDone := hasChanges || !answer.Current
@@ -289,9 +319,14 @@
 	if newestConfig := h.newestConfig(); r.IsEntry && newestConfig.GetVersion() > r.ConfigurationVersion {
 		answer.Configuration = h.updateFrom(r.ConfigurationVersion).plain
 	}
+	now := boottime.Now()
 	for id, at := range h.endpointVersions {
-		if at > since {
-			answer.Endpoints = append(answer.Endpoints, h.table.Get(id))
+		if at <= since {
+			continue
+		}
+		answer.Endpoints = append(answer.Endpoints, h.table.Get(id))
+		if age := h.leaving.Message(id, now); age != nil {
+			answer.Leaving = append(answer.Leaving, age)
 		}
 	}
 	for _, p := range h.primaries {
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -251,3 +251,21 @@
 	h.Follow(t.Context(), entryPoll(7, version, 0))
 	assert.Assert(t, time.Since(start) < gatherDelay)
 }
+
+// Statements reached a primary that had been leaving for too long: a control daemon that started
+// since knows its age from an entry, and tells the others.
+func TestHigherAgeIsPassedOn(t *testing.T) {
+	h, _, _ := newHub()
+	h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
+	first := h.Follow(t.Context(), entryPoll(0, 0, 0))
+	assert.Equal(t, len(first.Leaving), 1)
+	assert.Assert(t, first.Leaving[0].AgeMs < 1000)
+	waiting := make(chan *fleetpb.FollowResponse)
+	go func() { waiting <- h.Follow(t.Context(), entryPoll(7, first.Version, 0)) }()
+	poll := entryPoll(7, first.Version, 0)
+	poll.Daemon, poll.Leaving = "f", []*fleetpb.LeavingAge{{EndpointId: "x", BornMs: 1, AgeMs: 5000}, {EndpointId: "y", BornMs: 1, AgeMs: 5000}}
+	h.Follow(t.Context(), poll)
+	second := <-waiting
+	assert.Equal(t, len(second.Leaving), 1)
+	assert.Assert(t, second.Leaving[0].AgeMs >= 5000 && second.Leaving[0].AgeMs < 6000, "%v", second.Leaving)
+}
--- a/internal/fleet/fleetrpc/client.go
+++ b/internal/fleet/fleetrpc/client.go
@@ -18,6 +18,8 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/fleethub"
+	"hemlockmast/internal/fleet/leaving"
+	"hemlockmast/internal/shared/boottime"
 	"hemlockmast/internal/shared/logpos"
 	"hemlockmast/internal/shared/netopt"
 	"hemlockmast/internal/shared/packed"
@@ -66,7 +68,10 @@
 	// ConfigurationVersion returns the version of the configuration that the sink holds,
 	// or 0 to request the whole configuration.
 	ConfigurationVersion() uint64
-	// Apply is called with each answer, including those of daemons that are not current.
+	// LeavingAges returns for how long endpoints have been leaving.
+	LeavingAges() []*fleetpb.LeavingAge
+	// Apply is called with each answer, including those of daemons that are not current. The ages
+	// in it are those of the call.
 	Apply(answer *fleetpb.FollowResponse)
 }
 
@@ -300,6 +305,8 @@
 			request.Carrier = ""
 		}
 		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond+pollTimeoutMargin)
+		request.Leaving = f.Sink.LeavingAges()
+		sentAt := boottime.Now()
 		answer, err := client.Follow(callCtx, request)
 		cancel()
 		if err == nil {
@@ -315,6 +322,7 @@
 			// callers back to a former configuration.
 			answer.Configuration = nil
 		}
+		leaving.AddTransit(answer, sentAt, boottime.Now())
 		f.Sink.Apply(answer)
 		f.applyControlDaemons(answer.Control, answer.Current)
 		if !answer.Current {
--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -157,7 +157,7 @@
 	leavingFor := x.snapshot.LeavingFor(endpoint.Id)
 	p := &explanation.Primary{
 		Endpoint: x.endpoint(endpoint, x.server.peekSource(endpoint)), Number: x.service.PrimaryNumber,
-		IsLeaving: leavingFor > 0, HasLeft: x.server.hasLeft(leavingFor),
+		IsLeaving: leavingFor > 0, HasLeft: x.server.hasLeft(leavingFor), LeavingForMs: leavingFor.Milliseconds(),
 		IsClosed:    x.server.peekService(x.route.Service).isClosed(x.service.PrimaryNumber, x.now),
 		IsPromoting: x.now.Before(x.service.PromotionDeadline),
 	}
--- a/internal/proxy/explanation/explanation.go
+++ b/internal/proxy/explanation/explanation.go
@@ -108,6 +108,8 @@
 	Number uint64
 	// IsLeaving is set once the primary announced its end, HasLeft if it gets no new work any more.
 	IsLeaving, HasLeft bool
+	// LeavingForMs is for how long the primary has been leaving, in milliseconds.
+	LeavingForMs int64 `json:",omitempty"`
 	// IsClosed is set while its commits are not passed on, IsPromoting while it is being replaced.
 	IsClosed, IsPromoting bool
 }
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -13,6 +13,7 @@
 
 	fleetpb "hemlockmast/api/fleet"
 	"hemlockmast/internal/fleet/catalog"
+	"hemlockmast/internal/fleet/leaving"
 	"hemlockmast/internal/fleet/registry"
 	"hemlockmast/internal/shared/boottime"
 )
@@ -61,19 +62,13 @@
 	identity *identity
 	// endpoints maps ids to endpoints that are not gone.
 	endpoints map[string]*fleetpb.Endpoint
-	// leavingSince is View.leavingSince.
-	leavingSince map[string]time.Duration
+	// leaving is View.leaving.
+	leaving leaving.Ages
 }
 
-// LeavingFor returns for how long this daemon has known that an endpoint leaves, or 0 if it does
-// not.
-func (s *Snapshot) LeavingFor(id string) time.Duration {
-	since, ok := s.leavingSince[id]
-	if !ok {
-		return 0
-	}
-	return boottime.Now() - since
-}
+// LeavingFor returns for how long an endpoint has been leaving, as far as any daemon has told, or 0
+// if it does not.
+func (s *Snapshot) LeavingFor(id string) time.Duration { return s.leaving.Of(id, boottime.Now()) }
 
 // Route returns the route of a database, or nil.
 func (s *Snapshot) Route(database string) *fleetpb.Route { return s.routes[database] }
@@ -129,9 +124,9 @@
 	promotionDeadlines map[string]time.Time
 	entryCount         int
 	domainCount        int
-	// leavingSince holds, by endpoint id, when this daemon learned that the endpoint leaves, on
-	// the clock of package boottime. It is replaced, never changed, since snapshots refer to it.
-	leavingSince map[string]time.Duration
+	// leaving holds for how long endpoints have been leaving. It is replaced, never changed, since
+	// snapshots refer to it.
+	leaving leaving.Ages
 	// carriers is replaced, never changed, since snapshots refer to it.
 	carriers map[string][]string
 	// changed is closed at the next change and then replaced.
@@ -189,6 +184,7 @@
 			v.log.Info("endpoint known", "endpoint", c.Id, "service", c.Service, "address", c.Address, "state", c.State.String())
 		}
 	}
+	changed = v.applyAges(answer.Leaving) || changed
 	for _, p := range answer.Primaries {
 		changed = v.applyPrimary(p) || changed
 	}
@@ -210,21 +206,33 @@
 	}
 }
 
-// noteLeaving records since when an endpoint leaves.
-func (v *View) noteLeaving(e *fleetpb.Endpoint) {
-	isLeaving := e.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING
-	if _, isKnown := v.leavingSince[e.Id]; isKnown == isLeaving {
-		return
-	}
-	next := maps.Clone(v.leavingSince)
-	if next == nil {
-		next = make(map[string]time.Duration)
+// applyAges records for how long endpoints have been leaving as control knows it, and reports
+// whether that is longer than known.
+func (v *View) applyAges(ages []*fleetpb.LeavingAge) bool {
+	now := boottime.Now()
+	next, isRaised := v.leaving.Clone(), false
+	for _, age := range ages {
+		if next.Raise(age, now) {
+			isRaised = true
+			v.log.Info("endpoint leaves", "endpoint", age.EndpointId, "for", next.Of(age.EndpointId, now).String())
+		}
 	}
-	delete(next, e.Id)
-	if isLeaving {
-		next[e.Id] = boottime.Now()
+	if isRaised {
+		v.leaving = next
 	}
-	v.leavingSince = next
+	return isRaised
+}
+
+// noteLeaving records whether an endpoint leaves, from now on if it was not known.
+func (v *View) noteLeaving(e *fleetpb.Endpoint) {
+	next := v.leaving.Clone()
+	next.Note(e, boottime.Now())
+	v.leaving = next
+}
+
+// LeavingAges implements fleetrpc.Sink.
+func (v *View) LeavingAges() []*fleetpb.LeavingAge {
+	return v.Snapshot().leaving.Messages(boottime.Now())
 }
 
 // applyCarriers applies the changed lists of carriers and the number of failure domains, and
@@ -301,11 +309,11 @@
 func (v *View) snapshot() *Snapshot {
 	snap := &Snapshot{
 		Config: v.config, EntryCount: v.entryCount, DomainCount: v.domainCount, Carriers: v.carriers,
-		identity:     v.identity,
-		leavingSince: v.leavingSince,
-		endpoints:    make(map[string]*fleetpb.Endpoint),
-		routes:       make(map[string]*fleetpb.Route),
-		services:     make(map[string]*Service),
+		identity:  v.identity,
+		leaving:   v.leaving,
+		endpoints: make(map[string]*fleetpb.Endpoint),
+		routes:    make(map[string]*fleetpb.Route),
+		services:  make(map[string]*Service),
 	}
 	for _, r := range v.config.GetRoutes() {
 		snap.routes[r.Database] = r
--- a/internal/proxy/fleetview/fleetview_test.go
+++ b/internal/proxy/fleetview/fleetview_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
@@ -125,3 +126,26 @@
 	fourth := apply(&fleetpb.ConfigurationUpdate{BaseVersion: 3, Changed: &fleetpb.Configuration{Version: 4}})
 	assert.Assert(t, !fourth.IdentifiesCallers(fourth.Route("db")))
 }
+
+// Statements reached a primary that had been leaving for too long: what control knows of its age
+// counts, also if it comes after the announcement. Earlier control daemons tell none.
+func TestAgeOfALeavingEndpointIsTakenOn(t *testing.T) {
+	v := New(logr.Discard())
+	changes := 0
+	v.OnChange = func(*Snapshot) { changes++ }
+	leaves := &fleetpb.Endpoint{
+		Id: "a", Service: "s", Address: "1.2.3.4:5", State: fleetpb.EndpointState_ENDPOINT_STATE_LEAVING, BornMs: 1, Sequence: 1,
+	}
+	v.Apply(&fleetpb.FollowResponse{Endpoints: []*fleetpb.Endpoint{leaves}})
+	age := v.Snapshot().LeavingFor("a")
+	assert.Assert(t, age > 0 && age < time.Second)
+	v.Apply(&fleetpb.FollowResponse{Leaving: []*fleetpb.LeavingAge{{EndpointId: "a", BornMs: 1, AgeMs: 4000}}})
+	assert.Equal(t, changes, 2)
+	age = v.Snapshot().LeavingFor("a")
+	assert.Assert(t, age >= 4*time.Second && age < 5*time.Second)
+	v.Apply(&fleetpb.FollowResponse{Leaving: []*fleetpb.LeavingAge{{EndpointId: "a", BornMs: 1, AgeMs: 300}}})
+	assert.Equal(t, changes, 2, "never made younger")
+	ages := v.LeavingAges()
+	assert.Equal(t, len(ages), 1)
+	assert.Assert(t, ages[0].AgeMs >= 4000)
+}
