promotion: the successor receives what the primary's log held

Found by reading: before the call of a planned replacement, control compared the successor with what entries confirmed to have passed on. An entry that has been started again does not know that; a commit that it had passed on, held by the primary and by an endpoint that control does not know, would be lost.

Control now asks the primary, which serves, after the confirmations, and waits for the successor to reach its position.

--- a/internal/fleet/promotion/close.go
+++ b/internal/fleet/promotion/close.go
@@ -39,8 +39,9 @@
 
 // replaceServing chooses the successor of a primary that serves until it is replaced. Before any
 // replica is paused, the entries confirm that they pass on the success of a commit only once the
-// successor holds it. The successor then receives what they had passed on before. From then on
-// it holds every acknowledged commit, whichever endpoints receive from the primary. Errors:
+// successor holds it. The successor then receives what they had passed on before, for which the
+// primary's log is looked at, too. From then on it holds every acknowledged commit, whichever
+// endpoints receive from the primary. Errors:
 // those of Recorder, *NotConfirmedError, and those of the ways taken instead.
 func (a *attempt) replaceServing(ctx context.Context, successor ReplicaState) (ReplicaState, error) {
 	if len(CalledReplicas(a.plan.OpenCalls, successor.ID)) > 0 {
@@ -54,7 +55,20 @@
 	if !closing.isComplete() {
 		return a.replaceUnconfirmed(ctx, closing)
 	}
-	return a.pauseOthers(ctx, successor.ID, closing.Acknowledged)
+	return a.pauseOthers(ctx, successor.ID, logpos.Max(closing.Acknowledged, a.primaryPosition(ctx)))
+}
+
+// primaryPosition returns the end of the log of the plan's primary: it holds every commit whose
+// success was passed on until now, also by an entry that has ended or started again since. It is
+// zero if the primary does not tell.
+func (a *attempt) primaryPosition(ctx context.Context) logpos.Pos {
+	conn, status, err := a.connectPrimary(ctx)
+	a.logAnswer(a.plan.Primary.ID, orderStatus, status, err)
+	if err != nil {
+		return logpos.Pos{}
+	}
+	conn.Close()
+	return status.Received
 }
 
 // replaceUnconfirmed goes on where entries have not confirmed: they may pass on commits that the
--- a/internal/fleet/promotion/close_test.go
+++ b/internal/fleet/promotion/close_test.go
@@ -73,6 +73,23 @@
 	assert.Equal(t, len(f.promoter.calls), 0)
 }
 
+// An entry that has started again does not know what it had passed on: the call waits for what the
+// primary holds. Here an endpoint that control does not know has received it.
+func TestSuccessorReceivesWhatThePrimaryHeld(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.write(0, "a"))
+	successor := f.group.Nodes()[1]
+	successor.Set(standin.Faults{Deaf: true})
+	assert.Assert(t, f.write(0, "b"))
+	time.AfterFunc(200*time.Millisecond, func() { successor.Set(standin.Faults{}) })
+	plan := f.plan(1, true)
+	plan.Replicas = plan.Replicas[:1]
+	_, err := f.runner.Run(t.Context(), plan)
+	assert.NilError(t, err)
+	assert.Equal(t, f.group.Primary(), successor)
+	assert.Equal(t, len(successor.Lost()), 0)
+}
+
 // While entries may pass on what the successor lacks, a primary that serves is not replaced, and
 // no replica is paused. Once that has taken too long, it steps down before the call. A primary
 // that does not answer is replaced as one that crashed.
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -11,12 +11,11 @@
 // stops.
 const finalAnswerTimeout = 100 * time.Millisecond
 
-// stopPlan is when a daemon that stops ends what. Callers may keep coming until its end, because
-// the platform uses all entries of a failure domain while most of them stop.
+// stopPlan holds the times at which a daemon that stops ends its work. Callers may keep coming until
+// the end, because the platform uses all entries of a failure domain while most of them stop.
 type stopPlan struct {
-	// refuseFrom is the earliest time at which new work is refused, sessionsEndAt when sessions
-	// end that wait for their callers. Between them, a statement is taken if it must end before
-	// endsAt, when the daemon ends.
+	// New work is refused from refuseFrom on if it might not end before endsAt, when the daemon
+	// ends, and all of it from sessionsEndAt on, when sessions that wait for their callers end.
 	refuseFrom, sessionsEndAt, endsAt time.Time
 }
 
--- a/internal/shared/metrics/control.go
+++ b/internal/shared/metrics/control.go
@@ -92,7 +92,7 @@
 	s.behindPrimaries = singleCounter("primaries_behind_total",
 		"New primaries whose log lacked a position that an endpoint had reported before.")
 	s.closings = counter("acknowledgements_closed_total",
-		"Promotions before which entries had to close acknowledgements, by whether all known ones confirmed it.", "confirmed")
+		"Promotions before which entries had to close acknowledgements, or to wait for a successor, by whether all known ones confirmed it.", "confirmed")
 	s.interrupted = singleCounter("attempts_interrupted_total",
 		"Attempts to replace a primary that ended because this member lost the lead or stopped.")
 	s.registry.MustRegister(
@@ -199,8 +199,8 @@
 // had reported before. Commits up to that position that were acknowledged are lost.
 func (s *ControlSet) PrimaryBehind() { s.behindPrimaries.Inc() }
 
-// AcknowledgementsClosed counts a promotion before which entries had to close acknowledgements.
-// byAll means that all known ones confirmed it in time.
+// AcknowledgementsClosed counts a promotion before which entries had to close acknowledgements, or
+// to wait for a successor to hold commits. byAll means that all known ones confirmed it in time.
 func (s *ControlSet) AcknowledgementsClosed(byAll bool) {
 	confirmed := "all"
 	if !byAll {
