fleetd: a test waits for the successor that it names

Trace: the leader, control-0, was silent from 0.95 s to 2.4 s, so that control-3 joined at 3.48 s; the test had stopped control-0 at 1.9 s, since its wait for "formatted the data folder" was met by the line of control-0 itself. A successor that had not joined cannot take over, and the disk lost next was that of the second of three voters.

--- a/internal/fleet/fleetd/stop_test.go
+++ b/internal/fleet/fleetd/stop_test.go
@@ -25,7 +25,9 @@
 	f.publish(standin.Configuration(5, 800))
 	successor := f.controlSettings(3, false)
 	f.start(successor)
-	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.logged("formatted the data folder") }))
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool {
+		return f.logged(`"formatted the data folder","daemon":"control-3"`)
+	}))
 	time.Sleep(time.Second)
 	f.stop("control-0")
 	lost := f.stop("control-1")
