logging: a line logged while the daemon ends does not panic

Sessions whose statements are answered at the end log just then.

The channel is never closed now; Close tells the writer to write what is queued. TestLineAfterCloseDoesNotPanic panicked before (1 of 1) and passes with the race detector.

--- a/internal/shared/logging/async.go
+++ b/internal/shared/logging/async.go
@@ -26,31 +26,50 @@
 // Async is an io.Writer that writes lines in the background. If the reader of the log
 // stalls, lines are dropped rather than requests delayed.
 type Async struct {
+	// lines is never closed, because sessions may still log when the daemon ends.
 	lines chan []byte
 	lost  atomic.Uint64
-	done  chan struct{}
+	// closing is closed by Close, done once the queued lines are written after that.
+	closing, done chan struct{}
 }
 
 // NewAsync returns an Async that writes to out. It must be closed with Close.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, asyncQueueLines), done: make(chan struct{})}
+	a := &Async{lines: make(chan []byte, asyncQueueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go a.run(out)
 	return a
 }
 
 func (a *Async) run(out io.Writer) {
 	defer close(a.done)
-	for line := range a.lines {
-		if lost := a.lost.Swap(0); lost > 0 {
-			line = append(lostLine(lost), line...)
-		}
-		if _, err := out.Write(line); err != nil {
-			// The failure can only be reported in the count of the next line.
-			a.lost.Add(1)
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(out, line)
+		case <-a.closing:
+			a.writeQueued(out)
+			return
 		}
 	}
 }
 
+// writeQueued writes the lines that are queued now.
+func (a *Async) writeQueued(out io.Writer) {
+	for range len(a.lines) {
+		a.write(out, <-a.lines)
+	}
+}
+
+func (a *Async) write(out io.Writer, line []byte) {
+	if lost := a.lost.Swap(0); lost > 0 {
+		line = append(lostLine(lost), line...)
+	}
+	if _, err := out.Write(line); err != nil {
+		// The failure can only be reported in the count of the next line.
+		a.lost.Add(1)
+	}
+}
+
 // lostLine returns a log line that reports the number of dropped lines.
 func lostLine(lost uint64) []byte {
 	line, err := json.Marshal(map[string]any{"msg": "log lines left out", "lines": lost})
@@ -60,8 +79,8 @@
 	return append(line, '\n')
 }
 
-// Write implements io.Writer. It never blocks and never fails. It must not be called
-// after Close.
+// Write implements io.Writer. It never blocks and never fails. Lines written after Close may be
+// dropped.
 func (a *Async) Write(line []byte) (int, error) {
 	select {
 	case a.lines <- append([]byte(nil), line...):
@@ -71,9 +90,10 @@
 	return len(line), nil
 }
 
-// Close writes the queued lines. It returns when they are written or wait has passed.
+// Close writes the queued lines. It returns when they are written or wait has passed. It must be
+// called once.
 func (a *Async) Close(wait time.Duration) {
-	close(a.lines)
+	close(a.closing)
 	select {
 	case <-a.done:
 	case <-time.After(wait):
--- a/internal/shared/logging/async_test.go
+++ b/internal/shared/logging/async_test.go
@@ -46,6 +46,26 @@
 	assert.Assert(t, strings.Contains(text, "one more"))
 }
 
+// A session that logged while its daemon ended panicked, as the queue had been closed.
+func TestLineAfterCloseDoesNotPanic(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	log := NewDaemon("info", a)
+	log.Info("before")
+	var sessions sync.WaitGroup
+	for range 8 {
+		sessions.Go(func() {
+			for range 1000 {
+				log.Info("meanwhile")
+			}
+		})
+	}
+	a.Close(time.Second)
+	log.Info("after")
+	sessions.Wait()
+	assert.Assert(t, strings.Contains(out.String(), "before"))
+}
+
 func TestDaemonLogIsBounded(t *testing.T) {
 	var out bytes.Buffer
 	a := NewAsync(&out)
