soak: statements are fast again at the end of a run with stops

That slowness is a part of the disturbance and ends with it now; the check and its 15 s are as they were.

--- a/internal/testing/soak/stops.go
+++ b/internal/testing/soak/stops.go
@@ -24,12 +24,7 @@
 // control daemon get SIGTERM at once, and again while they stop; others get SIGHUP. Callers keep
 // their sessions, and open new ones at entries that stop.
 func stopSteps(cfg Config) []step {
-	steps := []step{{0, "statements take " + stopWorkTime.String(), func(f *fleet) (string, error) {
-		for _, n := range f.nodes {
-			n.Set(standin.Faults{Slow: stopWorkTime})
-		}
-		return "", nil
-	}}}
+	steps := []step{{0, "statements take " + stopWorkTime.String(), slowStatements(stopWorkTime)}}
 	rng := rand.New(rand.NewPCG(cfg.Seed, 5))
 	for at := time.Second; at < cfg.Length; at += stopGap/2 + time.Duration(rng.Int64N(int64(stopGap))) {
 		// At least one entry goes on in each series.
@@ -58,9 +53,22 @@
 			return "", nil
 		}})
 	}
+	// The last daemons have ended by then. Slow statements are more than 19 connections bear, so
+	// that entries would go on to refuse some.
+	steps = append(steps, step{cfg.Length + stopTimeout, "statements are fast again", slowStatements(0)})
 	return steps
 }
 
+// slowStatements makes all statements at endpoints take the given time.
+func slowStatements(d time.Duration) func(f *fleet) (string, error) {
+	return func(f *fleet) (string, error) {
+		for _, n := range f.nodes {
+			n.Set(standin.Faults{Slow: d})
+		}
+		return "", nil
+	}
+}
+
 // stopAndRestart stops a daemon, signals it again while it stops, and starts it once it has ended.
 func (f *fleet) stopAndRestart(name string, again time.Duration) {
 	p := f.process(name)
