--- a/internal/proxy/successor.go
+++ b/internal/proxy/successor.go
@@ -13,8 +13,10 @@
 	// maxSuccessorStall is how long commits may wait for a successor that receives nothing before
 	// further ones are held back. A replica receives a commit within milliseconds.
 	maxSuccessorStall = 150 * time.Millisecond
-	// successorPollInterval is the time between two requests for what the successor has received.
+	// successorPollInterval is the time between two requests for what the successor has received
+	// while commits wait for it, and stalledPollInterval while it is stalled and none waits.
 	successorPollInterval = 5 * time.Millisecond
+	stalledPollInterval   = 50 * time.Millisecond
 	// successorPollTimeout bounds one request, with the time for control to connect.
 	successorPollTimeout = 300 * time.Millisecond
 )
@@ -67,10 +69,11 @@
 				st.noteHeld(successor, pos)
 			}
 		}
-		if !st.keepPolling() {
+		interval, ok := st.nextPoll()
+		if !ok {
 			return
 		}
-		wait.For(context.Background(), successorPollInterval)
+		wait.For(context.Background(), interval)
 	}
 }
 
@@ -80,12 +83,15 @@
 	return st.gate.Successor()
 }
 
-// keepPolling reports whether pollSuccessor goes on.
-func (st *serviceState) keepPolling() bool {
+// nextPoll returns the time until the next request of pollSuccessor; ok is false if it ends.
+func (st *serviceState) nextPoll() (interval time.Duration, ok bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.isPolling = !st.waitingSince.IsZero() && st.gate.Successor() != ""
-	return st.isPolling
+	if st.waiting == 0 {
+		return stalledPollInterval, st.isPolling
+	}
+	return successorPollInterval, st.isPolling
 }
 
 // isStalled reports whether the successor receives nothing while commits wait for it. mu must be
