fleetd: the test of entries that stop at once can fail for the cut

Read as a newcomer: its check that no statement is cut could not fail, as the sessions of a daemon in the test's process outlive the daemon. It now also demands that no session is open when the drain of either entry ends: those are what the end of a process cuts. Nothing else of the test changes.

--- a/internal/fleet/fleetd/stop_test.go
+++ b/internal/fleet/fleetd/stop_test.go
@@ -87,6 +87,11 @@
 	stop()
 	clients.Wait()
 	assert.Equal(t, len(cut), 0, "%s", strings.Join(cut, "\n"))
+	// Sessions of a daemon in the test's process outlive it: those open when its drain ended are the
+	// ones that the end of a process cuts.
+	for i := range 2 {
+		assert.Assert(t, f.logged(fmt.Sprintf(`"drain ended","daemon":"entry-%d","sessions":0`, i)), "entry %d", i)
+	}
 	assert.Assert(t, served.Load() > 100 && refused.Load() > 0, "%d served, %d refused", served.Load(), refused.Load())
 }
 
