--- a/review/standin-3/databases.go
+++ b/review/standin-3/databases.go
@@ -38,34 +38,69 @@
 	return group, server, nil
 }
 
-// beats sends the heartbeats of a group's databases, each with all fields of the page, until stop is
-// closed. A change of the role is announced at once.
-func (f *fleet) beats(group *standin.Group, stop <-chan struct{}) {
-	born := time.Now().UnixMilli()
-	for i, n := range group.Nodes() {
-		go func() {
-			sequence, lastRole, next := 0, "", time.Now()
-			for ; ; time.Sleep(20 * time.Millisecond) {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				role := "replica"
-				if group.Primary() == n {
-					role = "primary"
-				}
-				if n.IsDown() || time.Now().Before(next) && role == lastRole {
-					continue
-				}
-				sequence++
-				lastRole, next = role, time.Now().Add(heartbeatMs*time.Millisecond)
-				body := fmt.Sprintf(`{"Backend":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":%q,"Sequence":%d,"born":%d}`,
-					service, n.Address, zones[i], role, sequence, born)
-				f.beat(n.ID, body, i+sequence)
+// beats sends the heartbeats of a group's databases, each with all fields of the page.
+type beats struct {
+	fleet *fleet
+	group *standin.Group
+	mu    sync.Mutex
+	// born and sequence are those of the process of each database.
+	born     map[*standin.Node]int64
+	sequence map[*standin.Node]int
+	next     map[*standin.Node]time.Time
+	role     map[*standin.Node]string
+}
+
+func (f *fleet) newBeats(group *standin.Group) *beats {
+	b := &beats{
+		fleet: f, group: group, born: make(map[*standin.Node]int64), sequence: make(map[*standin.Node]int),
+		next: make(map[*standin.Node]time.Time), role: make(map[*standin.Node]string),
+	}
+	for _, n := range group.Nodes() {
+		b.born[n] = time.Now().UnixMilli()
+	}
+	return b
+}
+
+// move records that a database starts again at an address; its counts start anew.
+func (b *beats) move(n *standin.Node, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n.Address = address
+	b.born[n], b.sequence[n], b.next[n] = time.Now().UnixMilli(), 0, time.Time{}
+}
+
+// run sends heartbeats until stop is closed. A change of the role is announced at once.
+func (b *beats) run(stop <-chan struct{}) {
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		for i, n := range b.group.Nodes() {
+			if body, ok := b.due(n, zones[i]); ok {
+				go b.fleet.beat(n.ID, body, i)
 			}
-		}()
+		}
+	}
+}
+
+// due returns the heartbeat that a database has to send now, if any.
+func (b *beats) due(n *standin.Node, zone string) (body string, ok bool) {
+	role := "replica"
+	if b.group.Primary() == n {
+		role = "primary"
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if n.IsDown() || now.Before(b.next[n]) && role == b.role[n] {
+		return "", false
 	}
+	b.sequence[n]++
+	b.role[n], b.next[n] = role, now.Add(heartbeatMs*time.Millisecond)
+	return fmt.Sprintf(`{"Backend":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":%q,"Sequence":%d,"born":%d}`,
+		service, n.Address, zone, role, b.sequence[n], b.born[n]), true
 }
 
 // beat sends a heartbeat to one control daemon after the other, until it is acknowledged.
--- a/review/standin-3/foreign.go
+++ b/review/standin-3/foreign.go
@@ -25,7 +25,7 @@
 		return f.failed("the system did not start")
 	}
 	stop := make(chan struct{})
-	f.beats(group, stop)
+	go f.newBeats(group).run(stop)
 	if f.publish(configuration(7, service), 20*time.Second) != 200 || !f.awaitReady(15*time.Second) {
 		close(stop)
 		return f.failed("no configuration was acknowledged")
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,7 +19,9 @@
 
 // scripts holds the scripts by name. Each returns an exit code.
 var scripts = map[string]func(f *fleet, trouble bool) int{
-	"foreign-beats": foreignBeats,
+	"foreign-beats":   foreignBeats,
+	"moved-databases": movedDatabases,
+	"killed-founder":  killedFounder,
 }
 
 // serve serves HTTP on a free port of loopback.
