--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/hemlockmastd" ] && [ -x "$root/target/review-3" ] || exit 2
-exec timeout -k 5 110 "$root/target/review-3" killed-founder "$root" "$here/record.txt"
+exec timeout -k 5 110 "$root/target/review-3" unnamed-service "$root" "$here/record.txt"
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,7 +21,7 @@
 var scripts = map[string]func(f *fleet, trouble bool) int{
 	"foreign-beats":   foreignBeats,
 	"moved-databases": movedDatabases,
-	"killed-founder":  killedFounder,
+	"unnamed-service": unnamedService,
 }
 
 // serve serves HTTP on a free port of loopback.
