--- a/internal/fleet/fleetd/attempts_test.go
+++ b/internal/fleet/fleetd/attempts_test.go
@@ -16,7 +16,7 @@
 // daemon, as another writer may.
 func (f *fleet) announceForeign(daemon int, address string) {
 	f.t.Helper()
-	body := fmt.Sprintf(`{"Backend":"svc","Address":%q,"Zone":"a","Slots":3,"State":"ready","DbRole":"replica","Sequence":1,"born":%d}`, address, f.born)
+	body := fmt.Sprintf(`{"Backend":"svc","Address":%q,"Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":1,"born":%d}`, address, f.born)
 	status, _ := f.operatorRequest(daemon, "POST", standin.BeatPath("svc-9"), body)
 	assert.Equal(f.t, status, http.StatusOK)
 	for range 20 {
