Promotions ask before a log is given up that counts as ended

PrimaryGone let the promotion go on without an acknowledged commit, and a replica that had ended in that way was recorded as covered, without a look at either.

Change: a primary that counts as ended, and the replicas that do, are asked before the promotion, replicas also before they are covered. One that answers is used as an endpoint that leaves, so that the service gets another primary without a loss. Before an attempt gives up a commit it asks all endpoints of the service that count as ended, covered ones too, and ends with LogFoundError if one may hold the commit.

--- /dev/null
+++ b/internal/fleet/fleetctl/ended.go
@@ -0,0 +1,93 @@
+package fleetctl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/promotion"
+	"hemlockmast/internal/shared/stmt"
+)
+
+// maxRunningAge is how long an answer of an endpoint that counts as ended is relied on. Such
+// endpoints are asked every checkInterval.
+const maxRunningAge = 1500 * time.Millisecond
+
+// answeredProcess is a process of an endpoint that answered although it counts as ended.
+type answeredProcess struct {
+	bornMs int64
+	at     time.Time
+}
+
+// asRunning returns the record of an endpoint as the watcher uses it. An endpoint that counts as
+// ended and lately answered runs, but entries send it nothing: it is one that leaves.
+func (w *watcher) asRunning(e *fleetpb.Endpoint, now time.Time) *fleetpb.Endpoint {
+	if e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+		return e
+	}
+	w.mu.Lock()
+	answered, ok := w.answeredAsEnded[e.Id]
+	w.mu.Unlock()
+	if !ok || answered.bornMs != e.BornMs || now.Sub(answered.at) > maxRunningAge {
+		return e
+	}
+	running := proto.CloneOf(e)
+	running.State, running.Primary = fleetpb.EndpointState_ENDPOINT_STATE_LEAVING, e.Id == w.node.machine.Primary(e.Service).EndpointId
+	return running
+}
+
+// noteRunning records that an endpoint answered that counts as ended.
+func (w *watcher) noteRunning(e *fleetpb.Endpoint) {
+	w.mu.Lock()
+	_, isKnown := w.answeredAsEnded[e.Id]
+	w.answeredAsEnded[e.Id] = answeredProcess{bornMs: e.BornMs, at: time.Now()}
+	w.mu.Unlock()
+	if !isKnown {
+		w.log.Info("endpoint that counts as ended answers", "service", e.Service, "endpoint", e.Id, "born", e.BornMs)
+	}
+}
+
+// askEnded asks endpoints that count as ended, all at once, and returns those that do not answer.
+// An announcement of another process at an endpoint's address, or a late deregistration, is no
+// proof that the endpoint has ended.
+func (w *watcher) askEnded(ctx context.Context, ended []*fleetpb.Endpoint) (silent []*fleetpb.Endpoint) {
+	errs := make([]error, len(ended))
+	var asked sync.WaitGroup
+	for i, e := range ended {
+		asked.Go(func() { _, errs[i] = w.status(ctx, e) })
+	}
+	asked.Wait()
+	for i, e := range ended {
+		if errs[i] != nil && !promotion.IsBusy(errs[i]) {
+			silent = append(silent, e)
+			continue
+		}
+		w.noteRunning(e)
+	}
+	return silent
+}
+
+// promoteGone replaces a primary that counts as ended, unless it or a replica that counts as ended
+// answers: their logs may hold commits that no other endpoint has.
+func (w *watcher) promoteGone(ctx context.Context, svc serviceState) bool {
+	ended := append([]*fleetpb.Endpoint{svc.primary}, svc.ended...)
+	if len(w.askEnded(ctx, ended)) < len(ended) {
+		return true
+	}
+	return w.promote(ctx, svc, replacement{reason: reasonGone})
+}
+
+// endedEndpoints returns the endpoints of a service that count as ended, covered ones too: one that
+// runs after all may have received commits since.
+func (w *watcher) endedEndpoints(service string) []stmt.Endpoint {
+	var list []stmt.Endpoint
+	for _, e := range w.node.hub.Endpoints() {
+		if e.Service == service && e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			list = append(list, stmtEndpoint(e))
+		}
+	}
+	return list
+}
--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -19,18 +19,19 @@
 // they delay none.
 func (w *watcher) startCheck(ctx context.Context, svc serviceState) {
 	silent, restarted := w.silentReplicas(svc, time.Now()), w.restartedEndpoints(svc)
-	isNeeded := len(svc.ended)+len(silent)+len(restarted) > 0 || svc.attempt.Unfinished
+	isNeeded := len(svc.ended)+len(svc.answering)+len(silent)+len(restarted) > 0 || svc.attempt.Unfinished
 	if svc.primary == nil || !isNeeded || !w.tryMarkChecking(svc.service) {
 		return
 	}
 	actions, hasAction := w.actionsOf(svc.service)
 	go func() {
 		interval := checkInterval
-		if len(svc.ended)+len(silent)+len(restarted) == 0 {
+		if len(svc.ended)+len(svc.answering)+len(silent)+len(restarted) == 0 {
 			interval = pauseCheckInterval
 		}
 		defer w.endCheck(svc.service, interval)
-		ended := slices.Concat(svc.ended, w.deadReplicas(ctx, silent))
+		w.askEnded(ctx, svc.answering)
+		ended := slices.Concat(w.askEnded(ctx, svc.ended), w.deadReplicas(ctx, silent))
 		if len(ended)+len(restarted) > 0 {
 			w.cover(ctx, svc, ended, restarted)
 		}
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -134,6 +134,8 @@
 	silenceReported map[string]time.Time
 	answeredAt      map[string]time.Time
 	leadsSince      time.Time
+	// answeredAsEnded holds, by endpoint id, when an endpoint that counts as ended last answered.
+	answeredAsEnded map[string]answeredProcess
 }
 
 func newWatcher(n *Node) *watcher {
@@ -156,7 +158,7 @@
 		checkAt:      make(map[string]time.Time),
 		leftPaused:   make(map[string]uint64), knownAttempts: make(map[string]knownAttempt),
 		silentAt: make(map[string]time.Time), silenceReported: make(map[string]time.Time),
-		answeredAt: make(map[string]time.Time),
+		answeredAt: make(map[string]time.Time), answeredAsEnded: make(map[string]answeredProcess),
 	}
 }
 
@@ -245,6 +247,9 @@
 	// ended are the replicas that have ended and are not covered: one of them and the
 	// primary may have been the only endpoints with some acknowledged commit.
 	ended []*fleetpb.Endpoint
+	// answering are the endpoints in the state gone that answer nevertheless. They are also
+	// the primary or among others, as ones that leave.
+	answering []*fleetpb.Endpoint
 	// attempt is what is agreed on about attempts to replace the primary.
 	attempt *fleetpb.Attempt
 }
@@ -252,6 +257,7 @@
 // services returns the configured services.
 func (w *watcher) services() []serviceState {
 	config, _ := w.node.machine.Configuration()
+	now := time.Now()
 	byService := make(map[string][]*fleetpb.Endpoint)
 	for _, e := range w.node.hub.Endpoints() {
 		byService[e.Service] = append(byService[e.Service], e)
@@ -260,6 +266,10 @@
 	for _, s := range config.GetServices() {
 		svc := serviceState{service: s.Name, record: w.node.machine.Primary(s.Name), attempt: w.node.machine.Attempt(s.Name)}
 		for _, e := range byService[s.Name] {
+			if running := w.asRunning(e, now); running != e {
+				svc.answering = append(svc.answering, e)
+				e = running
+			}
 			switch {
 			case e.Id == svc.record.EndpointId:
 				svc.primary = e
@@ -325,7 +335,7 @@
 	case svc.primary == nil:
 		return nil
 	case svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE:
-		return func(ctx context.Context) bool { return w.promote(ctx, svc, replacement{reason: reasonGone}) }
+		return func(ctx context.Context) bool { return w.promoteGone(ctx, svc) }
 	case svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_LEAVING && hasReady(svc.others):
 		return func(ctx context.Context) bool {
 			return w.promote(ctx, svc, replacement{reason: reasonLeaving, primaryServes: true})
--- a/internal/fleet/promotion/close.go
+++ b/internal/fleet/promotion/close.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"hemlockmast/internal/shared/logpos"
@@ -12,7 +14,7 @@
 // awaitClosed waits until entries pass on no success of a commit at the present primary any
 // more, and checks that the candidate holds every commit whose success was passed on. An
 // endpoint that the attempt does not know may have received the others. Errors:
-// *MissingCommitError.
+// *MissingCommitError, *LogFoundError.
 func (a *attempt) awaitClosed(ctx context.Context, candidate ReplicaState) error {
 	closing := a.awaitEntries(ctx, candidate)
 	if !candidate.position().Less(closing.Acknowledged) {
@@ -20,7 +22,10 @@
 	}
 	err := &MissingCommitError{Endpoint: candidate.ID, Position: candidate.position(), Acknowledged: closing.Acknowledged}
 	if a.plan.PrimaryGone {
-		// The primary's log is gone, so that waiting for the commit may never end.
+		if holder, ok := a.findHolder(ctx, closing.Acknowledged); ok {
+			return &LogFoundError{Endpoint: holder, Acknowledged: closing.Acknowledged}
+		}
+		// No log that is known holds the commit, so that waiting for it may never end.
 		a.log.Info("promotion goes on without an acknowledged commit", "error", err.Error())
 		return nil
 	}
@@ -102,3 +107,23 @@
 
 // isHolding reports whether the endpoint's log reaches a position.
 func (s ReplicaState) isHolding(pos logpos.Pos) bool { return !s.position().Less(pos) }
+
+// findHolder asks the endpoints that count as ended, all at once, whether one runs and may hold the
+// log up to a position, and returns its id. That they have ended may rest on an announcement of
+// another process at their address, or on a late deregistration.
+func (a *attempt) findHolder(ctx context.Context, pos logpos.Pos) (id string, ok bool) {
+	mayHold := make([]bool, len(a.plan.Ended))
+	var asked sync.WaitGroup
+	for i, e := range a.plan.Ended {
+		asked.Go(func() {
+			status, err := a.statusAt(ctx, e)
+			a.logAnswer(e.ID, orderStatus, status, err)
+			mayHold[i] = err == nil && !status.Received.Less(pos) || isOverloaded(err)
+		})
+	}
+	asked.Wait()
+	if i := slices.Index(mayHold, true); i >= 0 {
+		return a.plan.Ended[i].ID, true
+	}
+	return "", false
+}
--- a/internal/fleet/promotion/close_test.go
+++ b/internal/fleet/promotion/close_test.go
@@ -10,6 +10,7 @@
 
 	"hemlockmast/internal/fleet/promotion"
 	"hemlockmast/internal/shared/logpos"
+	"hemlockmast/internal/shared/stmt"
 	"hemlockmast/platform/standin"
 )
 
@@ -42,6 +43,47 @@
 	}
 }
 
+// Control gave up commits that a primary and a replica held, which had both been taken for ended
+// because of another writer's announcements, and answered all the while.
+func TestLogOfAnEndpointThatCountsAsEndedIsAskedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults    standin.Faults
+		isGivenUp bool
+	}{
+		"answers":            {},
+		"at its limit":       {faults: standin.Faults{MaxConnections: 1}},
+		"lacks the commit":   {faults: standin.Faults{Deaf: true}, isGivenUp: true},
+		"closes connections": {faults: standin.Faults{Down: true}, isGivenUp: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			assert.Assert(t, f.write(0, "a"))
+			f.group.Nodes()[1].Set(standin.Faults{Deaf: true})
+			ended := f.group.Nodes()[2]
+			ended.Set(c.faults)
+			assert.Equal(t, f.write(0, "b"), !c.isGivenUp)
+			if c.faults.MaxConnections > 0 {
+				conn, err := f.runner.Dialer.Dial(t.Context(), f.endpoint(2))
+				assert.NilError(t, err)
+				defer conn.Close()
+			}
+			f.group.Nodes()[0].Set(standin.Faults{Down: true})
+			f.recorder.acknowledged = logpos.Pos{Term: 1, Index: 2}
+			plan := f.plan(1, false)
+			plan.PrimaryGone, plan.Ended = true, []stmt.Endpoint{f.endpoint(0), f.endpoint(2)}
+			plan.Replicas = plan.Replicas[:1]
+			result, err := f.runner.Run(t.Context(), plan)
+			var found *promotion.LogFoundError
+			assert.Equal(t, errors.As(err, &found), !c.isGivenUp, "%v", err)
+			assert.Equal(t, result.CallRefused, !c.isGivenUp)
+			assert.Equal(t, len(f.promoter.calls) > 0, c.isGivenUp)
+			if found != nil {
+				assert.Equal(t, found.Endpoint, ended.ID)
+			}
+		})
+	}
+}
+
 // Callers lost commits that only a newcomer had received during a planned replacement: before the
 // call, entries must know which endpoint has to hold what they pass on. Acknowledgements stay open
 // beside that.
--- a/internal/fleet/promotion/errors.go
+++ b/internal/fleet/promotion/errors.go
@@ -104,6 +104,17 @@
 	return fmt.Sprintf("the log of endpoint %s ends at %s, before %s, which was acknowledged", e.Endpoint, e.Position, e.Acknowledged)
 }
 
+// LogFoundError reports that no replica holds a commit whose success was passed on to a caller,
+// and that an endpoint that counts as ended answers and may hold it.
+type LogFoundError struct {
+	Endpoint     string
+	Acknowledged logpos.Pos
+}
+
+func (e *LogFoundError) Error() string {
+	return fmt.Sprintf("endpoint %s counts as ended and answers, and may hold commits up to %s, which was acknowledged", e.Endpoint, e.Acknowledged)
+}
+
 // NotConfirmedError reports that a primary that serves was not replaced because entries may pass
 // on commits that its successor lacks: Silent ones did not confirm in time, and those that follow
 // Unheard control daemons are not known.
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -53,7 +53,7 @@
 	// MayStepDown means that a primary that serves may be made to step down if entries do not
 	// confirm what they pass on. Otherwise the attempt is given up.
 	MayStepDown bool
-	// PrimaryGone means that the primary has ended and that its log is gone.
+	// PrimaryGone means that the primary counts as ended, and its log as gone.
 	PrimaryGone bool
 	// PrimaryRestarted means that the primary was started again, perhaps without its log.
 	PrimaryRestarted bool
@@ -63,6 +63,9 @@
 	// empty or cannot be promoted, Successor chooses another one.
 	Preferred string
 	Replicas  []Replica
+	// Ended are the endpoints that count as ended, with the primary. They are asked before a
+	// commit is given up that no replica holds. Only used if PrimaryGone is set.
+	Ended []stmt.Endpoint
 	// Token is the fencing token, which no other plan uses.
 	Token uint64
 	// Term is the last known term of a primary; 0 if unknown.
@@ -188,7 +191,7 @@
 // Run carries out the plan. The context ends when the caller must no longer promote; no call
 // is made after that. Replicas stay paused until an endpoint is promoted, whichever attempt
 // does it. Errors: *OtherPrimaryError, *NoCandidateError, *UnsafeError, *BelowFloorError,
-// *MissingCommitError, *NotConfirmedError, *DelayedError and those of Recorder before the platform
+// *MissingCommitError, *LogFoundError, *NotConfirmedError, *DelayedError and those of Recorder before the platform
 // is called; those of Promoter and *TakeoverTimeoutError after that; the context's if it ended.
 func (r *Runner) Run(ctx context.Context, plan Plan) (Result, error) {
 	a := &attempt{
