--- a/internal/fleet/fleetctl/node.go
+++ b/internal/fleet/fleetctl/node.go
@@ -105,7 +105,7 @@
 func Open(ctx context.Context, cfg Config) (*Node, error) {
 	n := &Node{cfg: cfg, log: cfg.Log, http: fleetrpc.NewHTTPClient(), ticker: time.NewTicker(tick)}
 	n.peerDomains, n.followedPeers = make(map[string]string), make(map[string]bool)
-	n.machine = fleetstate.New(func() { n.hub.Refresh() })
+	n.machine = fleetstate.New(func() { n.logChanges(n.hub.Refresh()) })
 	n.machine.OnIgnored = func(err error) { n.log.Info("recorded endpoint ignored", "error", err.Error()) }
 	n.hub = fleethub.New(control.RandomID(), n.machine, n, time.Now)
 	n.watcher = newWatcher(n)
@@ -349,7 +349,7 @@
 	if err := registry.Check(e); err != nil {
 		return "", err
 	}
-	held := n.hub.Endpoint(e.Id)
+	held := n.hub.Newest(e.Id, e.Service)
 	if !n.mayBelongTo(held, e.Service) {
 		return "", &UnknownServiceError{Service: e.Service}
 	}
@@ -357,8 +357,9 @@
 		return "", &SequenceError{Held: held.Sequence, Announced: e.Sequence}
 	}
 	n.recordEndpoints(n.hub.Merge(e))
-	// The watcher remembers only endpoints that the table has room for.
-	if n.hub.Endpoint(e.Id) != nil {
+	// It proves nothing about an endpoint of another service or address with the same id, and the
+	// watcher remembers only endpoints that the table has room for.
+	if record := n.hub.Endpoint(e.Id); record != nil && registry.KeyOf(record) == registry.KeyOf(e) {
 		n.watcher.noteAnnouncement(e.Id)
 	}
 	return "", nil
@@ -379,14 +380,14 @@
 
 // mayBelongTo reports whether an endpoint may be one of a service: the configuration defines
 // the service, this daemon has no configuration yet, or the endpoint was accepted as one of the
-// service before. Otherwise it would supersede an endpoint in use that has its id or address.
-// held is the endpoint's record, or nil.
+// service before, which a later configuration may define again. held is the newest announcement
+// of the endpoint and the service, or nil.
 func (n *Node) mayBelongTo(held *fleetpb.Endpoint, service string) bool {
 	config, _ := n.machine.Configuration()
 	if config == nil || catalog.HasService(config, service) {
 		return true
 	}
-	return held != nil && held.Service == service
+	return held != nil
 }
 
 // UnknownServiceError reports an announcement of an endpoint of a service that the
@@ -403,18 +404,22 @@
 // MarkGone processes an endpoint's message that it has ended. bornMs is the start time of the
 // ended process in Unix milliseconds, or 0 for the process known at present.
 func (n *Node) MarkGone(id string, bornMs int64) {
-	if left := n.hub.MarkGone(id, bornMs); left != nil {
+	if changes := n.hub.MarkGone(id, bornMs); !changes.IsEmpty() {
 		n.log.Info("endpoint ended", "endpoint", id)
-		n.recordEndpoints([]*fleetpb.Endpoint{left})
+		n.recordEndpoints(changes)
 	}
 }
 
-// recordEndpoints logs changed endpoints and has the control group record them. Entries
-// learn of the changes without the record, which is only needed after a restart. A failed
+// recordEndpoints logs changed endpoints and has the control group record their announcements.
+// Entries learn of the changes without the record, which is only needed after a restart. A failed
 // record is therefore not retried: the endpoint's next change is recorded anyway.
-func (n *Node) recordEndpoints(changed []*fleetpb.Endpoint) {
-	n.logChanges(changed)
-	for _, e := range changed {
+func (n *Node) recordEndpoints(changes registry.Changes) {
+	n.logChanges(changes.Records)
+	for _, e := range changes.Announced {
+		if !n.hub.Defines(e.Service) {
+			n.log.Info("announcement kept until its service is defined", "endpoint", e.Id, "service", e.Service, "address", e.Address,
+				"sequence", e.Sequence, "born", e.BornMs)
+		}
 		cmd := &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: e}}
 		go func() {
 			if _, err := n.propose(context.Background(), cmd); err != nil {
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -135,11 +135,11 @@
 }
 
 func (w *watcher) isCovered(e *fleetpb.Endpoint) bool {
-	return w.node.machine.IsCovered(e.Id, e.BornMs)
+	return w.node.machine.IsCovered(e.Service, e.Id, e.BornMs)
 }
 
 func (w *watcher) isRestarted(e *fleetpb.Endpoint) bool {
-	return w.node.machine.IsRestarted(e.Id, e.BornMs)
+	return w.node.machine.IsRestarted(e.Service, e.Id, e.BornMs)
 }
 
 // record has the control group record a service's primary, also if the lead was lost
@@ -231,7 +231,7 @@
 		}
 		a, ok := byID[e.Id]
 		isNew := ok && a.BornMs != e.BornMs || !ok && e.State != fleetpb.EndpointState_ENDPOINT_STATE_GONE
-		if isNew || a.Dead && !r.node.machine.IsCovered(e.Id, e.BornMs) {
+		if isNew || a.Dead && !r.node.machine.IsCovered(e.Service, e.Id, e.BornMs) {
 			return &promotion.UnknownEndpointError{Endpoint: e.Id}
 		}
 	}
--- a/internal/fleet/fleetd/fleet_test.go
+++ b/internal/fleet/fleetd/fleet_test.go
@@ -43,6 +43,8 @@
 	controlGraceMs uint32
 
 	log logr.Logger
+	// stopAnnouncing ends the endpoints' heartbeats.
+	stopAnnouncing context.CancelFunc
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -96,6 +98,7 @@
 	}
 	announceCtx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
+	f.stopAnnouncing = stop
 	go f.announce(announceCtx)
 	t.Cleanup(f.stopAll)
 	return f
--- a/internal/fleet/fleetd/foreign_test.go
+++ b/internal/fleet/fleetd/foreign_test.go
@@ -60,3 +60,79 @@
 		assert.Check(t, len(p.Missing) == 0, "promotion of %s: %d commits are missing", p.Endpoint, len(p.Missing))
 	}
 }
+
+// announceForeigners sends a control daemon announcements of a service that is not defined, with the
+// ids and at the addresses of the group's endpoints, and the odd ones that a daemon which knows
+// nothing yet can refuse. It reports whether the daemon answered each.
+func (f *fleet) announceForeigners(daemon int) bool {
+	isAnswered := true
+	send := func(id, body string) {
+		status, _ := f.operatorRequest(daemon, "POST", standin.BeatPath(id), body)
+		isAnswered = isAnswered && status != 0
+	}
+	for i, n := range f.group.Nodes() {
+		foreign := func(address string) string {
+			return fmt.Sprintf(`{"Backend":"other","Address":%q,"Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":1,"born":%d}`,
+				address, time.Now().UnixMilli())
+		}
+		send(fmt.Sprint("other-", i), foreign(n.Address))
+		send(n.ID, foreign("127.0.3.1:9"))
+		send(n.ID, foreign(n.Address))
+		for _, odd := range standin.OddBeats(n, f.born) {
+			if odd.Name != "sequence far ahead" {
+				send(odd.Path, odd.Body)
+			}
+		}
+	}
+	return isAnswered
+}
+
+// TestForeignAnnouncementsWithoutAConfigurationHideNoEndpoint guards against endpoints that are never
+// used, because a control daemon without a configuration takes announcements of any service: before
+// the first configuration, and where it replaces another daemon or starts again.
+func TestForeignAnnouncementsWithoutAConfigurationHideNoEndpoint(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	isServed := func() {
+		t.Helper()
+		for entry := range 2 {
+			f.querySucceedsAt(entry, "current", "STORE item v")
+			f.querySucceedsAt(entry, "bounded", "FETCH item")
+			f.querySucceedsAt(entry, "session", "FETCH item")
+		}
+	}
+	for daemon := range 3 {
+		assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.announceForeigners(daemon) }))
+	}
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
+	isServed()
+	// A replaced daemon is empty and may not found a group.
+	f.stop("control-3")
+	f.start(f.controlSettings(3, false))
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.announceForeigners(3) }))
+	isServed()
+	for daemon := range 3 {
+		f.start(f.stop(fmt.Sprint("control-", daemon)))
+		assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.announceForeigners(daemon) }))
+	}
+	isServed()
+	f.group.Nodes()[0].Set(standin.Faults{Down: true})
+	isServed()
+	for _, p := range f.group.Promotions() {
+		assert.Check(t, len(p.Missing) == 0, "promotion of %s: %d commits are missing", p.Endpoint, len(p.Missing))
+	}
+}
+
+// TestAnnouncementsBeforeTheConfigurationCount guards against a first configuration after which the
+// endpoints are used only once they announce themselves again.
+func TestAnnouncementsBeforeTheConfigurationCount(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	n := f.group.Nodes()
+	accepts := func() bool {
+		status, _ := f.operatorRequest(2, "POST", standin.BeatPath(n[0].ID), n[0].Beat("a", false, 1, f.born))
+		return status == http.StatusOK
+	}
+	assert.Assert(t, standin.WaitFor(5*time.Second, accepts))
+	f.stopAnnouncing()
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
+	f.querySucceedsAt(0, "current", "STORE item v")
+}
--- a/internal/fleet/fleethub/fuzz_test.go
+++ b/internal/fleet/fleethub/fuzz_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	fleetpb "hemlockmast/api/fleet"
+	"hemlockmast/internal/fleet/registry"
 )
 
 // FuzzFollow answers an arbitrary poll after an arbitrary announcement: the answer can be encoded
@@ -29,7 +30,9 @@
 		if id != "" {
 			odd.Id = id
 		}
-		h, _, _ := newHub()
+		h, state, _ := newHub()
+		state.config = &fleetpb.Configuration{Version: 1, Services: []*fleetpb.Service{{Name: "s"}, {Name: odd.Service}}}
+		h.Refresh()
 		h.Merge(leavingEndpoint("x", "1.1.1.1:1"))
 		h.Merge(odd)
 		h.MarkGone(odd.Id, odd.BornMs)
@@ -39,6 +42,14 @@
 		answer := h.Follow(t.Context(), &fleetpb.FollowRequest{IsEntry: true})
 		_, err = proto.Marshal(answer)
 		assert.NilError(t, err)
-		assert.Equal(t, len(answer.Endpoints), len(h.Endpoints()))
+		assert.Equal(t, len(answer.Endpoints), len(h.table.AllAnnounced()))
+		told := make(map[registry.Key]bool)
+		for _, e := range answer.Endpoints {
+			told[registry.KeyOf(e)] = true
+		}
+		assert.Assert(t, len(h.Endpoints()) > 0)
+		for _, e := range h.Endpoints() {
+			assert.Assert(t, told[registry.KeyOf(e)], "%v", e)
+		}
 	})
 }
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -44,7 +44,7 @@
 type ReplicatedState interface {
 	Configuration() (*fleetpb.Configuration, []byte)
 	Primaries() []*fleetpb.Primary
-	Endpoints() []*fleetpb.Endpoint
+	Announcements() []*fleetpb.Endpoint
 }
 
 // Daemon provides the daemon's own state for each answer.
@@ -73,11 +73,11 @@
 	// version increases with each change of the endpoints, primaries or configuration.
 	version uint64
 	table   *registry.Table
-	// endpointVersions holds, by endpoint id, the version of the endpoint's last change, or of the
-	// last change of its age in leaving.
-	endpointVersions map[string]uint64
-	leaving          leaving.Ages
-	primaries        map[string]*versionedPrimary
+	// announcedVersions holds the version of the last change of each announcement, or of the age in
+	// leaving of its endpoint.
+	announcedVersions map[registry.Key]uint64
+	leaving           leaving.Ages
+	primaries         map[string]*versionedPrimary
 	// configs holds the newest keptConfigurations configurations, oldest first.
 	configs []*fleetpb.Configuration
 	// updates caches updates to the newest configuration by base version. The one for 0
@@ -106,24 +106,26 @@
 func New(source uint64, state ReplicatedState, daemon Daemon, now func() time.Time) *Hub {
 	return &Hub{
 		source: source, state: state, daemon: daemon, now: now,
-		table:            registry.NewTable(),
-		endpointVersions: make(map[string]uint64),
-		primaries:        make(map[string]*versionedPrimary),
-		updates:          make(map[uint64]update),
-		entries:          newEntries(),
-		changed:          make(chan struct{}),
+		table:             registry.NewTable(),
+		announcedVersions: make(map[registry.Key]uint64),
+		primaries:         make(map[string]*versionedPrimary),
+		updates:           make(map[uint64]update),
+		entries:           newEntries(),
+		changed:           make(chan struct{}),
 	}
 }
 
-// Refresh applies changes of the replicated state.
-func (h *Hub) Refresh() {
+// Refresh applies changes of the replicated state. It returns the records that a change of the
+// defined services changed.
+func (h *Hub) Refresh() []*fleetpb.Endpoint {
 	config, _ := h.state.Configuration()
 	primaries := h.state.Primaries()
-	endpoints := h.state.Endpoints()
+	announcements := h.state.Announcements()
+	var changed []*fleetpb.Endpoint
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, e := range endpoints {
-		h.markChanged(h.table.Merge(e))
+	for _, e := range announcements {
+		h.noteChanges(h.table.Merge(e))
 	}
 	if newestConfig := h.newestConfig(); config.GetVersion() > newestConfig.GetVersion() {
 		h.configs = append(h.configs, config)
@@ -132,6 +134,9 @@
 		}
 		clear(h.updates)
 		h.advanceVersion()
+		changes := h.table.SetServices(config.GetServices())
+		h.noteChanges(changes)
+		changed = changes.Records
 	}
 	for _, p := range primaries {
 		held := h.primaries[p.Service]
@@ -141,6 +146,7 @@
 			h.primaries[p.Service] = &versionedPrimary{primary: p, version: h.version}
 		}
 	}
+	return changed
 }
 
 // newestConfig returns the newest configuration, or nil. mu must be held.
@@ -158,37 +164,33 @@
 	h.changed = make(chan struct{})
 }
 
-// Merge processes an endpoint's announcement and returns the records that it changed.
-func (h *Hub) Merge(e *fleetpb.Endpoint) []*fleetpb.Endpoint {
+// Merge processes an endpoint's announcement.
+func (h *Hub) Merge(e *fleetpb.Endpoint) registry.Changes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	changed := h.table.Merge(e)
-	h.markChanged(changed)
-	return changed
+	changes := h.table.Merge(e)
+	h.noteChanges(changes)
+	return changes
 }
 
-// MarkGone records that an endpoint has ended and returns the changed record, or nil if
-// nothing changed. bornMs is as for registry.Table.MarkGone.
-func (h *Hub) MarkGone(id string, bornMs int64) *fleetpb.Endpoint {
+// MarkGone records that an endpoint has ended. bornMs is as for registry.Table.MarkGone.
+func (h *Hub) MarkGone(id string, bornMs int64) registry.Changes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	gone := h.table.MarkGone(id, bornMs)
-	if gone != nil {
-		h.markChanged([]*fleetpb.Endpoint{gone})
-	}
-	return gone
+	changes := h.table.MarkGone(id, bornMs)
+	h.noteChanges(changes)
+	return changes
 }
 
-// markChanged starts a new version in which the given endpoints changed. mu must be held.
-func (h *Hub) markChanged(changed []*fleetpb.Endpoint) {
-	if len(changed) == 0 {
+// noteChanges starts a new version in which announcements changed. mu must be held.
+func (h *Hub) noteChanges(changes registry.Changes) {
+	h.leaving.NoteChanges(changes, h.table.Defines, boottime.Now())
+	if len(changes.Announced) == 0 {
 		return
 	}
 	h.advanceVersion()
-	now := boottime.Now()
-	for _, e := range changed {
-		h.endpointVersions[e.Id] = h.version
-		h.leaving.Note(e, now)
+	for _, e := range changes.Announced {
+		h.announcedVersions[registry.KeyOf(e)] = h.version
 	}
 }
 
@@ -205,7 +207,9 @@
 	for _, age := range ages {
 		if h.leaving.Raise(age, now) {
 			isChanged = true
-			h.endpointVersions[age.EndpointId] = h.version + 1
+			for _, service := range h.table.ServicesOf(age.EndpointId) {
+				h.announcedVersions[registry.KeyOf(h.table.Newest(age.EndpointId, service))] = h.version + 1
+			}
 		}
 	}
 	if isChanged {
@@ -220,6 +224,21 @@
 	return h.table.Get(id)
 }
 
+// Defines reports whether the newest configuration defines a service.
+func (h *Hub) Defines(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Defines(service)
+}
+
+// Newest returns the newest announcement of an endpoint of a service, defined or not, or nil. The
+// caller must not modify it.
+func (h *Hub) Newest(id, service string) *fleetpb.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Newest(id, service)
+}
+
 // Endpoints returns all records, sorted by id. The caller must not modify them.
 func (h *Hub) Endpoints() []*fleetpb.Endpoint {
 	h.mu.Lock()
@@ -320,12 +339,17 @@
 		answer.Configuration = h.updateFrom(r.ConfigurationVersion).plain
 	}
 	now := boottime.Now()
-	for id, at := range h.endpointVersions {
+	for key, at := range h.announcedVersions {
 		if at <= since {
 			continue
 		}
-		answer.Endpoints = append(answer.Endpoints, h.table.Get(id))
-		if age := h.leaving.Message(id, now); age != nil {
+		e := h.table.Announced(key)
+		if e == nil {
+			// It gave way to another one.
+			continue
+		}
+		answer.Endpoints = append(answer.Endpoints, e)
+		if age := h.leaving.Message(key.Service, key.ID, now); age != nil {
 			answer.Leaving = append(answer.Leaving, age)
 		}
 	}
--- a/internal/fleet/fleethub/hub_test.go
+++ b/internal/fleet/fleethub/hub_test.go
@@ -21,7 +21,7 @@
 
 func (f *fakeState) Configuration() (*fleetpb.Configuration, []byte) { return f.config, nil }
 func (f *fakeState) Primaries() []*fleetpb.Primary                   { return f.primaries }
-func (f *fakeState) Endpoints() []*fleetpb.Endpoint                  { return f.endpoints }
+func (f *fakeState) Announcements() []*fleetpb.Endpoint              { return f.endpoints }
 
 type fakeDaemon struct{ stale atomic.Bool }
 
--- a/internal/fleet/fleetstate/attempts.go
+++ b/internal/fleet/fleetstate/attempts.go
@@ -230,23 +230,28 @@
 // of the service lacks, and up to which position this one holds the log.
 func (m *Machine) cover(c *fleetpb.Cover) {
 	for _, id := range c.EndpointIds {
-		m.covered[id] = max(m.covered[id], m.endpoints.Get(id).GetBornMs())
+		m.coverUntil(endpoint{service: c.Service, id: id}, m.newestBornMs(c.Service, id))
 	}
 	for id, bornMs := range c.EndedBornMs {
-		m.covered[id] = max(m.covered[id], bornMs)
-		m.endRestart(id, bornMs)
+		m.coverUntil(endpoint{service: c.Service, id: id}, bornMs)
+		m.endRestart(c.Service, id, bornMs)
 	}
 	for id, bornMs := range c.RunningBornMs {
-		m.endRestart(id, bornMs)
+		m.endRestart(c.Service, id, bornMs)
 	}
 	m.raiseFloor(c.Service, c.Position)
 }
 
+// coverUntil records that the processes of an endpoint that started at bornMs or before are covered.
+func (m *Machine) coverUntil(e endpoint, bornMs int64) { m.covered[e] = max(m.covered[e], bornMs) }
+
 // endRestart removes the mark of an endpoint that was started again, unless it has been started
 // once more after bornMs.
-func (m *Machine) endRestart(id string, bornMs int64) {
-	if m.restarted[id] <= bornMs {
-		delete(m.restarted, id)
+func (m *Machine) endRestart(service, id string, bornMs int64) {
+	for _, e := range []endpoint{{service: service, id: id}, {id: id}} {
+		if m.restarted[e] <= bornMs {
+			delete(m.restarted, e)
+		}
 	}
 }
 
--- a/internal/fleet/fleetstate/attempts_test.go
+++ b/internal/fleet/fleetstate/attempts_test.go
@@ -133,16 +133,16 @@
 func TestRestartedEndpointIsNotCovered(t *testing.T) {
 	m := New(nil)
 	m.announceA(t, 1)
-	assert.Assert(t, !m.IsRestarted("a", 1))
-	assert.Assert(t, m.IsRestarted("a", 2), "this daemon knows a start that is not recorded yet")
+	assert.Assert(t, !m.IsRestarted("s", "a", 1))
+	assert.Assert(t, m.IsRestarted("s", "a", 2), "this daemon knows a start that is not recorded yet")
 	m.announceA(t, 2)
 	data, err := m.Snapshot()
 	assert.NilError(t, err)
 	assert.NilError(t, m.Restore(data))
-	assert.Assert(t, m.IsRestarted("a", 2))
+	assert.Assert(t, m.IsRestarted("s", "a", 2))
 	m.coverWith(t, &fleetpb.Cover{RunningBornMs: map[string]int64{"a": 2}})
-	assert.Assert(t, !m.IsRestarted("a", 2))
-	assert.Assert(t, !m.IsCovered("a", 2), "the process that runs may receive further commits")
+	assert.Assert(t, !m.IsRestarted("s", "a", 2))
+	assert.Assert(t, !m.IsCovered("s", "a", 2), "the process that runs may receive further commits")
 }
 
 func TestLateCoverDoesNotCoverAnEndpointThatStartedAgain(t *testing.T) {
@@ -150,11 +150,11 @@
 	m.announceA(t, 1)
 	m.announceA(t, 2)
 	m.coverWith(t, &fleetpb.Cover{EndedBornMs: map[string]int64{"a": 1}})
-	assert.Assert(t, m.IsCovered("a", 1) && !m.IsCovered("a", 2))
+	assert.Assert(t, m.IsCovered("s", "a", 1) && !m.IsCovered("s", "a", 2))
 	data, err := m.Snapshot()
 	assert.NilError(t, err)
 	assert.NilError(t, m.Restore(data))
-	assert.Assert(t, m.IsCovered("a", 1) && !m.IsCovered("a", 2))
+	assert.Assert(t, m.IsCovered("s", "a", 1) && !m.IsCovered("s", "a", 2))
 }
 
 func TestLateRecordOfTheSamePrimaryKeepsANewerAttempt(t *testing.T) {
@@ -197,7 +197,7 @@
 	announce(1, fleetpb.EndpointState_ENDPOINT_STATE_READY)
 	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{Service: "s", EndpointIds: []string{"a"}}}})
 	announce(2, fleetpb.EndpointState_ENDPOINT_STATE_GONE)
-	assert.Assert(t, !m.IsCovered("a", 2), "the process with start 2 may have held the only copy of a commit")
+	assert.Assert(t, !m.IsCovered("s", "a", 2), "the process with start 2 may have held the only copy of a commit")
 }
 
 // The holder of attempt 2 has recorded its order to step down and is frozen before it sends it.
@@ -283,3 +283,30 @@
 	m.set(t, &fleetpb.SetPrimary{EndpointId: "a", Token: second})
 	assert.Equal(t, m.Primary("s").SuccessorId, "")
 }
+
+// TestMarksAreKeptByService guards against a live endpoint that counts as started again, or as
+// covered, because of announcements of another service with its id.
+func TestMarksAreKeptByService(t *testing.T) {
+	m := New(nil)
+	m.announceA(t, 5)
+	for _, bornMs := range []int64{6, 7} {
+		m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Announce{Announce: &fleetpb.Endpoint{
+			Id: "a", Service: "other", Address: "127.0.0.1:1", State: fleetpb.EndpointState_ENDPOINT_STATE_READY, BornMs: bornMs,
+		}}})
+	}
+	m.apply(t, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{Service: "other", EndedBornMs: map[string]int64{"a": 6}}}})
+	for range 2 {
+		assert.Assert(t, !m.IsRestarted("s", "a", 5) && m.IsRestarted("other", "a", 7))
+		assert.Assert(t, !m.IsCovered("s", "a", 5) && m.IsCovered("other", "a", 6))
+		data, err := m.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, m.Restore(data))
+	}
+	// A snapshot of an earlier version names no service.
+	data, err := proto.Marshal(&fleetpb.AgreedState{CoveredBornMs: map[string]int64{"a": 5}, RestartedBornMs: map[string]int64{"b": 3}})
+	assert.NilError(t, err)
+	assert.NilError(t, m.Restore(data))
+	assert.Assert(t, m.IsCovered("s", "a", 5) && m.IsRestarted("s", "b", 3))
+	m.coverWith(t, &fleetpb.Cover{RunningBornMs: map[string]int64{"b": 3}})
+	assert.Assert(t, !m.IsRestarted("s", "b", 3))
+}
--- a/internal/fleet/fleetstate/fleetstate.go
+++ b/internal/fleet/fleetstate/fleetstate.go
@@ -4,7 +4,7 @@
 package fleetstate
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -34,16 +34,20 @@
 	// endpoints are part of the replicated state so that they survive a restart of all
 	// control daemons and entries need not wait for the next announcements.
 	endpoints *registry.Table
-	// covered holds, by endpoint id, the start of the last process of the endpoint that ended
-	// and whose log no promotion needs, in Unix milliseconds.
-	covered map[string]int64
-	// restarted holds, by endpoint id, the start of a process before which others of the
-	// endpoint ended that are not covered. It may have started without their log.
-	restarted map[string]int64
+	// covered holds, by endpoint, the start of its last process that ended and whose log no
+	// promotion needs, in Unix milliseconds.
+	covered map[endpoint]int64
+	// restarted holds, by endpoint, the start of a process before which others of the endpoint
+	// ended that are not covered. It may have started without their log.
+	restarted map[endpoint]int64
 	// attempts holds, by service, what is agreed on about attempts to replace its primary.
 	attempts map[string]*fleetpb.Attempt
 }
 
+// endpoint identifies an endpoint: announcements of another writer may have the same id and another
+// service. An empty service, as recorded by earlier versions, stands for all services.
+type endpoint struct{ service, id string }
+
 // New returns a machine with an empty state. onChange is called after each applied command
 // that changes the configuration, a primary or an endpoint, and after Restore; it may be nil.
 func New(onChange func()) *Machine {
@@ -52,7 +56,7 @@
 	}
 	return &Machine{
 		onChange: onChange, primaries: make(map[string]*fleetpb.Primary), endpoints: registry.NewTable(),
-		covered: make(map[string]int64), restarted: make(map[string]int64), attempts: make(map[string]*fleetpb.Attempt),
+		covered: make(map[endpoint]int64), restarted: make(map[endpoint]int64), attempts: make(map[string]*fleetpb.Attempt),
 	}
 }
 
@@ -142,17 +146,22 @@
 
 // announce records an endpoint and reports whether its record changed.
 func (m *Machine) announce(e *fleetpb.Endpoint) bool {
-	held := m.endpoints.Get(e.Id)
+	held := m.endpoints.Newest(e.Id, e.Service)
 	changed, ok := m.merge(e)
 	if !ok {
 		return false
 	}
-	if held != nil && held.BornMs < e.BornMs && m.covered[e.Id] < held.BornMs {
-		m.restarted[e.Id] = e.BornMs
+	if held != nil && held.BornMs < e.BornMs && m.coveredBornMs(e.Service, e.Id) < held.BornMs {
+		m.restarted[endpoint{service: e.Service, id: e.Id}] = e.BornMs
 	}
 	return changed
 }
 
+// coveredBornMs returns the start of the last process of an endpoint that is covered, or 0.
+func (m *Machine) coveredBornMs(service, id string) int64 {
+	return max(m.covered[endpoint{service: service, id: id}], m.covered[endpoint{id: id}])
+}
+
 // merge adds a record to the endpoints and reports whether it changed them. It ignores a
 // record that this version refuses, and ok is then false.
 func (m *Machine) merge(e *fleetpb.Endpoint) (changed, ok bool) {
@@ -162,7 +171,7 @@
 		}
 		return false, false
 	}
-	return len(m.endpoints.Merge(e)) > 0, true
+	return !m.endpoints.Merge(e).IsEmpty(), true
 }
 
 // putConfiguration replaces the configuration if the version is higher than the current
@@ -172,6 +181,7 @@
 		return false
 	}
 	m.config = put
+	m.endpoints.SetServices(put.GetConfiguration().GetServices())
 	return true
 }
 
@@ -189,9 +199,8 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.All(),
-		Covered: slices.Sorted(maps.Keys(m.covered)), Attempts: m.sortedAttempts(),
-		CoveredBornMs: m.covered, RestartedBornMs: m.restarted})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&fleetpb.AgreedState{Configuration: m.config, Primaries: m.sortedPrimaries(), Endpoints: m.endpoints.AllAnnounced(),
+		Attempts: m.sortedAttempts(), CoveredProcesses: sortedProcesses(m.covered), RestartedProcesses: sortedProcesses(m.restarted)})
 }
 
 // Restore implements control.StateMachine.
@@ -207,17 +216,17 @@
 		m.primaries[p.Service] = p
 	}
 	m.endpoints = registry.NewTable()
+	m.endpoints.SetServices(m.config.GetConfiguration().GetServices())
 	for _, e := range state.Endpoints {
 		m.merge(e)
 	}
-	m.covered = make(map[string]int64)
+	m.covered, m.restarted = make(map[endpoint]int64), make(map[endpoint]int64)
 	for _, id := range state.Covered {
-		// Earlier versions recorded only the id, of an endpoint that had ended.
-		m.covered[id] = m.endpoints.Get(id).GetBornMs()
+		// The first versions recorded only the id, of an endpoint that had ended.
+		m.covered[endpoint{id: id}] = m.newestBornMs("", id)
 	}
-	maps.Copy(m.covered, state.CoveredBornMs)
-	m.restarted = make(map[string]int64)
-	maps.Copy(m.restarted, state.RestartedBornMs)
+	restoreProcesses(m.covered, state.CoveredBornMs, state.CoveredProcesses)
+	restoreProcesses(m.restarted, state.RestartedBornMs, state.RestartedProcesses)
 	m.attempts = make(map[string]*fleetpb.Attempt)
 	for _, a := range state.Attempts {
 		m.attempts[a.Service] = a
@@ -243,31 +252,70 @@
 	return m.sortedPrimaries()
 }
 
-// Endpoints returns the recorded endpoints, sorted by id. The caller must not modify them.
-func (m *Machine) Endpoints() []*fleetpb.Endpoint {
+// newestBornMs returns the start of the last recorded process of an endpoint, of any service if
+// service is empty, or 0.
+func (m *Machine) newestBornMs(service, id string) int64 {
+	if service != "" {
+		return m.endpoints.Newest(id, service).GetBornMs()
+	}
+	newest := int64(0)
+	for _, s := range m.endpoints.ServicesOf(id) {
+		newest = max(newest, m.endpoints.Newest(id, s).GetBornMs())
+	}
+	return newest
+}
+
+// sortedProcesses returns the starts of processes by endpoint as messages.
+func sortedProcesses(bornMs map[endpoint]int64) []*fleetpb.Process {
+	list := make([]*fleetpb.Process, 0, len(bornMs))
+	for e, at := range bornMs {
+		list = append(list, &fleetpb.Process{Service: e.service, EndpointId: e.id, BornMs: at})
+	}
+	slices.SortFunc(list, func(a, b *fleetpb.Process) int {
+		return cmp.Or(strings.Compare(a.EndpointId, b.EndpointId), strings.Compare(a.Service, b.Service))
+	})
+	return list
+}
+
+// restoreProcesses adds the starts of processes by endpoint from a snapshot. byID are those of an
+// earlier version.
+func restoreProcesses(into map[endpoint]int64, byID map[string]int64, list []*fleetpb.Process) {
+	for id, bornMs := range byID {
+		into[endpoint{id: id}] = bornMs
+	}
+	for _, p := range list {
+		into[endpoint{service: p.Service, id: p.EndpointId}] = p.BornMs
+	}
+}
+
+// Announcements returns the recorded announcements, also those of services that are not defined,
+// sorted by id. The caller must not modify them.
+func (m *Machine) Announcements() []*fleetpb.Endpoint {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.endpoints.All()
+	return m.endpoints.AllAnnounced()
 }
 
 // IsCovered reports whether the process of an endpoint that started at bornMs, in Unix
 // milliseconds, is covered: it has ended and no promotion needs its log.
-func (m *Machine) IsCovered(id string, bornMs int64) bool {
+func (m *Machine) IsCovered(service, id string, bornMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	covered, ok := m.covered[id]
-	return ok && covered >= bornMs
+	_, ok := m.covered[endpoint{service: service, id: id}]
+	_, okForAll := m.covered[endpoint{id: id}]
+	return (ok || okForAll) && m.coveredBornMs(service, id) >= bornMs
 }
 
 // IsRestarted reports whether an endpoint whose process started at bornMs, in Unix
 // milliseconds, had a process before that is not covered.
-func (m *Machine) IsRestarted(id string, bornMs int64) bool {
+func (m *Machine) IsRestarted(service, id string, bornMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held := m.endpoints.Get(id)
-	isUnrecorded := held != nil && held.BornMs < bornMs && m.covered[id] < held.BornMs
-	_, isRecorded := m.restarted[id]
-	return isRecorded || isUnrecorded
+	held := m.endpoints.Newest(id, service)
+	isUnrecorded := held != nil && held.BornMs < bornMs && m.coveredBornMs(service, id) < held.BornMs
+	_, isRecorded := m.restarted[endpoint{service: service, id: id}]
+	_, isRecordedForAll := m.restarted[endpoint{id: id}]
+	return isRecorded || isRecordedForAll || isUnrecorded
 }
 
 // Primary returns a copy of a service's primary record, or an empty record if the service
--- a/internal/fleet/fleetstate/fleetstate_test.go
+++ b/internal/fleet/fleetstate/fleetstate_test.go
@@ -97,7 +97,7 @@
 	again, err := restored.Snapshot()
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, data)
-	assert.Equal(t, restored.Endpoints()[0].Sequence, uint64(3))
+	assert.Equal(t, restored.Announcements()[0].Sequence, uint64(3))
 }
 
 // TestRecordsOfAnotherVersionAreSkipped guards against a log or a snapshot with an endpoint that
@@ -122,14 +122,14 @@
 		apply(t, m, announce(good))
 		apply(t, m, &fleetpb.Command{Kind: &fleetpb.Command_Cover{Cover: &fleetpb.Cover{EndpointIds: []string{odd.Id}}}})
 		assert.Check(t, !apply(t, m, announce(odd)).Taken, "%v", odd)
-		assert.Check(t, m.IsCovered(odd.Id, 0), "%v", odd)
+		assert.Check(t, m.IsCovered("s", odd.Id, 0), "%v", odd)
 		data, err := proto.Marshal(&fleetpb.AgreedState{Endpoints: []*fleetpb.Endpoint{odd, good, odd}, Covered: []string{odd.Id}})
 		assert.NilError(t, err)
 		restored := New(nil)
 		restored.OnIgnored = m.OnIgnored
 		assert.NilError(t, restored.Restore(data))
 		for _, machine := range []*Machine{m, restored} {
-			assert.Check(t, len(machine.Endpoints()) == 1 && proto.Equal(machine.Endpoints()[0], good), "%v: %v", odd, machine.Endpoints())
+			assert.Check(t, len(machine.Announcements()) == 1 && proto.Equal(machine.Announcements()[0], good), "%v: %v", odd, machine.Announcements())
 		}
 		assert.Check(t, ignored == 3, "%v: %d ignored", odd, ignored)
 	}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -1,98 +1,248 @@
-// Package registry keeps the last announcement of each endpoint. Announcements may arrive
-// late, more than once, out of order and through several daemons: tables that merged the
-// same announcements are equal. The package does no I/O and reads no clock.
+// Package registry keeps the announcements of endpoints. They may arrive late, more than once, out
+// of order, through several daemons, and before the configuration that defines their service.
+//
+// A table holds the last announcement of each id, service and address, whichever services are
+// defined. The record of an endpoint is derived from those of the defined services: the newest one
+// with its id, in the state gone if another endpoint started later at its address. So an
+// announcement of a service that is not defined ends no endpoint, whenever it arrives.
+//
+// Tables that merged the same announcements and have the same services are equal. The package does
+// no I/O and reads no clock.
 package registry
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strings"
 
 	fleetpb "hemlockmast/api/fleet"
 )
 
-// maxEndpoints limits the size of the table, because anybody can send announcements.
-const maxEndpoints = 20_000
+// maxAnnouncements limits the size of a table, because anybody can send announcements.
+const maxAnnouncements = 20_000
 
-// Table holds the last announcement of each endpoint. It is not safe for concurrent use.
+// Key identifies an announcement in a table.
+type Key struct{ ID, Service, Address string }
+
+// KeyOf returns the key of an announcement.
+func KeyOf(e *fleetpb.Endpoint) Key { return Key{ID: e.Id, Service: e.Service, Address: e.Address} }
+
+// compareKeys orders keys by id, service and address.
+func compareKeys(a, b Key) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), strings.Compare(a.Service, b.Service), strings.Compare(a.Address, b.Address))
+}
+
+// Changes are the effects of a call on a table.
+type Changes struct {
+	// Announced are the announcements whose content is new; other tables need them.
+	Announced []*fleetpb.Endpoint
+	// Records are the records whose content changed, sorted by id. One that is removed, because its
+	// service is not defined any more, is not among them.
+	Records []*fleetpb.Endpoint
+}
+
+// IsEmpty reports whether nothing changed.
+func (c Changes) IsEmpty() bool { return len(c.Announced)+len(c.Records) == 0 }
+
+// Table holds announcements and the records derived from them. It is not safe for concurrent use.
 type Table struct {
-	byID map[string]*fleetpb.Endpoint
-	// byAddress holds, for each address, the endpoint that started there last.
-	byAddress map[string]*fleetpb.Endpoint
+	announced map[Key]*fleetpb.Endpoint
+	// byID holds the keys of announced.
+	byID map[string][]Key
+	// services holds the names of the defined services.
+	services map[string]bool
+	// lastStarted holds, by address, the announcement of the endpoint of a defined service that
+	// started there last.
+	lastStarted map[string]*fleetpb.Endpoint
+	// records holds the derived records by id.
+	records map[string]*fleetpb.Endpoint
 }
 
-// NewTable returns an empty table.
+// NewTable returns an empty table without services.
 func NewTable() *Table {
 	return &Table{
-		byID:      make(map[string]*fleetpb.Endpoint),
-		byAddress: make(map[string]*fleetpb.Endpoint),
+		announced: make(map[Key]*fleetpb.Endpoint),
+		byID:      make(map[string][]Key),
+		services:  make(map[string]bool), lastStarted: make(map[string]*fleetpb.Endpoint),
+		records: make(map[string]*fleetpb.Endpoint),
 	}
 }
 
-// Merge adds an announcement to the table and returns the records whose content changed.
-// An announcement that is newer but has the same content is not returned. Merge ignores
-// outdated announcements, those that Check refuses, and new endpoints when the table is
-// full. Another version of a daemon may have accepted what Check refuses here.
-func (t *Table) Merge(e *fleetpb.Endpoint) []*fleetpb.Endpoint {
-	held := t.byID[e.Id]
-	if held != nil && compareAnnouncements(e, held) <= 0 {
-		return nil
+// SetServices sets which services are defined.
+func (t *Table) SetServices(services []*fleetpb.Service) Changes {
+	next := make(map[string]bool, len(services))
+	for _, s := range services {
+		next[s.Name] = true
 	}
-	if Check(e) != nil || held == nil && len(t.byID) >= maxEndpoints {
-		return nil
+	if maps.Equal(next, t.services) {
+		return Changes{}
 	}
-	var changed []*fleetpb.Endpoint
-	e, superseded := t.resolveAddress(e)
-	if superseded != nil {
-		changed = append(changed, superseded)
+	t.services = next
+	clear(t.lastStarted)
+	for _, e := range t.announced {
+		t.noteStart(e)
 	}
-	t.byID[e.Id] = e
-	if held == nil || !sameContent(held, e) {
-		changed = append(changed, e)
+	return Changes{Records: t.derive(slices.Sorted(maps.Keys(t.byID)))}
+}
+
+// Merge adds an announcement to the table. It ignores outdated announcements, those that Check
+// refuses, and new ones when the table is full. Another version of a daemon may have accepted
+// what Check refuses here.
+func (t *Table) Merge(e *fleetpb.Endpoint) Changes {
+	key := KeyOf(e)
+	held := t.announced[key]
+	if held != nil && compareAnnouncements(e, held) <= 0 || Check(e) != nil {
+		return Changes{}
 	}
-	return changed
+	if held == nil && !t.makeRoom(e.Service) {
+		return Changes{}
+	}
+	return t.put(key, e)
 }
 
-// resolveAddress resolves a conflict between e and another endpoint known at its address:
-// the one that started earlier is gone, even if a late announcement says otherwise. It
-// returns e's record and, if it changed, the record of the other endpoint.
-func (t *Table) resolveAddress(e *fleetpb.Endpoint) (resolved, superseded *fleetpb.Endpoint) {
-	other := t.byAddress[e.Address]
-	if other != nil && other.Id != e.Id && other.BornMs > e.BornMs {
-		return asGone(e), nil
+// put replaces the announcement with the given key.
+func (t *Table) put(key Key, e *fleetpb.Endpoint) Changes {
+	held := t.announced[key]
+	if held == nil {
+		t.byID[key.ID] = append(t.byID[key.ID], key)
 	}
-	t.byAddress[e.Address] = e
-	if other == nil || other.Id == e.Id {
-		return e, nil
+	t.announced[key] = e
+	var changes Changes
+	if held == nil || !sameContent(held, e) {
+		changes.Announced = []*fleetpb.Endpoint{e}
 	}
-	// The other endpoint may have ended or started again at another address since.
-	other = t.byID[other.Id]
-	if other.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE || other.Address != e.Address {
-		return e, nil
+	affected := []string{e.Id}
+	if former := t.noteStart(e); former != nil && former.Id != e.Id {
+		affected = append(affected, former.Id)
+		slices.Sort(affected)
 	}
-	// The other endpoint did not start later than e, so it is gone.
-	other = asGone(other)
-	t.byID[other.Id] = other
-	return e, other
+	changes.Records = t.derive(affected)
+	return changes
 }
 
-// MarkGone records that an endpoint has ended: it sets the state gone, not leaving. bornMs is
-// the start time of the ended process in Unix milliseconds, or 0 for the one in the table; a
-// message about an earlier process is ignored. MarkGone returns the changed record, or nil if
-// nothing changed.
-func (t *Table) MarkGone(id string, bornMs int64) *fleetpb.Endpoint {
-	held := t.byID[id]
-	if held == nil || bornMs != 0 && bornMs < held.BornMs {
+// noteStart records that e started at its address, if it is of a defined service and no other
+// endpoint started there later. It returns the announcement that it replaces, or nil. Those of all
+// further endpoints at the address are superseded before and after.
+func (t *Table) noteStart(e *fleetpb.Endpoint) (former *fleetpb.Endpoint) {
+	last := t.lastStarted[e.Address]
+	if !t.services[e.Service] || last != nil && compareStarts(e, last) < 0 {
 		return nil
 	}
-	if held.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-		return nil
+	t.lastStarted[e.Address] = e
+	return last
+}
+
+// compareStarts orders processes at one address. Two that start in the same millisecond have any
+// order, but the same one in all tables.
+func compareStarts(a, b *fleetpb.Endpoint) int {
+	return cmp.Or(cmp.Compare(a.BornMs, b.BornMs), strings.Compare(a.Id, b.Id))
+}
+
+// makeRoom reports whether the table has room for a new announcement of the service. If it is full,
+// an announcement of a service that is not defined gives way to one of a service that is.
+func (t *Table) makeRoom(service string) bool {
+	if len(t.announced) < maxAnnouncements {
+		return true
+	}
+	if !t.services[service] {
+		return false
+	}
+	var undefined []Key
+	for key := range t.announced {
+		if !t.services[key.Service] {
+			undefined = append(undefined, key)
+		}
+	}
+	if len(undefined) == 0 {
+		return false
+	}
+	// The members of the control group must choose the same one.
+	t.remove(slices.MinFunc(undefined, compareKeys))
+	return true
+}
+
+// remove drops an announcement of a service that is not defined, on which no record depends.
+func (t *Table) remove(key Key) {
+	delete(t.announced, key)
+	t.byID[key.ID] = slices.DeleteFunc(t.byID[key.ID], func(k Key) bool { return k == key })
+	if len(t.byID[key.ID]) == 0 {
+		delete(t.byID, key.ID)
 	}
-	gone := asGone(held)
-	// A heartbeat sent before the end may still arrive. The higher sequence number makes
-	// it outdated; with the highest one, the state does.
-	gone.Sequence = min(gone.Sequence+1, maxSequence)
-	t.byID[id] = gone
-	return gone
+}
+
+// derive computes the records with the given ids again and returns those whose content changed.
+func (t *Table) derive(ids []string) []*fleetpb.Endpoint {
+	var changed []*fleetpb.Endpoint
+	for _, id := range ids {
+		held, next := t.records[id], t.record(id)
+		if next == nil {
+			delete(t.records, id)
+			continue
+		}
+		t.records[id] = next
+		if held == nil || !sameContent(held, next) {
+			changed = append(changed, next)
+		}
+	}
+	return changed
+}
+
+// record derives the record with an id, or nil.
+func (t *Table) record(id string) *fleetpb.Endpoint {
+	newest := t.newest(id, func(service string) bool { return t.services[service] })
+	if newest == nil || !t.isSuperseded(newest) {
+		return newest
+	}
+	return asGone(newest)
+}
+
+// newest returns the newest announcement with an id among the services for which isWanted returns
+// true, or nil.
+func (t *Table) newest(id string, isWanted func(service string) bool) *fleetpb.Endpoint {
+	var newest *fleetpb.Endpoint
+	for _, key := range t.byID[id] {
+		e := t.announced[key]
+		if isWanted(key.Service) && (newest == nil || cmp.Or(compareAnnouncements(e, newest), compareKeys(key, KeyOf(newest))) > 0) {
+			newest = e
+		}
+	}
+	return newest
+}
+
+// isSuperseded reports whether another endpoint of a defined service started later at e's address.
+func (t *Table) isSuperseded(e *fleetpb.Endpoint) bool {
+	last := t.lastStarted[e.Address]
+	return last.Id != e.Id && compareStarts(last, e) > 0
+}
+
+// IsSuperseded reports whether the record with an id is in the state gone only because another
+// endpoint announced a later start at its address, not by the endpoint's own word.
+func (t *Table) IsSuperseded(id string) bool {
+	e := t.records[id]
+	return e != nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE && t.announced[KeyOf(e)].State != e.State
+}
+
+// MarkGone records that an endpoint has ended: it sets the state gone, not leaving. bornMs is
+// the start time of the ended process in Unix milliseconds, or 0 for the last one; a message about
+// an earlier process is ignored. The message names no service, so that it counts for each one under
+// which the id is known.
+func (t *Table) MarkGone(id string, bornMs int64) Changes {
+	var changes Changes
+	for _, service := range t.ServicesOf(id) {
+		held := t.Newest(id, service)
+		if bornMs != 0 && bornMs < held.BornMs || held.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
+			continue
+		}
+		gone := asGone(held)
+		// A heartbeat sent before the end may still arrive. The higher sequence number makes
+		// it outdated; with the highest one, the state does.
+		gone.Sequence = min(gone.Sequence+1, maxSequence)
+		c := t.put(KeyOf(gone), gone)
+		changes.Announced = append(changes.Announced, c.Announced...)
+		changes.Records = append(changes.Records, c.Records...)
+	}
+	return changes
 }
 
 // asGone returns a copy of e in the state gone.
@@ -106,30 +256,71 @@
 
 // compareAnnouncements orders announcements of one endpoint by start time, then by
 // sequence number. With equal sequence numbers, the state that a process reaches later
-// counts as newer.
+// counts as newer. The rest only makes the order of arrival irrelevant.
 func compareAnnouncements(a, b *fleetpb.Endpoint) int {
 	return cmp.Or(
 		cmp.Compare(a.BornMs, b.BornMs),
 		cmp.Compare(a.Sequence, b.Sequence),
 		cmp.Compare(a.State, b.State),
+		compareBool(a.Primary, b.Primary),
+		strings.Compare(a.FailureDomain, b.FailureDomain),
+		cmp.Compare(a.Slots, b.Slots),
 	)
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // sameContent compares everything except the sequence number.
 func sameContent(a, b *fleetpb.Endpoint) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
 		a.State == b.State && a.Primary == b.Primary && a.BornMs == b.BornMs && a.Slots == b.Slots
 }
 
-// Get returns the record of an endpoint, or nil. The caller must not modify it.
-func (t *Table) Get(id string) *fleetpb.Endpoint { return t.byID[id] }
+// Defines reports whether a service is defined.
+func (t *Table) Defines(service string) bool { return t.services[service] }
 
-// All returns all records, sorted by id. The caller must not modify them.
-func (t *Table) All() []*fleetpb.Endpoint {
-	list := make([]*fleetpb.Endpoint, 0, len(t.byID))
-	for _, e := range t.byID {
-		list = append(list, e)
+// Announced returns the announcement with a key, or nil. The caller must not modify it.
+func (t *Table) Announced(key Key) *fleetpb.Endpoint { return t.announced[key] }
+
+// Newest returns the newest announcement of an endpoint of a service, defined or not, or nil. The
+// caller must not modify it.
+func (t *Table) Newest(id, service string) *fleetpb.Endpoint {
+	return t.newest(id, func(s string) bool { return s == service })
+}
+
+// ServicesOf returns the services, defined or not, under which an id is known, sorted.
+func (t *Table) ServicesOf(id string) []string {
+	var services []string
+	for _, key := range t.byID[id] {
+		services = append(services, key.Service)
 	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// AllAnnounced returns all announcements, sorted by key. A table that merges them is equal to this
+// one if it has the same services. The caller must not modify them.
+func (t *Table) AllAnnounced() []*fleetpb.Endpoint {
+	list := slices.Collect(maps.Values(t.announced))
+	slices.SortFunc(list, func(a, b *fleetpb.Endpoint) int { return compareKeys(KeyOf(a), KeyOf(b)) })
+	return list
+}
+
+// Get returns the record of an endpoint of a defined service, or nil. The caller must not modify it.
+func (t *Table) Get(id string) *fleetpb.Endpoint { return t.records[id] }
+
+// All returns the records of all endpoints of the defined services, sorted by id. The caller must
+// not modify them.
+func (t *Table) All() []*fleetpb.Endpoint {
+	list := slices.Collect(maps.Values(t.records))
 	slices.SortFunc(list, func(a, b *fleetpb.Endpoint) int { return cmp.Compare(a.Id, b.Id) })
 	return list
 }
--- a/internal/proxy/fleetview/fleetview.go
+++ b/internal/proxy/fleetview/fleetview.go
@@ -68,7 +68,10 @@
 
 // LeavingFor returns for how long an endpoint has been leaving, as far as any daemon has told, or 0
 // if it does not.
-func (s *Snapshot) LeavingFor(id string) time.Duration { return s.leaving.Of(id, boottime.Now()) }
+func (s *Snapshot) LeavingFor(id string) time.Duration {
+	e := s.endpoints[id]
+	return s.leaving.Of(e.GetService(), id, boottime.Now())
+}
 
 // Route returns the route of a database, or nil.
 func (s *Snapshot) Route(database string) *fleetpb.Route { return s.routes[database] }
@@ -172,17 +175,16 @@
 func (v *View) Apply(answer *fleetpb.FollowResponse) {
 	v.mu.Lock()
 	changed := v.applyConfiguration(answer.Configuration)
+	if changed {
+		v.noteChanges(v.table.SetServices(v.config.GetServices()))
+	}
 	for _, e := range answer.Endpoints {
 		if err := registry.Check(e); err != nil {
 			// A control daemon of another version may accept more.
 			v.log.Info("endpoint ignored", "error", err.Error())
 			continue
 		}
-		for _, c := range v.table.Merge(e) {
-			changed = true
-			v.noteLeaving(c)
-			v.log.Info("endpoint known", "endpoint", c.Id, "service", c.Service, "address", c.Address, "state", c.State.String())
-		}
+		changed = v.noteChanges(v.table.Merge(e)) || changed
 	}
 	changed = v.applyAges(answer.Leaving) || changed
 	for _, p := range answer.Primaries {
@@ -214,7 +216,7 @@
 	for _, age := range ages {
 		if next.Raise(age, now) {
 			isRaised = true
-			v.log.Info("endpoint leaves", "endpoint", age.EndpointId, "for", next.Of(age.EndpointId, now).String())
+			v.log.Info("endpoint leaves", "endpoint", age.EndpointId, "for", next.Of(age.Service, age.EndpointId, now).String())
 		}
 	}
 	if isRaised {
@@ -223,11 +225,19 @@
 	return isRaised
 }
 
-// noteLeaving records whether an endpoint leaves, from now on if it was not known.
-func (v *View) noteLeaving(e *fleetpb.Endpoint) {
+// noteChanges logs changed endpoints, records whether they leave, from now on if it was not known,
+// and reports whether there are any.
+func (v *View) noteChanges(changes registry.Changes) bool {
+	if changes.IsEmpty() {
+		return false
+	}
 	next := v.leaving.Clone()
-	next.Note(e, boottime.Now())
+	next.NoteChanges(changes, v.table.Defines, boottime.Now())
 	v.leaving = next
+	for _, e := range changes.Records {
+		v.log.Info("endpoint known", "endpoint", e.Id, "service", e.Service, "address", e.Address, "state", e.State.String())
+	}
+	return len(changes.Records) > 0
 }
 
 // LeavingAges implements fleetrpc.Sink.
--- a/internal/proxy/fleetview/fleetview_test.go
+++ b/internal/proxy/fleetview/fleetview_test.go
@@ -131,6 +131,9 @@
 // counts, also if it comes after the announcement. Earlier control daemons tell none.
 func TestAgeOfALeavingEndpointIsTakenOn(t *testing.T) {
 	v := New(logr.Discard())
+	v.Apply(&fleetpb.FollowResponse{Configuration: &fleetpb.ConfigurationUpdate{Changed: &fleetpb.Configuration{
+		Version: 1, Services: []*fleetpb.Service{{Name: "s"}},
+	}}})
 	changes := 0
 	v.OnChange = func(*Snapshot) { changes++ }
 	leaves := &fleetpb.Endpoint{
