An end that another endpoint's announcement claims needs a proof

What callers would have seen: a replica that runs, and that control does not reach at the moment, was recorded as covered because another writer announced its address. No later promotion would then have waited for its log.

Cause: an endpoint that counts as ended and does not answer was taken for ended, also where its end rests only on another one's announcement of its address.

Change: of an end that is only claimed, another endpoint's answer at the address is the proof. Without it the replica is not covered, and a primary is replaced like one that does not answer, which gives up no commit. The table of announcements tells a claimed end from one by the endpoint's own word. A planned replacement asks before it covers, too; it did not.

--- a/internal/fleet/fleetctl/ended.go
+++ b/internal/fleet/fleetctl/ended.go
@@ -50,10 +50,11 @@
 	}
 }
 
-// askEnded asks endpoints that count as ended, all at once, and returns those that do not answer.
-// An announcement of another process at an endpoint's address, or a late deregistration, is no
-// proof that the endpoint has ended.
-func (w *watcher) askEnded(ctx context.Context, ended []*fleetpb.Endpoint) (silent []*fleetpb.Endpoint) {
+// askEnded asks endpoints that count as ended, all at once. dead are those whose end is proved. One
+// that said so itself and does not answer has ended; of one whose address another endpoint
+// announced, that one's answer there is the proof. unknown are those of which neither holds. The
+// others run, and are noted as running.
+func (w *watcher) askEnded(ctx context.Context, ended []*fleetpb.Endpoint) (dead, unknown []*fleetpb.Endpoint) {
 	errs := make([]error, len(ended))
 	var asked sync.WaitGroup
 	for i, e := range ended {
@@ -61,23 +62,31 @@
 	}
 	asked.Wait()
 	for i, e := range ended {
-		if errs[i] != nil && !promotion.IsBusy(errs[i]) {
-			silent = append(silent, e)
-			continue
+		switch {
+		case errs[i] == nil || promotion.IsBusy(errs[i]):
+			w.noteRunning(e)
+		case w.node.hub.IsSuperseded(e.Id) && !promotion.ProvesDead(errs[i]):
+			unknown = append(unknown, e)
+		default:
+			dead = append(dead, e)
 		}
-		w.noteRunning(e)
 	}
-	return silent
+	return dead, unknown
 }
 
 // promoteGone replaces a primary that counts as ended, unless it or a replica that counts as ended
-// answers: their logs may hold commits that no other endpoint has.
+// answers: their logs may hold commits that no other endpoint has. If the end of one of them is not
+// proved, the primary is replaced like one that does not answer.
 func (w *watcher) promoteGone(ctx context.Context, svc serviceState) bool {
 	ended := append([]*fleetpb.Endpoint{svc.primary}, svc.ended...)
-	if len(w.askEnded(ctx, ended)) < len(ended) {
+	dead, unknown := w.askEnded(ctx, ended)
+	if len(dead)+len(unknown) < len(ended) {
 		return true
 	}
-	return w.promote(ctx, svc, replacement{reason: reasonGone})
+	if len(unknown) > 0 {
+		w.log.Info("end of endpoints is not proved", "service", svc.service, "endpoints", ids(unknown))
+	}
+	return w.promote(ctx, svc, replacement{reason: reasonGone, logsGone: len(unknown) == 0})
 }
 
 // endedEndpoints returns the endpoints of a service that count as ended, covered ones too: one that
--- a/internal/fleet/fleetctl/health.go
+++ b/internal/fleet/fleetctl/health.go
@@ -31,7 +31,8 @@
 		}
 		defer w.endCheck(svc.service, interval)
 		w.askEnded(ctx, svc.answering)
-		ended := slices.Concat(w.askEnded(ctx, svc.ended), w.deadReplicas(ctx, silent))
+		dead, _ := w.askEnded(ctx, svc.ended)
+		ended := slices.Concat(dead, w.deadReplicas(ctx, silent))
 		if len(ended)+len(restarted) > 0 {
 			w.cover(ctx, svc, ended, restarted)
 		}
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -15,8 +15,15 @@
 // promote replaces a service's primary and records the new one. It returns false if it must
 // be retried.
 func (w *watcher) promote(ctx context.Context, svc serviceState, r replacement) bool {
-	if r.primaryServes && len(svc.ended) > 0 && w.cover(ctx, svc, svc.ended, nil) {
-		svc.ended = nil
+	if r.primaryServes && len(svc.ended) > 0 {
+		dead, unknown := w.askEnded(ctx, svc.ended)
+		if len(dead)+len(unknown) < len(svc.ended) {
+			// The next attempt counts with those that run.
+			return true
+		}
+		if len(dead) > 0 && w.cover(ctx, svc, dead, nil) {
+			svc.ended = unknown
+		}
 	}
 	token, ok := w.beginAttempt(ctx, &svc)
 	if !ok {
@@ -91,11 +98,11 @@
 // plan returns the plan of an attempt. The floor is read after the replicas, so that it is not
 // older than what they are covered by.
 func (w *watcher) plan(svc serviceState, r replacement, token uint64) promotion.Plan {
-	replicas := w.planReplicas(svc)
+	replicas := w.planReplicas(svc, r)
 	floor := w.node.machine.Attempt(svc.service).Floor
 	plan := promotion.Plan{
 		Service: svc.service, Primary: stmtEndpoint(svc.primary), PrimaryServes: r.primaryServes,
-		PrimaryGone:      svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE,
+		PrimaryGone:      r.logsGone,
 		PrimaryRestarted: w.isRestarted(svc.primary), Preferred: r.preferred, Replicas: replicas, Token: token,
 		Term: svc.record.Term, Unfinished: svc.attempt.WasUnfinished, StepDownOrdered: svc.attempt.StepDownOrdered,
 		SteppedDownAt: fleetstate.Position(svc.attempt.SteppedDownAt),
@@ -112,7 +119,7 @@
 }
 
 // planReplicas returns the replicas of a service for a promotion plan.
-func (w *watcher) planReplicas(svc serviceState) []promotion.Replica {
+func (w *watcher) planReplicas(svc serviceState, r replacement) []promotion.Replica {
 	var list []promotion.Replica
 	for _, e := range svc.others {
 		list = append(list, promotion.Replica{
@@ -123,9 +130,8 @@
 			Restarted: w.isRestarted(e),
 		})
 	}
-	if svc.primary.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-		// The primary has ended as well. No missing commit can come back, so there is
-		// nothing to wait for.
+	if r.logsGone {
+		// No missing commit can come back.
 		return list
 	}
 	for _, e := range svc.ended {
--- a/internal/fleet/fleetctl/watch.go
+++ b/internal/fleet/fleetctl/watch.go
@@ -399,6 +399,9 @@
 	reason string
 	// primaryServes means that the primary is alive and serves until it is replaced.
 	primaryServes bool
+	// logsGone means that the primary and the replicas that count as ended have ended, so that
+	// nothing is won by waiting for their logs.
+	logsGone bool
 	// preferred, if not empty, is the id of the replica to promote.
 	preferred string
 }
--- a/internal/fleet/fleetd/foreign_test.go
+++ b/internal/fleet/fleetd/foreign_test.go
@@ -136,3 +136,25 @@
 	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
 	f.querySucceedsAt(0, "current", "STORE item v")
 }
+
+// TestClaimedEndNeedsAnAnswerAtTheAddress guards against a replica that runs and receives, and is
+// recorded as covered because another writer announced its address and control does not reach it.
+func TestClaimedEndNeedsAnAnswerAtTheAddress(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
+	f.querySucceedsAt(0, "current", "STORE item v")
+	replica := f.group.Nodes()[1]
+	const covered = `"endpoints are covered","daemon":"control-`
+	isCovered := func() bool { return f.logged(covered) && f.logged(`"ended":["svc-1"]`) }
+	replica.Set(standin.Faults{SilentTo: []string{"control-"}})
+	f.announceProcess(0, "svc-9", "svc", replica.Address, 1, time.Now().UnixMilli())
+	assert.Assert(t, f.writeFor(2*time.Second) > 0)
+	assert.Assert(t, !isCovered())
+	replica.Set(standin.Faults{})
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.logged("endpoint that counts as ended answers") }))
+	assert.Assert(t, !isCovered())
+	// Now another process answers there.
+	f.stopAnnouncing()
+	replica.Restart("svc-9")
+	assert.Assert(t, standin.WaitFor(10*time.Second, isCovered))
+}
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -231,6 +231,13 @@
 	return h.table.Defines(service)
 }
 
+// IsSuperseded is registry.Table.IsSuperseded.
+func (h *Hub) IsSuperseded(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.IsSuperseded(id)
+}
+
 // Newest returns the newest announcement of an endpoint of a service, defined or not, or nil. The
 // caller must not modify it.
 func (h *Hub) Newest(id, service string) *fleetpb.Endpoint {
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -53,7 +53,7 @@
 	// MayStepDown means that a primary that serves may be made to step down if entries do not
 	// confirm what they pass on. Otherwise the attempt is given up.
 	MayStepDown bool
-	// PrimaryGone means that the primary counts as ended, and its log as gone.
+	// PrimaryGone means that the primary has ended, as far as is known, and that its log is gone.
 	PrimaryGone bool
 	// PrimaryRestarted means that the primary was started again, perhaps without its log.
 	PrimaryRestarted bool
