soak: another writer announces what is no endpoint

Announcements of a service that is not defined, or with a field that is missing, null or of another type, go to random control daemons from before the first configuration on, with the ids and at the addresses of endpoints that run. No check allows for them.

--- a/internal/testing/soak/soak.go
+++ b/internal/testing/soak/soak.go
@@ -73,6 +73,7 @@
 	o := &operator{fleet: f, history: w, client: &http.Client{Timeout: time.Second}}
 	var background sync.WaitGroup
 	background.Go(func() { f.announce(working) })
+	background.Go(func() { f.announceForeign(working, cfg.Seed) })
 	if err := o.publishFirst(ctx); err != nil {
 		return Result{}, err
 	}
