--- a/internal/fleet/fleetctl/ended.go
+++ b/internal/fleet/fleetctl/ended.go
@@ -89,14 +89,25 @@
 	return w.promote(ctx, svc, replacement{reason: reasonGone, logsGone: len(unknown) == 0})
 }
 
-// endedEndpoints returns the endpoints of a service that count as ended, covered ones too: one that
-// runs after all may have received commits since.
-func (w *watcher) endedEndpoints(service string) []stmt.Endpoint {
-	var list []stmt.Endpoint
+// endedEndpoints returns the primary and the replicas of a service that count as ended and may run:
+// those that are not covered, and the last one at each address whose end only another endpoint's
+// announcement claims, as it may have received commits after it was covered.
+func (w *watcher) endedEndpoints(svc serviceState) []stmt.Endpoint {
+	list := []stmt.Endpoint{stmtEndpoint(svc.primary)}
+	for _, e := range svc.ended {
+		list = append(list, stmtEndpoint(e))
+	}
+	lastAt := make(map[string]*fleetpb.Endpoint)
 	for _, e := range w.node.hub.Endpoints() {
-		if e.Service == service && e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
-			list = append(list, stmtEndpoint(e))
+		if e.Service != svc.service || e.Id == svc.primary.Id || !w.node.hub.IsSuperseded(e.Id) || !w.isCovered(e) {
+			continue
+		}
+		if last := lastAt[e.Address]; last == nil || last.BornMs < e.BornMs {
+			lastAt[e.Address] = e
 		}
 	}
+	for _, e := range lastAt {
+		list = append(list, stmtEndpoint(e))
+	}
 	return list
 }
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -47,11 +47,11 @@
 		w.closeAttempt(&fleetpb.CloseAttempt{
 			Service: svc.service, Token: token, CallRefused: result.CallRefused, PausesLeft: result.PausesLeft,
 		})
-		// An unanswered call is repeated at once, with a token that fences it.
 		var found *promotion.LogFoundError
 		if errors.As(err, &found) {
 			w.noteRunning(w.node.hub.Endpoint(found.Endpoint))
 		}
+		// An unanswered call is repeated at once, with a token that fences it.
 		var unknown *promotion.OutcomeUnknownError
 		return errors.As(err, &unknown)
 	}
@@ -109,7 +109,7 @@
 		Floor:         fleetstate.Position(floor), LeadTerm: w.node.control.Status().Term,
 	}
 	if plan.PrimaryGone {
-		plan.Ended = w.endedEndpoints(svc.service)
+		plan.Ended = w.endedEndpoints(svc)
 	}
 	for _, c := range fleetstate.OpenCalls(svc.attempt, svc.primary.Id) {
 		plan.OpenCalls = append(plan.OpenCalls, promotion.Call{Token: c.Token, EndpointID: c.EndpointId})
--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -63,8 +63,8 @@
 	// empty or cannot be promoted, Successor chooses another one.
 	Preferred string
 	Replicas  []Replica
-	// Ended are the endpoints that count as ended, with the primary. They are asked before a
-	// commit is given up that no replica holds. Only used if PrimaryGone is set.
+	// Ended are endpoints that count as ended and may run after all, with the primary. They are
+	// asked before a commit is given up that no replica holds. Only used if PrimaryGone is set.
 	Ended []stmt.Endpoint
 	// Token is the fencing token, which no other plan uses.
 	Token uint64
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -14,6 +14,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	fleetpb "hemlockmast/api/fleet"
@@ -262,22 +263,12 @@
 		cmp.Compare(a.BornMs, b.BornMs),
 		cmp.Compare(a.Sequence, b.Sequence),
 		cmp.Compare(a.State, b.State),
-		compareBool(a.Primary, b.Primary),
+		strings.Compare(strconv.FormatBool(a.Primary), strconv.FormatBool(b.Primary)),
 		strings.Compare(a.FailureDomain, b.FailureDomain),
 		cmp.Compare(a.Slots, b.Slots),
 	)
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // sameContent compares everything except the sequence number.
 func sameContent(a, b *fleetpb.Endpoint) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
