A log found at an endpoint without a record ends no control daemon

An attempt that ends because an endpoint which counts as ended holds a commit looked the endpoint's record up again. Records go when a configuration drops their service; one that was applied while the attempt ran left none, and the daemon ended with a nil pointer.

Test: fleetctl.TestLogFoundAfterItsServiceWasDropped panics without the check and passes with it.

--- a/internal/fleet/fleetctl/ended.go
+++ b/internal/fleet/fleetctl/ended.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -50,6 +51,18 @@
 	}
 }
 
+// noteLogFound records that an endpoint answered that counts as ended if the error of an attempt says
+// so. The endpoint has no record any more if a configuration dropped its service meanwhile.
+func (w *watcher) noteLogFound(err error) {
+	var found *promotion.LogFoundError
+	if !errors.As(err, &found) {
+		return
+	}
+	if e := w.node.hub.Endpoint(found.Endpoint); e != nil {
+		w.noteRunning(e)
+	}
+}
+
 // askEnded asks endpoints that count as ended, all at once. dead are those whose end is proved. One
 // that said so itself and does not answer has ended; of one whose address another endpoint
 // announced, that one's answer there is the proof. unknown are those of which neither holds. The
--- a/internal/fleet/fleetctl/promote.go
+++ b/internal/fleet/fleetctl/promote.go
@@ -47,10 +47,7 @@
 		w.closeAttempt(&fleetpb.CloseAttempt{
 			Service: svc.service, Token: token, CallRefused: result.CallRefused, PausesLeft: result.PausesLeft,
 		})
-		var found *promotion.LogFoundError
-		if errors.As(err, &found) {
-			w.noteRunning(w.node.hub.Endpoint(found.Endpoint))
-		}
+		w.noteLogFound(err)
 		// An unanswered call is repeated at once, with a token that fences it.
 		var unknown *promotion.OutcomeUnknownError
 		return errors.As(err, &unknown)
