An end counts as announced only while the process's own announcement says so

Whether an end is only claimed was read from the record as it is after the endpoint was asked. A configuration that drops the service of the claim within that time brings the endpoint back, and the check took its unanswered question for a proof. It asks for the announcement of that very process now, and takes anything else for unknown.

Test: registry.TestServiceIsDroppedAndDefinedAgain checks it after the claim is withdrawn, where the former method answered as for an announced end.

--- a/internal/fleet/fleetctl/ended.go
+++ b/internal/fleet/fleetctl/ended.go
@@ -78,10 +78,10 @@
 		switch {
 		case errs[i] == nil || promotion.IsBusy(errs[i]):
 			w.noteRunning(e)
-		case w.node.hub.IsSuperseded(e.Id) && !promotion.ProvesDead(errs[i]):
-			unknown = append(unknown, e)
-		default:
+		case promotion.ProvesDead(errs[i]) || w.node.hub.IsEndAnnounced(e):
 			dead = append(dead, e)
+		default:
+			unknown = append(unknown, e)
 		}
 	}
 	return dead, unknown
@@ -112,7 +112,8 @@
 	}
 	lastAt := make(map[string]*fleetpb.Endpoint)
 	for _, e := range w.node.hub.Endpoints() {
-		if e.Service != svc.service || e.Id == svc.primary.Id || !w.node.hub.IsSuperseded(e.Id) || !w.isCovered(e) {
+		isClaimed := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE && !w.node.hub.IsEndAnnounced(e)
+		if e.Service != svc.service || e.Id == svc.primary.Id || !isClaimed || !w.isCovered(e) {
 			continue
 		}
 		if last := lastAt[e.Address]; last == nil || last.BornMs < e.BornMs {
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -231,11 +231,11 @@
 	return h.table.Defines(service)
 }
 
-// IsSuperseded is registry.Table.IsSuperseded.
-func (h *Hub) IsSuperseded(id string) bool {
+// IsEndAnnounced is registry.Table.IsEndAnnounced.
+func (h *Hub) IsEndAnnounced(e *fleetpb.Endpoint) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.IsSuperseded(id)
+	return h.table.IsEndAnnounced(e)
 }
 
 // Newest returns the newest announcement of an endpoint of a service, defined or not, or nil. The
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -217,11 +217,11 @@
 	return last.Id != e.Id && compareStarts(last, e) > 0
 }
 
-// IsSuperseded reports whether the record with an id is in the state gone only because another
-// endpoint announced a later start at its address, not by the endpoint's own word.
-func (t *Table) IsSuperseded(id string) bool {
-	e := t.records[id]
-	return e != nil && e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE && t.announced[KeyOf(e)].State != e.State
+// IsEndAnnounced reports whether the end of e's process was announced under its own id. A record may
+// also be in the state gone because another endpoint announced a later start at its address.
+func (t *Table) IsEndAnnounced(e *fleetpb.Endpoint) bool {
+	own := t.announced[KeyOf(e)]
+	return own != nil && own.BornMs == e.BornMs && own.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE
 }
 
 // MarkGone records that an endpoint has ended: it sets the state gone, not leaving. bornMs is
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -174,7 +174,7 @@
 				// The end of the process counts although the other announcement names a later one.
 				assert.Assert(t, !table.MarkGone("a", 1).IsEmpty())
 				assert.Equal(t, table.Get("a").State, gone)
-				assert.Assert(t, !table.IsSuperseded("a"))
+				assert.Assert(t, table.IsEndAnnounced(table.Get("a")))
 			}
 		})
 	}
@@ -187,10 +187,12 @@
 	table.Merge(announcement("a", addressX, 1, 1, ready))
 	table.Merge(ofService("other", announcement("b", addressX, 2, 1, ready)))
 	assert.Equal(t, table.Get("a").State, gone)
-	assert.Assert(t, table.IsSuperseded("a"))
+	ended := table.Get("a")
+	assert.Assert(t, !table.IsEndAnnounced(ended))
 	changes := define(table, "s")
 	assert.Equal(t, len(changes.Records), 1)
 	assert.Equal(t, table.Get("a").State, ready)
+	assert.Assert(t, !table.IsEndAnnounced(ended), "a claimed end counts as announced once it is withdrawn")
 	assert.Assert(t, table.Get("b") == nil)
 	define(table, "other")
 	table.Merge(announcement("a", addressX, 1, 2, leaving))
