A deregistered endpoint at its connection limit is not recorded as covered

A running replica that a deregistration named, and that refused control's connection because it was at its limit, was recorded as covered: only BUSY and an answer counted as signs that it runs. A refusal for lack of capacity comes from the endpoint itself, as a wrong id is refused with MISROUTED (PROTOCOL.md); the attempt took it so already before it gives up a commit.

Test: fleetd.TestDeregisteredReplicaAtItsLimitIsNotCovered fails on the code before in 2 of 2 runs and passes in 3 of 3.

--- a/internal/fleet/fleetctl/ended.go
+++ b/internal/fleet/fleetctl/ended.go
@@ -76,7 +76,7 @@
 	asked.Wait()
 	for i, e := range ended {
 		switch {
-		case errs[i] == nil || promotion.IsBusy(errs[i]):
+		case errs[i] == nil || promotion.IsOverloaded(errs[i]):
 			w.noteRunning(e)
 		case promotion.ProvesDead(errs[i]) || w.node.hub.IsEndAnnounced(e):
 			dead = append(dead, e)
--- a/internal/fleet/fleetd/foreign_test.go
+++ b/internal/fleet/fleetd/foreign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -158,3 +159,24 @@
 	replica.Restart("svc-9")
 	assert.Assert(t, standin.WaitFor(10*time.Second, isCovered))
 }
+
+// TestDeregisteredReplicaAtItsLimitIsNotCovered guards against a replica that runs and receives, and
+// is recorded as covered because a deregistration named it while it had no connection left.
+func TestDeregisteredReplicaAtItsLimitIsNotCovered(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
+	f.querySucceedsAt(0, "current", "STORE item v")
+	replica := f.group.Nodes()[1]
+	conn, err := net.Dial("tcp", replica.Address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	replica.Set(standin.Faults{MaxConnections: 1})
+	f.stopAnnouncing()
+	status, _ := f.operatorRequest(0, "POST", standin.LeavePath(replica.ID), "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool { return f.logged("endpoint that counts as ended answers") }))
+	f.writeFor(2 * time.Second)
+	assert.Assert(t, !f.logged(`"ended":["svc-1"]`))
+	replica.Set(standin.Faults{Down: true})
+	assert.Assert(t, standin.WaitFor(10*time.Second, func() bool { return f.logged(`"ended":["svc-1"]`) }))
+}
--- a/internal/fleet/promotion/close.go
+++ b/internal/fleet/promotion/close.go
@@ -118,7 +118,7 @@
 		asked.Go(func() {
 			status, err := a.statusAt(ctx, e)
 			a.logAnswer(e.ID, orderStatus, status, err)
-			mayHold[i] = err == nil && !status.Received.Less(pos) || isOverloaded(err)
+			mayHold[i] = err == nil && !status.Received.Less(pos) || IsOverloaded(err)
 		})
 	}
 	asked.Wait()
--- a/internal/fleet/promotion/orders.go
+++ b/internal/fleet/promotion/orders.go
@@ -54,7 +54,7 @@
 	deadline := time.Now().Add(commandTimeout)
 	for {
 		status, err := command(deadline)
-		if err == nil || !IsBusy(err) || time.Now().After(deadline) {
+		if err == nil || !isBusy(err) || time.Now().After(deadline) {
 			a.logAnswer(a.replicas[i].ID, order, status, err)
 			a.replicas[i].Reached = err == nil
 			if err == nil {
@@ -66,8 +66,8 @@
 	}
 }
 
-// IsBusy reports whether an error is the answer of an endpoint that is too busy for a command.
-func IsBusy(err error) bool {
+// isBusy reports whether an error is the answer of an endpoint that is too busy for a command.
+func isBusy(err error) bool {
 	var refused *stmt.RefusedError
 	return errors.As(err, &refused) && refused.Reply.Code == stmt.CodeBusy
 }
@@ -156,7 +156,7 @@
 		return a.isSame(a.conns[i], candidate.ID, candidate.Status)
 	}
 	status, err := a.conns[i].Status(time.Now().Add(commandTimeout))
-	if err == nil && status.PausedTerm >= a.pauseTerm || IsBusy(err) {
+	if err == nil && status.PausedTerm >= a.pauseTerm || isBusy(err) {
 		return true
 	}
 	a.logAnswer(a.replicas[i].ID, orderStatus, status, err)
@@ -167,18 +167,18 @@
 // A connection that was opened before ends if the endpoint starts again.
 func (a *attempt) isSame(conn stmt.Conn, id string, earlier stmt.Status) bool {
 	status, err := conn.Status(time.Now().Add(commandTimeout))
-	if err == nil && status.Role == earlier.Role && !status.Received.Less(earlier.Received) || IsBusy(err) {
+	if err == nil && status.Role == earlier.Role && !status.Received.Less(earlier.Received) || isBusy(err) {
 		return true
 	}
 	a.logAnswer(id, orderStatus, status, err)
 	return false
 }
 
-// isOverloaded reports whether an error is the answer of an endpoint that has no capacity left for
+// IsOverloaded reports whether an error is the answer of an endpoint that has no capacity left for
 // a connection or a command.
-func isOverloaded(err error) bool {
+func IsOverloaded(err error) bool {
 	var refused *stmt.RefusedError
-	return IsBusy(err) || errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
+	return isBusy(err) || errors.As(err, &refused) && refused.Reply.Code == stmt.CodeTooMany
 }
 
 // statusAt requests an endpoint's status over a new connection. Errors: those of stmt.
