A deregistration counts at each control daemon, wherever it arrives

What operators and callers saw: an endpoint that was deregistered at another control daemon than the one that received its announcements (OPERATIONS.md says: at any) went on counting as running at that daemon, which may lead, and at entries that follow it. A replica was not covered there, and reads were tried at an endpoint that had ended.

Cause: the end is numbered after the last announcement known where it arrives. Numbers alone are not passed on, so that the receiving daemon holds a higher one for the same process, and took the end for outdated.

Change: a daemon that learns of such an end from another one numbers it after its own, and passes it on. An end is passed on whenever its number rises, so that all tables agree. Announcements of a process that still runs are newer again, as before.

--- a/internal/fleet/fleetctl/peers.go
+++ b/internal/fleet/fleetctl/peers.go
@@ -97,7 +97,7 @@
 				n.log.Info("endpoint of another control daemon ignored", "control", address, "error", err.Error())
 				continue
 			}
-			n.logChanges(n.hub.Merge(e).Records)
+			n.logChanges(n.hub.MergeFromPeer(e).Records)
 		}
 		leaving.AddTransit(answer, sentAt, boottime.Now())
 		n.hub.RaiseAges(answer.Leaving)
--- a/internal/fleet/fleetd/foreign_test.go
+++ b/internal/fleet/fleetd/foreign_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -180,3 +182,35 @@
 	replica.Set(standin.Faults{Down: true})
 	assert.Assert(t, standin.WaitFor(10*time.Second, func() bool { return f.logged(`"ended":["svc-1"]`) }))
 }
+
+// TestDeregistrationCountsAtEachDaemon guards against an endpoint that ended and was deregistered at
+// another control daemon than the one that received its announcements, and counts as running there.
+func TestDeregistrationCountsAtEachDaemon(t *testing.T) {
+	f := newFleet(t, 4, 1)
+	f.publish(standin.Levels(5, 800, 1500, 40, "svc"))
+	f.querySucceedsAt(0, "current", "STORE item v")
+	// The first daemon receives further announcements, which change nothing.
+	time.Sleep(4 * heartbeat)
+	replica := f.group.Nodes()[1]
+	replica.Set(standin.Faults{Down: true})
+	time.Sleep(heartbeat)
+	status, _ := f.operatorRequest(2, "POST", standin.LeavePath(replica.ID), "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, standin.WaitFor(5*time.Second, func() bool {
+		for daemon := range 4 {
+			if !f.knowsEnd(daemon, replica.ID) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+// knowsEnd reports whether a control daemon logged an endpoint's end.
+func (f *fleet) knowsEnd(daemon int, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.logLines, func(line string) bool {
+		return strings.Contains(line, fmt.Sprintf(`"daemon":"control-%d","endpoint":%q`, daemon, id)) && strings.Contains(line, `"ENDPOINT_STATE_GONE"`)
+	})
+}
--- a/internal/fleet/fleethub/hub.go
+++ b/internal/fleet/fleethub/hub.go
@@ -173,6 +173,15 @@
 	return changes
 }
 
+// MergeFromPeer processes an announcement that another control daemon holds.
+func (h *Hub) MergeFromPeer(e *fleetpb.Endpoint) registry.Changes {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changes := h.table.MergeFromPeer(e)
+	h.noteChanges(changes)
+	return changes
+}
+
 // MarkGone records that an endpoint has ended. bornMs is as for registry.Table.MarkGone.
 func (h *Hub) MarkGone(id string, bornMs int64) registry.Changes {
 	h.mu.Lock()
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -102,6 +102,19 @@
 	return t.put(key, e)
 }
 
+// MergeFromPeer adds an announcement that another control daemon holds. Numbers alone are not passed
+// on, so that the other daemon may have ended a process with a lower number than that of an
+// announcement received here before. The process ends here, too; if it still runs, its further
+// announcements are newer.
+func (t *Table) MergeFromPeer(e *fleetpb.Endpoint) Changes {
+	held := t.announced[KeyOf(e)]
+	isEnd := e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE && held != nil && held.State != e.State
+	if isEnd && held.BornMs == e.BornMs && held.Sequence >= e.Sequence {
+		e = asEnded(held)
+	}
+	return t.Merge(e)
+}
+
 // put replaces the announcement with the given key.
 func (t *Table) put(key Key, e *fleetpb.Endpoint) Changes {
 	held := t.announced[key]
@@ -110,7 +123,8 @@
 	}
 	t.announced[key] = e
 	var changes Changes
-	if held == nil || !sameContent(held, e) {
+	// A table with a higher number for the process takes only the highest end for newer.
+	if held == nil || !sameContent(held, e) || e.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
 		changes.Announced = []*fleetpb.Endpoint{e}
 	}
 	affected := []string{e.Id}
@@ -235,17 +249,21 @@
 		if bornMs != 0 && bornMs < held.BornMs || held.State == fleetpb.EndpointState_ENDPOINT_STATE_GONE {
 			continue
 		}
-		gone := asGone(held)
-		// A heartbeat sent before the end may still arrive. The higher sequence number makes
-		// it outdated; with the highest one, the state does.
-		gone.Sequence = min(gone.Sequence+1, maxSequence)
-		c := t.put(KeyOf(gone), gone)
+		c := t.put(KeyOf(held), asEnded(held))
 		changes.Announced = append(changes.Announced, c.Announced...)
 		changes.Records = append(changes.Records, c.Records...)
 	}
 	return changes
 }
 
+// asEnded returns an announcement that e's process has ended. A heartbeat sent before the end may
+// still arrive. The higher sequence number makes it outdated; with the highest one, the state does.
+func asEnded(e *fleetpb.Endpoint) *fleetpb.Endpoint {
+	ended := asGone(e)
+	ended.Sequence = min(e.Sequence+1, maxSequence)
+	return ended
+}
+
 // asGone returns a copy of e in the state gone.
 func asGone(e *fleetpb.Endpoint) *fleetpb.Endpoint {
 	return &fleetpb.Endpoint{
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -255,3 +256,28 @@
 }
 
 func isEqual(a, b *fleetpb.Endpoint) bool { return proto.Equal(a, b) }
+
+// TestEndAtAnotherDaemonCounts guards against an ended endpoint that counts as running at the daemon
+// which received its last announcements: another one, which knows a lower number, took its end.
+func TestEndAtAnotherDaemonCounts(t *testing.T) {
+	receiving, other := newTable("s"), newTable("s")
+	other.Merge(announcement("a", addressX, 1, 5, ready))
+	receiving.Merge(announcement("a", addressX, 1, 9, ready))
+	end := other.MarkGone("a", 0).Announced[0]
+	assert.Equal(t, end.Sequence, uint64(6))
+	changes := receiving.MergeFromPeer(end)
+	assert.Equal(t, len(changes.Records), 1)
+	assert.Equal(t, receiving.Get("a").State, gone)
+	// The tables agree after each has what the other passes on, and nothing is passed on for ever.
+	back := other.MergeFromPeer(changes.Announced[0])
+	assert.Equal(t, len(back.Announced), 1)
+	assert.Equal(t, len(receiving.MergeFromPeer(back.Announced[0]).Announced), 0)
+	assert.DeepEqual(t, other.AllAnnounced(), receiving.AllAnnounced(), protocmp.Transform())
+	// A process that runs after all is back with its further announcements.
+	receiving.Merge(announcement("a", addressX, 1, 11, ready))
+	assert.Equal(t, receiving.Get("a").State, ready)
+	// The end of an earlier process ends no later one.
+	receiving.Merge(announcement("a", addressX, 2, 1, ready))
+	assert.Assert(t, receiving.MergeFromPeer(end).IsEmpty())
+	assert.Equal(t, receiving.Get("a").State, ready)
+}
