--- a/internal/fleet/promotion/run.go
+++ b/internal/fleet/promotion/run.go
@@ -191,8 +191,9 @@
 // Run carries out the plan. The context ends when the caller must no longer promote; no call
 // is made after that. Replicas stay paused until an endpoint is promoted, whichever attempt
 // does it. Errors: *OtherPrimaryError, *NoCandidateError, *UnsafeError, *BelowFloorError,
-// *MissingCommitError, *LogFoundError, *NotConfirmedError, *DelayedError and those of Recorder before the platform
-// is called; those of Promoter and *TakeoverTimeoutError after that; the context's if it ended.
+// *MissingCommitError, *LogFoundError, *NotConfirmedError, *DelayedError and those of Recorder
+// before the platform is called; those of Promoter and *TakeoverTimeoutError after that; the
+// context's if it ended.
 func (r *Runner) Run(ctx context.Context, plan Plan) (Result, error) {
 	a := &attempt{
 		Runner: r, plan: plan,
