Announcements of another writer are built in the stand-ins

Three tests and the soak each wrote the platform's message out. The stand-ins build it for all, and the platform's words stay in platform/. What is sent and what is checked are as before.

--- a/internal/fleet/fleetd/attempts_test.go
+++ b/internal/fleet/fleetd/attempts_test.go
@@ -16,9 +16,7 @@
 // daemon, as another writer may.
 func (f *fleet) announceForeign(daemon int, address string) {
 	f.t.Helper()
-	body := fmt.Sprintf(`{"Backend":"svc","Address":%q,"Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":1,"born":%d}`, address, f.born)
-	status, _ := f.operatorRequest(daemon, "POST", standin.BeatPath("svc-9"), body)
-	assert.Equal(f.t, status, http.StatusOK)
+	f.announceProcess(daemon, "svc-9", "svc", address, 1, f.born)
 	for range 20 {
 		f.querySucceeds(0, "FETCH item")
 		time.Sleep(100 * time.Millisecond)
--- a/internal/fleet/fleetd/foreign_test.go
+++ b/internal/fleet/fleetd/foreign_test.go
@@ -17,9 +17,7 @@
 // announceProcess announces a ready replica once and to one control daemon, as another writer may.
 func (f *fleet) announceProcess(daemon int, id, service, address string, sequence int, bornMs int64) {
 	f.t.Helper()
-	body := fmt.Sprintf(`{"Backend":%q,"Address":%q,"Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":%d,"born":%d}`,
-		service, address, sequence, bornMs)
-	status, _ := f.operatorRequest(daemon, "POST", standin.BeatPath(id), body)
+	status, _ := f.operatorRequest(daemon, "POST", standin.BeatPath(id), standin.ReplicaBeat(service, address, sequence, bornMs))
 	assert.Equal(f.t, status, http.StatusOK)
 }
 
@@ -74,10 +72,7 @@
 		isAnswered = isAnswered && status != 0
 	}
 	for i, n := range f.group.Nodes() {
-		foreign := func(address string) string {
-			return fmt.Sprintf(`{"Backend":"other","Address":%q,"Zone":"a","Version":"v1","Slots":3,"State":"ready","ColdRemainingMs":0,"DbRole":"replica","Sequence":1,"born":%d}`,
-				address, time.Now().UnixMilli())
-		}
+		foreign := func(address string) string { return standin.ReplicaBeat("other", address, 1, time.Now().UnixMilli()) }
 		send(fmt.Sprint("other-", i), foreign(n.Address))
 		send(n.ID, foreign("127.0.3.1:9"))
 		send(n.ID, foreign(n.Address))
--- a/internal/testing/soak/foreign.go
+++ b/internal/testing/soak/foreign.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"hemlockmast/internal/shared/wait"
@@ -24,30 +23,10 @@
 	for ; ctx.Err() == nil; wait.For(ctx, foreignInterval) {
 		n := f.nodes[rng.IntN(len(f.nodes))]
 		id, _ := n.Identity()
-		body := foreignBody(rng, n.Beat(domain(0), rng.IntN(2) == 0, 1+rng.IntN(1000), time.Now().UnixMilli()))
+		body := standin.ForeignBeat(rng, n.Beat(domain(0), rng.IntN(2) == 0, 1+rng.IntN(1000), time.Now().UnixMilli()))
 		if rng.IntN(2) == 0 {
 			id = fmt.Sprint("foreign-", rng.IntN(3))
 		}
 		f.call(client, rng.IntN(f.controls), http.MethodPost, standin.BeatPath(id), body)
 	}
 }
-
-// foreignBody changes an endpoint's announcement so that it names no endpoint: another service, or a
-// field that is missing, null or of another type.
-func foreignBody(rng *rand.Rand, body string) string {
-	fields := strings.Split(strings.Trim(body, "{}"), ",")
-	i := rng.IntN(len(fields))
-	name, _, _ := strings.Cut(fields[i], ":")
-	switch rng.IntN(4) {
-	case 0:
-		fields = append(fields[:i], fields[i+1:]...)
-	case 1:
-		fields[i] = name + ":null"
-	case 2:
-		fields[i] = name + ":[]"
-	default:
-		// The service is the first field.
-		fields[0] = `"Backend":"undefined"`
-	}
-	return "{" + strings.Join(fields, ",") + "}"
-}
